--- /dev/null
+++ b/src/bin/notch-fake.rs
@@ -0,0 +1,40 @@
+//! Stand-ins for the platform and targets, and the load generator.
+
+use bpaf::{OptionParser, Parser, construct};
+use plantainnotch::cmd::{fake_load, fake_platform, fake_target};
+
+#[derive(Debug, Clone)]
+enum FakeCommand {
+    Platform(fake_platform::PlatformOptions),
+    Target(fake_target::TargetOptions),
+    Load(fake_load::LoadOptions),
+}
+
+fn options() -> OptionParser<FakeCommand> {
+    let platform = fake_platform::options()
+        .map(FakeCommand::Platform)
+        .to_options()
+        .descr("The platform: log and list of VMs")
+        .command("platform");
+    let target = fake_target::options()
+        .map(FakeCommand::Target)
+        .to_options()
+        .descr("A target: an engine or a plain service")
+        .command("target");
+    let load = fake_load::options()
+        .map(FakeCommand::Load)
+        .to_options()
+        .descr("Seeded load, with a table and a JSON summary")
+        .command("load");
+    construct!([platform, target, load])
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+}
+
+fn main() -> eyre::Result<()> {
+    match options().run() {
+        FakeCommand::Platform(options) => fake_platform::run(options),
+        FakeCommand::Target(options) => fake_target::run(options),
+        FakeCommand::Load(options) => fake_load::run(&options),
+    }
+}
--- /dev/null
+++ b/src/bin/notch-steward.rs
@@ -0,0 +1,8 @@
+//! Steward: folds the log, watches peers, owns ledgers.
+
+use plantainnotch::{cmd, config};
+
+fn main() -> eyre::Result<()> {
+    let settings = config::steward_options().run().check()?;
+    cmd::steward::run(settings)
+}
--- /dev/null
+++ b/src/chart.rs
@@ -0,0 +1,143 @@
+//! State charts read from the files in `charts/` and interpreted here.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+/// Result of reading or stepping a chart.
+pub type Result<T> = std::result::Result<T, ChartError>;
+
+/// Faults of a chart file, or of an event that the chart does not allow.
+#[derive(Debug, Error)]
+pub enum ChartError {
+    /// The file is not a chart.
+    #[error("chart {name}: {source}; mend the file under charts/ and build again")]
+    Unreadable {
+        /// The chart's name.
+        name: &'static str,
+        /// What the reader met.
+        source: serde_json::Error,
+    },
+    /// A transition leads from or to a state that is not listed.
+    #[error("chart {name}: state {state} is not listed; add it to `states`")]
+    UnknownState {
+        /// The chart's name.
+        name: &'static str,
+        /// The state that is not listed.
+        state: String,
+    },
+    /// The event is not allowed in the state.
+    #[error("chart {name}: no transition from {state} on {event}; add one to charts/{name}.json")]
+    NoTransition {
+        /// The chart's name.
+        name: &'static str,
+        /// The current state.
+        state: String,
+        /// The event met.
+        event: String,
+    },
+}
+
+#[derive(Debug, Deserialize)]
+struct ChartFile {
+    initial: String,
+    states: Vec<String>,
+    transitions: Vec<ChartEdge>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChartEdge {
+    from: String,
+    on: String,
+    to: String,
+}
+
+/// A state chart: states, and the transition each event causes.
+#[derive(Debug)]
+pub struct StateChart {
+    name: &'static str,
+    initial: String,
+    edges: BTreeMap<String, BTreeMap<String, String>>,
+}
+
+impl StateChart {
+    /// Reads a chart and checks that every transition names listed states.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is not a chart or names an unlisted state.
+    ///
+    /// ```
+    /// use plantainnotch::chart::StateChart;
+    /// let text = r#"{"initial":"a","states":["a","b"],
+    ///   "transitions":[{"from":"a","on":"go","to":"b"}]}"#;
+    /// let chart = StateChart::parse("example", text)?;
+    /// assert_eq!(chart.step(chart.initial(), "go")?, "b");
+    /// # Ok::<(), plantainnotch::chart::ChartError>(())
+    /// ```
+    pub fn parse(name: &'static str, text: &str) -> Result<Self> {
+        let file: ChartFile =
+            serde_json::from_str(text).map_err(|source| ChartError::Unreadable { name, source })?;
+        let mut edges: BTreeMap<String, BTreeMap<String, String>> = BTreeMap::new();
+        for state in [&file.initial]
+            .into_iter()
+            .chain(file.transitions.iter().flat_map(|e| [&e.from, &e.to]))
+        {
+            if !file.states.contains(state) {
+                return Err(ChartError::UnknownState {
+                    name,
+                    state: state.clone(),
+                });
+            }
+        }
+        for edge in file.transitions {
+            edges.entry(edge.from).or_default().insert(edge.on, edge.to);
+        }
+        Ok(Self {
+            name,
+            initial: file.initial,
+            edges,
+        })
+    }
+
+    /// The state in which everything starts.
+    pub fn initial(&self) -> &str {
+        &self.initial
+    }
+
+    /// The state after `event` in `state`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the chart has no such transition.
+    pub fn step(&self, state: &str, event: &str) -> Result<&str> {
+        self.edges
+            .get(state)
+            .and_then(|events| events.get(event))
+            .map(String::as_str)
+            .ok_or_else(|| ChartError::NoTransition {
+                name: self.name,
+                state: state.to_owned(),
+                event: event.to_owned(),
+            })
+    }
+}
+
+/// The chart of a request at an entry.
+///
+/// # Errors
+///
+/// Fails when the file under `charts/` is faulty.
+pub fn request_chart() -> Result<StateChart> {
+    StateChart::parse("request", include_str!("../charts/request.json"))
+}
+
+/// The chart of a target's slow start at its steward.
+///
+/// # Errors
+///
+/// Fails when the file under `charts/` is faulty.
+pub fn target_chart() -> Result<StateChart> {
+    StateChart::parse("target", include_str!("../charts/target.json"))
+}
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,42 @@
+//! The clock, passed in so that tests control the passing of time.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Source of monotonic time.
+///
+/// ```
+/// use plantainnotch::clock::TimeSource;
+/// let clock = TimeSource::system();
+/// assert!(clock.now() <= clock.now());
+/// ```
+#[derive(Clone)]
+pub struct TimeSource {
+    read: Arc<dyn Fn() -> Instant + Send + Sync>,
+}
+
+impl TimeSource {
+    /// The operating system's monotonic clock.
+    pub fn system() -> Self {
+        Self::from_fn(Instant::now)
+    }
+
+    /// A clock that reads whatever `read` returns.
+    pub fn from_fn(read: impl Fn() -> Instant + Send + Sync + 'static) -> Self {
+        Self {
+            read: Arc::new(read),
+        }
+    }
+
+    /// The current monotonic time.
+    pub fn now(&self) -> Instant {
+        (self.read)()
+    }
+}
+
+impl fmt::Debug for TimeSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("TimeSource")
+    }
+}
--- /dev/null
+++ b/src/cmd/ctl/explain.rs
@@ -0,0 +1,52 @@
+//! `notchctl explain`: why a request went where it went.
+
+use eyre::{Result, bail};
+
+use super::fleet::FleetClient;
+use crate::entry::decisions::RoutingDecision;
+use crate::ids::RequestId;
+
+/// Asks all entries for the decisions about a request.
+///
+/// # Errors
+///
+/// Fails when the id is faulty, or no entry remembers the request.
+pub async fn run(fleet: &FleetClient, request: &str) -> Result<()> {
+    let Ok(id) = request.parse::<RequestId>() else {
+        bail!("{request:?} is not a request id; use the X-Request-Id of an answer");
+    };
+    let (view, _) = fleet.read_view().await?;
+    let mut found = false;
+    for (vm, member) in view.members().iter() {
+        let path = format!("/v1/requests/{id}/decisions");
+        let Some(page) = fleet.page(&member.join.entry_address, &path).await else {
+            eprintln!("{vm}: entry does not answer");
+            continue;
+        };
+        let decisions: Vec<RoutingDecision> = serde_json::from_value(page).unwrap_or_default();
+        found |= !decisions.is_empty();
+        for decision in decisions {
+            print_decision(vm.as_str(), &decision);
+        }
+    }
+    if !found {
+        bail!(
+            "no entry remembers {id}; entries keep their last few thousand decisions, older ones are in their logs"
+        );
+    }
+    Ok(())
+}
+
+fn print_decision(vm: &str, decision: &RoutingDecision) {
+    let targets: Vec<&str> = decision.targets.iter().map(|name| name.as_str()).collect();
+    println!(
+        "{vm} +{} ms {} [{}] {}",
+        decision.at_ms,
+        decision.decision,
+        targets.join(", "),
+        decision.reason
+    );
+    if !decision.alternatives.is_empty() {
+        println!("    alternatives: {}", decision.alternatives.join(", "));
+    }
+}
--- /dev/null
+++ b/src/cmd/ctl/table.rs
@@ -0,0 +1,143 @@
+//! `notchctl table`: export, import, set, history.
+
+use std::path::Path;
+
+use eyre::{Result, WrapErr, bail, eyre};
+
+use super::change::{differing, need_author, submit};
+use super::fleet::FleetClient;
+use crate::view::record::RecordBody;
+use crate::view::sheet::{self, COLUMNS};
+use crate::view::{Verdict, View};
+
+/// Writes the table as CSV.
+///
+/// # Errors
+///
+/// Fails when the log cannot be read or the file cannot be written.
+pub async fn export(fleet: &FleetClient, file: Option<&Path>) -> Result<()> {
+    let (view, _) = fleet.read_view().await?;
+    let text = sheet::write(&view);
+    match file {
+        Some(file) => std::fs::write(file, text)
+            .wrap_err_with(|| format!("cannot write {}; name another file", file.display())),
+        None => {
+            print!("{text}");
+            Ok(())
+        }
+    }
+}
+
+/// Checks a sheet whole, and appends the rows that differ.
+///
+/// # Errors
+///
+/// Fails when the sheet has mistakes or a change was not accepted.
+pub async fn import(
+    fleet: &FleetClient,
+    file: &Path,
+    author: Option<&str>,
+    wait: bool,
+) -> Result<()> {
+    let author = need_author(author)?;
+    let text = std::fs::read_to_string(file)
+        .wrap_err_with(|| format!("cannot read {}; save it as CSV in UTF-8", file.display()))?;
+    let rows = sheet::read(&file.display().to_string(), &text)?;
+    let (mut view, _) = fleet.read_view().await?;
+    let changes = differing(&view, rows);
+    submit(fleet, &mut view, &author, changes, wait).await
+}
+
+/// Changes cells of one row.
+///
+/// # Errors
+///
+/// Fails when a cell is faulty or the change was not accepted.
+pub async fn set(
+    fleet: &FleetClient,
+    kind: &str,
+    name: &str,
+    cells: &[String],
+    author: Option<&str>,
+    wait: bool,
+) -> Result<()> {
+    let author = need_author(author)?;
+    let (mut view, _) = fleet.read_view().await?;
+    let text = edited_sheet(&view, kind, name, cells)?;
+    let rows = sheet::read("table set", &text)?;
+    let changes = differing(&view, rows);
+    submit(fleet, &mut view, &author, changes, wait).await
+}
+
+/// A sheet with just the row, its cells changed.
+fn edited_sheet(view: &View, kind: &str, name: &str, cells: &[String]) -> Result<String> {
+    let (row_name, target) = name.split_once('@').unwrap_or((name, ""));
+    let exported = sheet::write(view);
+    let mut reader = csv::Reader::from_reader(exported.as_bytes());
+    let mut values: Vec<String> = vec![String::new(); COLUMNS.len()];
+    for record in reader.records() {
+        let record = record?;
+        let same = record.get(0) == Some(kind)
+            && record.get(1) == Some(row_name)
+            && record.get(2) == Some(target);
+        if same {
+            values = record.iter().map(str::to_owned).collect();
+        }
+    }
+    values[0] = kind.to_owned();
+    values[1] = row_name.to_owned();
+    values[2] = target.to_owned();
+    for cell in cells {
+        let (column, value) = cell
+            .split_once('=')
+            .ok_or_else(|| eyre!("{cell:?} is not COLUMN=VALUE; mend it"))?;
+        let Some(place) = COLUMNS.iter().position(|name| *name == column) else {
+            bail!(
+                "{column:?} is not a column; use one of {}",
+                COLUMNS.join(", ")
+            );
+        };
+        values[place] = value.to_owned();
+    }
+    let mut writer = csv::Writer::from_writer(Vec::new());
+    writer.write_record(COLUMNS)?;
+    writer.write_record(&values)?;
+    Ok(String::from_utf8(writer.into_inner()?)?)
+}
+
+/// Shows the changes that the log still has, oldest first.
+///
+/// # Errors
+///
+/// Fails when the log cannot be read.
+pub async fn history(fleet: &FleetClient, name: Option<&str>) -> Result<()> {
+    let (_, all) = fleet.read_view().await?;
+    let mut view = crate::view::checkpoint::rebuild(all.head, &[]).unwrap_or_default();
+    for entry in &all.entries {
+        let verdict = view.fold(entry);
+        let Some(RecordBody::Table(change)) = entry.record.as_ref().map(|record| &record.body)
+        else {
+            continue;
+        };
+        let verdict = match verdict {
+            Verdict::Accepted => "accepted".to_owned(),
+            Verdict::Ignored => "ignored".to_owned(),
+            Verdict::Raced { key, .. } => format!("rejected, raced on {key}"),
+            Verdict::Refused { key, reason } => format!("rejected, {key}: {reason}"),
+        };
+        for row in &change.rows {
+            let key = row.key.to_string();
+            if name.is_some_and(|name| !key.contains(name)) {
+                continue;
+            }
+            println!(
+                "offset {} at {} ms by {}: {key} = {} [{verdict}]",
+                entry.offset,
+                entry.at_ms,
+                change.author,
+                serde_json::to_string(&row.row)?
+            );
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,8 @@
+//! One module for each command.
+
+pub mod ctl;
+pub mod entry;
+pub mod fake_load;
+pub mod fake_platform;
+pub mod fake_target;
+pub mod steward;
--- /dev/null
+++ b/src/cmd/steward.rs
@@ -0,0 +1,62 @@
+//! `notch-steward`: runs a steward until it is told to stop.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::Actor;
+use eyre::{Context, Result};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{sleep, timeout};
+
+use crate::clock::TimeSource;
+use crate::config::StewardSettings;
+use crate::logging;
+use crate::steward::actor::{LeaveFleet, StewardActor, call_handler};
+use crate::steward::admin;
+use crate::steward::metrics::StewardMetrics;
+use crate::wire::server;
+
+const LEAVE_WITHIN: Duration = Duration::from_secs(5);
+
+/// Runs the steward.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub fn run(settings: StewardSettings) -> Result<()> {
+    logging::init();
+    actix::System::new().block_on(run_until_stopped(settings))
+}
+
+async fn run_until_stopped(settings: StewardSettings) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let drain = settings.drain;
+    let listener = TcpListener::bind(&settings.peer_address)
+        .await
+        .wrap_err_with(|| format!("cannot listen on --peer-address {}", settings.peer_address))?;
+    let admin_address = settings.admin_address.clone();
+    let metrics = Rc::new(StewardMetrics::new());
+    let addr = StewardActor::new(settings, TimeSource::system(), metrics.clone())?.start();
+    let pages = admin::serve(&admin_address, addr.clone(), &metrics)
+        .wrap_err_with(|| format!("cannot listen on --admin-address {admin_address}"))?;
+    let handle = pages.handle();
+    actix_rt::spawn(pages);
+    actix_rt::spawn(server::serve(listener, call_handler(addr.clone())));
+    tracing::info!("steward started");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    tracing::info!("leaving");
+    let left = addr.send(LeaveFleet).await?;
+    match timeout(LEAVE_WITHIN, left).await {
+        Ok(Ok(state)) => tracing::info!(?state, "leave record"),
+        _ => tracing::warn!("the log did not take the leave record; peers will evict this VM"),
+    }
+    sleep(drain).await;
+    handle.stop(true).await;
+    tracing::info!("stopped");
+    Ok(())
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,374 @@
+//! Settings from flags and environment variables, checked all at once.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bpaf::{OptionParser, Parser, construct, long};
+
+use crate::error::ErrorList;
+use crate::ids::{DomainName, VmName};
+use crate::policy::placement::PlacementPolicy;
+
+/// Result of checking settings.
+pub type Result<T> = std::result::Result<T, ErrorList>;
+
+/// Settings of `notch-steward`.
+#[derive(Debug, Clone)]
+pub struct StewardSettings {
+    /// The VM's name.
+    pub vm: VmName,
+    /// The VM's failure domain.
+    pub domain: DomainName,
+    /// URL of the platform.
+    pub platform: String,
+    /// Where peers and entries reach this steward.
+    pub peer_address: String,
+    /// Where operators reach this steward.
+    pub admin_address: String,
+    /// Where callers reach this VM's entry.
+    pub entry_address: String,
+    /// Stewards to ask while the log is out.
+    pub seeds: Vec<String>,
+    /// How requests are placed.
+    pub policy: PlacementPolicy,
+    /// How long to keep serving after the leave record.
+    pub drain: Duration,
+}
+
+/// Settings of `notch-entry`.
+#[derive(Debug, Clone)]
+pub struct EntrySettings {
+    /// The VM's name.
+    pub vm: VmName,
+    /// The VM's failure domain.
+    pub domain: DomainName,
+    /// Where callers reach this entry.
+    pub listen: String,
+    /// Stewards to follow: this VM's own first.
+    pub stewards: Vec<String>,
+    /// Threads that serve callers.
+    pub workers: usize,
+    /// How long callers may keep the list of entries, and a stopping entry serves.
+    pub keep_entries: Duration,
+    /// Largest request body in bytes.
+    pub body_limit: usize,
+}
+
+/// Raw text of one setting.
+type RawSetting = Option<String>;
+
+fn setting(name: &'static str, env: &'static str, help: &'static str) -> impl Parser<RawSetting> {
+    long(name)
+        .env(env)
+        .help(help)
+        .argument::<String>("VALUE")
+        .optional()
+}
+
+fn vm_setting() -> impl Parser<RawSetting> {
+    setting("vm", "NOTCH_VM", "Name of this VM, the same at every start")
+}
+
+fn domain_setting() -> impl Parser<RawSetting> {
+    setting(
+        "domain",
+        "NOTCH_DOMAIN",
+        "Failure domain of this VM, as the table names it",
+    )
+}
+
+fn platform_setting() -> impl Parser<RawSetting> {
+    setting(
+        "platform",
+        "NOTCH_PLATFORM",
+        "URL of the platform, such as http://10.0.0.1:7000",
+    )
+}
+
+fn peer_setting() -> impl Parser<RawSetting> {
+    setting(
+        "peer-address",
+        "NOTCH_PEER_ADDRESS",
+        "IP and port where peers reach this steward",
+    )
+}
+
+fn admin_setting() -> impl Parser<RawSetting> {
+    setting(
+        "admin-address",
+        "NOTCH_ADMIN_ADDRESS",
+        "IP and port of this steward's operator pages",
+    )
+}
+
+fn entry_setting() -> impl Parser<RawSetting> {
+    setting(
+        "entry-address",
+        "NOTCH_ENTRY_ADDRESS",
+        "IP and port where callers reach this VM's entry",
+    )
+}
+
+fn seeds_setting() -> impl Parser<RawSetting> {
+    setting(
+        "seeds",
+        "NOTCH_SEEDS",
+        "Other stewards' IPs and ports, separated by commas",
+    )
+}
+
+fn policy_setting() -> impl Parser<RawSetting> {
+    setting(
+        "policy",
+        "NOTCH_POLICY",
+        "lanes (default), round-robin, least-loaded or shared-queue",
+    )
+}
+
+fn drain_setting() -> impl Parser<RawSetting> {
+    setting(
+        "drain-seconds",
+        "NOTCH_DRAIN_SECONDS",
+        "How long a stopping process keeps serving (default 15)",
+    )
+}
+
+fn listen_setting() -> impl Parser<RawSetting> {
+    setting(
+        "listen",
+        "NOTCH_LISTEN",
+        "IP and port where callers reach this entry",
+    )
+}
+
+fn stewards_setting() -> impl Parser<RawSetting> {
+    setting(
+        "stewards",
+        "NOTCH_STEWARDS",
+        "Stewards' IPs and ports, this VM's own first, separated by commas",
+    )
+}
+
+fn workers_setting() -> impl Parser<RawSetting> {
+    setting(
+        "workers",
+        "NOTCH_WORKERS",
+        "Threads that serve callers (default 2)",
+    )
+}
+
+fn body_limit_setting() -> impl Parser<RawSetting> {
+    setting(
+        "body-limit-bytes",
+        "NOTCH_BODY_LIMIT_BYTES",
+        "Largest request body (default 16777216)",
+    )
+}
+
+/// Settings as they were written, before they are checked.
+#[derive(Debug, Clone)]
+pub struct RawSteward {
+    vm: RawSetting,
+    domain: RawSetting,
+    platform: RawSetting,
+    peer: RawSetting,
+    admin: RawSetting,
+    entry: RawSetting,
+    seeds: RawSetting,
+    policy: RawSetting,
+    drain: RawSetting,
+}
+
+/// Settings as they were written, before they are checked.
+#[derive(Debug, Clone)]
+pub struct RawEntry {
+    vm: RawSetting,
+    domain: RawSetting,
+    listen: RawSetting,
+    stewards: RawSetting,
+    workers: RawSetting,
+    drain: RawSetting,
+    body_limit: RawSetting,
+}
+
+/// The command line of `notch-steward`.
+pub fn steward_options() -> OptionParser<RawSteward> {
+    let vm = vm_setting();
+    let domain = domain_setting();
+    let platform = platform_setting();
+    let peer = peer_setting();
+    let admin = admin_setting();
+    let entry = entry_setting();
+    let seeds = seeds_setting();
+    let policy = policy_setting();
+    let drain = drain_setting();
+    construct!(RawSteward {
+        vm,
+        domain,
+        platform,
+        peer,
+        admin,
+        entry,
+        seeds,
+        policy,
+        drain
+    })
+    .to_options()
+    .descr("Steward: folds the log, watches peers, owns the ledgers of targets and teams")
+    .version(env!("CARGO_PKG_VERSION"))
+}
+
+/// The command line of `notch-entry`.
+pub fn entry_options() -> OptionParser<RawEntry> {
+    let vm = vm_setting();
+    let domain = domain_setting();
+    let listen = listen_setting();
+    let stewards = stewards_setting();
+    let workers = workers_setting();
+    let drain = drain_setting();
+    let body_limit = body_limit_setting();
+    construct!(RawEntry {
+        vm,
+        domain,
+        listen,
+        stewards,
+        workers,
+        drain,
+        body_limit
+    })
+    .to_options()
+    .descr("Entry: serves callers over HTTP")
+    .version(env!("CARGO_PKG_VERSION"))
+}
+
+/// Collects mistakes while settings are read.
+#[derive(Debug, Default)]
+struct SettingCheck {
+    mistakes: Vec<String>,
+}
+
+impl SettingCheck {
+    fn text(&mut self, name: &str, raw: RawSetting) -> String {
+        match raw {
+            Some(text) if !text.trim().is_empty() => text,
+            _ => {
+                self.mistakes.push(format!("--{name} is missing; set it"));
+                String::new()
+            }
+        }
+    }
+
+    fn address(&mut self, name: &str, raw: RawSetting) -> String {
+        let text = self.text(name, raw);
+        self.check_address(name, &text);
+        text
+    }
+
+    fn addresses(&mut self, name: &str, raw: RawSetting) -> Vec<String> {
+        let text = raw.unwrap_or_default();
+        let parts = text
+            .split(',')
+            .map(str::trim)
+            .filter(|part| !part.is_empty());
+        let list: Vec<String> = parts.map(str::to_owned).collect();
+        for address in &list {
+            self.check_address(name, address);
+        }
+        list
+    }
+
+    fn check_address(&mut self, name: &str, text: &str) {
+        if !text.is_empty() && text.parse::<SocketAddr>().is_err() {
+            self.mistakes.push(format!(
+                "--{name} {text:?} is not an IP and port; write it like 10.0.0.1:7100"
+            ));
+        }
+    }
+
+    fn url(&mut self, name: &str, raw: RawSetting) -> String {
+        let text = self.text(name, raw);
+        if !text.is_empty() && !text.starts_with("http://") {
+            self.mistakes.push(format!(
+                "--{name} {text:?} is not an HTTP URL; write it like http://10.0.0.1:7000"
+            ));
+        }
+        text
+    }
+
+    fn number(&mut self, name: &str, raw: RawSetting, default: u64, least: u64) -> u64 {
+        let Some(text) = raw else {
+            return default;
+        };
+        match text.parse::<u64>() {
+            Ok(number) if number >= least => number,
+            _ => {
+                self.mistakes.push(format!(
+                    "--{name} {text:?} is not a whole number from {least} up; mend it"
+                ));
+                default
+            }
+        }
+    }
+
+    fn policy(&mut self, raw: &RawSetting) -> PlacementPolicy {
+        match raw.as_deref().unwrap_or("lanes").parse() {
+            Ok(policy) => policy,
+            Err(error) => {
+                self.mistakes.push(format!("--policy: {error}"));
+                PlacementPolicy::Lanes
+            }
+        }
+    }
+}
+
+impl RawSteward {
+    /// Checks all settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every mistake found.
+    pub fn check(self) -> Result<StewardSettings> {
+        let mut check = SettingCheck::default();
+        let settings = StewardSettings {
+            vm: VmName::new(check.text("vm", self.vm)),
+            domain: DomainName::new(check.text("domain", self.domain)),
+            platform: check.url("platform", self.platform),
+            peer_address: check.address("peer-address", self.peer),
+            admin_address: check.address("admin-address", self.admin),
+            entry_address: check.address("entry-address", self.entry),
+            seeds: check.addresses("seeds", self.seeds),
+            policy: check.policy(&self.policy),
+            drain: Duration::from_secs(check.number("drain-seconds", self.drain, 15, 0)),
+        };
+        ErrorList::check(check.mistakes)?;
+        Ok(settings)
+    }
+}
+
+impl RawEntry {
+    /// Checks all settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every mistake found.
+    pub fn check(self) -> Result<EntrySettings> {
+        let mut check = SettingCheck::default();
+        let stewards = check.addresses("stewards", self.stewards);
+        if stewards.is_empty() {
+            check
+                .mistakes
+                .push("--stewards is missing; name this VM's steward first".to_owned());
+        }
+        let settings = EntrySettings {
+            vm: VmName::new(check.text("vm", self.vm)),
+            domain: DomainName::new(check.text("domain", self.domain)),
+            listen: check.address("listen", self.listen),
+            stewards,
+            workers: check.number("workers", self.workers, 2, 1) as usize,
+            keep_entries: Duration::from_secs(check.number("drain-seconds", self.drain, 15, 0)),
+            body_limit: check.number("body-limit-bytes", self.body_limit, 16 << 20, 1024) as usize,
+        };
+        ErrorList::check(check.mistakes)?;
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/src/entry/chat.rs
@@ -0,0 +1,134 @@
+//! Bodies of chat requests, as OpenAI-style clients send them.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::error::{ApiError, ErrorKind, Result};
+
+const BYTES_PER_TOKEN: usize = 4;
+const MESSAGE_TOKENS: u64 = 4; // the role and separators
+const DEFAULT_MAX_TOKENS: u64 = 256;
+const PREFIX_BYTES: usize = 2048;
+
+/// One message.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ChatMessage {
+    /// Who speaks.
+    pub role: String,
+    /// The text.
+    pub content: String,
+}
+
+impl ChatMessage {
+    /// Estimated tokens.
+    pub fn tokens(&self) -> u64 {
+        (self.content.len().div_ceil(BYTES_PER_TOKEN)) as u64 + MESSAGE_TOKENS
+    }
+}
+
+/// A chat request; fields that are not named here go to the target as they came.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ChatBody {
+    /// The model.
+    pub model: String,
+    /// The messages.
+    pub messages: Vec<ChatMessage>,
+    /// The most tokens to generate.
+    #[serde(
+        default,
+        skip_serializing_if = "Option::is_none",
+        alias = "max_completion_tokens"
+    )]
+    pub max_tokens: Option<u64>,
+    /// Whether the caller wants a stream.
+    #[serde(default)]
+    pub stream: bool,
+    /// Whether the last message is an answer to be continued.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub continue_final_message: bool,
+    /// Everything else.
+    #[serde(flatten)]
+    pub rest: serde_json::Map<String, serde_json::Value>,
+}
+
+impl ChatBody {
+    /// Reads and checks a body.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is not a chat request.
+    ///
+    /// ```
+    /// use plantainnotch::entry::chat::ChatBody;
+    /// assert!(ChatBody::parse(br#"{"model":"m","messages":[{"role":"user","content":"a"}]}"#).is_ok());
+    /// assert!(ChatBody::parse(b"{").is_err());
+    /// ```
+    pub fn parse(bytes: &[u8]) -> Result<Self> {
+        let bad = |message: String| ApiError::not_run(ErrorKind::BadRequest, message);
+        let body: Self = serde_json::from_slice(bytes).map_err(|error| {
+            bad(format!("the body is not a chat request: {error}; send JSON with `model` and `messages`, each with `role` and text `content`"))
+        })?;
+        if body.messages.is_empty() {
+            return Err(bad("`messages` is empty; send at least one".into()));
+        }
+        if body.max_tokens == Some(0) {
+            return Err(bad("`max_tokens` is 0; ask for at least 1".into()));
+        }
+        Ok(body)
+    }
+
+    /// The most tokens to generate.
+    pub fn max_output(&self) -> u64 {
+        self.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS)
+    }
+
+    /// The messages without an answer that is to be continued.
+    pub fn prompt_messages(&self) -> &[ChatMessage] {
+        match self.messages.split_last() {
+            Some((last, rest)) if self.continue_final_message && last.role == "assistant" => rest,
+            _ => &self.messages,
+        }
+    }
+
+    /// Tokens of the answer that is to be continued.
+    pub fn continued_tokens(&self) -> u64 {
+        if self.prompt_messages().len() == self.messages.len() {
+            return 0;
+        }
+        let last = self.messages.last().map_or("", |last| &last.content);
+        last.split_whitespace().count() as u64
+    }
+
+    /// Hash of the start of the prompt, by which targets with a cached prefix are found.
+    pub fn prefix_hash(&self) -> u64 {
+        let mut start = Vec::with_capacity(PREFIX_BYTES);
+        for message in &self.messages {
+            let room = PREFIX_BYTES - start.len();
+            start.extend(message.content.bytes().take(room));
+            if start.len() == PREFIX_BYTES || message.role == "system" {
+                break;
+            }
+        }
+        xxh3_64(&start)
+    }
+
+    /// The body to send to a target, to continue after `answer` if it is not empty.
+    pub fn target_body(&self, answer: &str) -> Vec<u8> {
+        let mut body = self.clone();
+        body.stream = true;
+        body.max_tokens = Some(self.max_output());
+        if !answer.is_empty() {
+            body.messages.push(ChatMessage {
+                role: "assistant".to_owned(),
+                content: answer.to_owned(),
+            });
+            body.continue_final_message = true;
+        }
+        serde_json::to_vec(&body).expect("a chat body holds only plain data")
+    }
+}
+
+/// Estimated tokens of a prompt.
+pub fn prompt_tokens(body: &ChatBody) -> u64 {
+    body.prompt_messages().iter().map(ChatMessage::tokens).sum()
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,17 @@
+//! The entry: callers' HTTP, admission, and streams from targets to callers.
+
+pub mod assembler;
+pub mod chat;
+pub mod claims;
+pub mod decisions;
+pub mod error;
+pub mod follower;
+pub mod grants;
+pub mod held;
+pub mod metrics;
+pub mod pages;
+pub mod relay;
+pub mod route;
+pub mod server;
+pub mod services;
+pub mod shared;
--- /dev/null
+++ b/src/entry/pages.rs
@@ -0,0 +1,132 @@
+//! The entry's small pages: addresses, models, health, metrics, decisions.
+
+use actix_web::{HttpRequest, HttpResponse, web};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::error::{ApiError, ErrorKind, Result};
+use super::shared::EntryShared;
+use crate::ids::RequestId;
+
+/// Which addresses a caller is to use.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct EntryList {
+    /// Addresses, the caller's first choice first.
+    pub entries: Vec<String>,
+    /// How long to keep the list, in seconds.
+    pub keep_seconds: u64,
+}
+
+/// `GET /v1/entries`: members' entries in an order of the caller's own, so that callers
+/// spread; leaving and evicted members are left out.
+pub async fn entries(http: HttpRequest, shared: web::Data<EntryShared>) -> HttpResponse {
+    let caller = http.peer_addr().map(|addr| addr.ip().to_string());
+    let caller = caller.unwrap_or_default();
+    let key = http
+        .headers()
+        .get("authorization")
+        .map_or(0, |key| xxh3_64(key.as_bytes()));
+    let mut entries: Vec<String> = shared.read(|followed| {
+        let members = followed.view.members().iter();
+        members
+            .map(|(_, member)| member.join.entry_address.clone())
+            .collect()
+    });
+    if entries.is_empty() {
+        let error = ApiError::not_run(
+            ErrorKind::StaleView,
+            "this entry knows no members yet; ask again, or ask another entry",
+        );
+        return actix_web::ResponseError::error_response(
+            &error.retry_after(std::time::Duration::from_secs(1)),
+        );
+    }
+    entries.sort_by_key(|entry| xxh3_64(format!("{caller}\n{key}\n{entry}").as_bytes()));
+    let keep_seconds = (shared.settings.keep_entries.as_secs() / 2).max(1);
+    HttpResponse::Ok()
+        .insert_header(("cache-control", format!("max-age={keep_seconds}")))
+        .json(EntryList {
+            entries,
+            keep_seconds,
+        })
+}
+
+/// `GET /v1/models`: what the table offers.
+pub async fn models(shared: web::Data<EntryShared>) -> HttpResponse {
+    let mut names: Vec<String> = shared.read(|followed| {
+        let targets = followed.view.targets();
+        targets.map(|target| target.row.model.to_string()).collect()
+    });
+    names.sort();
+    names.dedup();
+    let data: Vec<serde_json::Value> = names
+        .into_iter()
+        .map(|name| serde_json::json!({ "id": name, "object": "model" }))
+        .collect();
+    HttpResponse::Ok().json(serde_json::json!({ "object": "list", "data": data }))
+}
+
+/// `GET /v1/requests/{request}/decisions`: why a request went where it went.
+///
+/// # Errors
+///
+/// Fails when the id is not one of ours.
+pub async fn decisions(
+    request: web::Path<String>,
+    shared: web::Data<EntryShared>,
+) -> Result<HttpResponse> {
+    let request: RequestId = request.parse().map_err(|_| {
+        ApiError::not_run(
+            ErrorKind::BadRequest,
+            "this is not a request id; use the X-Request-Id of an answer, such as req-0123456789abcdef",
+        )
+    })?;
+    Ok(HttpResponse::Ok().json(shared.decisions.about(request)))
+}
+
+/// `GET /healthz`.
+pub async fn health() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+/// `GET /readyz`: whether new work may start here.
+pub async fn ready(shared: web::Data<EntryShared>) -> HttpResponse {
+    let now = shared.now();
+    let stopping = *shared.stopping.borrow();
+    if !stopping && shared.read(|followed| followed.is_fresh(now)) {
+        return HttpResponse::Ok().body("ready\n");
+    }
+    HttpResponse::ServiceUnavailable()
+        .body("not ready: stopping, or the view is stale; check that the stewards run\n")
+}
+
+/// `GET /v1/status`: how this entry's view stands, for operators.
+pub async fn status(shared: web::Data<EntryShared>) -> HttpResponse {
+    let now = shared.now();
+    shared.read(|followed| {
+        HttpResponse::Ok().json(serde_json::json!({
+            "vm": shared.settings.vm,
+            "offset": followed.view.offset(),
+            "fresh": followed.is_fresh(now),
+            "in_flight": shared.metrics.in_flight.get(),
+        }))
+    })
+}
+
+/// `GET /metrics`.
+pub async fn metrics(shared: web::Data<EntryShared>) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+        .body(shared.metrics.render())
+}
+
+/// Everything else.
+pub async fn not_found(http: HttpRequest) -> HttpResponse {
+    HttpResponse::NotFound().json(serde_json::json!({
+        "error": {
+            "kind": "no_such_page",
+            "message": format!("{} {} is not served here; see the README for the routes", http.method(), http.path()),
+            "outcome": "not_run",
+        }
+    }))
+}
--- /dev/null
+++ b/src/fake/platform.rs
@@ -0,0 +1,190 @@
+//! Stand-in for the platform: the append-only log, the list of VMs, and faults.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use actix_web::dev::Server;
+use actix_web::{App, HttpResponse, HttpServer, web};
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use crate::ids::VmName;
+use crate::platform::log::{AppendBody, ReadAnswer, StoredRecord};
+use crate::platform::vms::VmList;
+
+const BODY_LIMIT: usize = 64 << 20;
+const DEFAULT_READ_LIMIT: usize = 500;
+
+/// Faults that the stand-in plays.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformFaults {
+    /// Whether the log answers nothing but errors.
+    pub down: bool,
+    /// Delay of every answer, in milliseconds.
+    pub delay_ms: u64,
+    /// Every n-th append takes effect but answers an error; 0 for none.
+    pub lose_answer_every: u64,
+    /// Every n-th append is refused without effect; 0 for none.
+    pub refuse_append_every: u64,
+}
+
+#[derive(Debug, Default)]
+struct PlatformState {
+    head: u64,
+    records: Vec<StoredRecord>,
+    appends: u64,
+    reads: u64,
+    vms: Vec<VmName>,
+    faults: PlatformFaults,
+}
+
+impl PlatformState {
+    fn end(&self) -> u64 {
+        self.head - 1 + self.records.len() as u64
+    }
+}
+
+type SharedPlatform = web::Data<Arc<Mutex<PlatformState>>>;
+
+#[derive(Deserialize)]
+struct ReadQuery {
+    from: u64,
+    limit: Option<usize>,
+}
+
+#[derive(Deserialize)]
+struct CutBody {
+    head: u64,
+}
+
+/// Serves the stand-in at `address`.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub fn serve(address: &str, vms: Vec<VmName>) -> std::io::Result<Server> {
+    let state = Arc::new(Mutex::new(PlatformState {
+        head: 1,
+        vms,
+        ..PlatformState::default()
+    }));
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::new(state.clone()))
+            .app_data(web::JsonConfig::default().limit(BODY_LIMIT))
+            .route("/v1/log/records", web::post().to(append))
+            .route("/v1/log/records", web::get().to(read))
+            .route("/v1/vms", web::get().to(list_vms))
+            .route("/v1/vms", web::put().to(set_vms))
+            .route("/v1/fake/faults", web::post().to(set_faults))
+            .route("/v1/fake/cut", web::post().to(cut_head))
+            .route("/v1/fake/counts", web::get().to(counts))
+    });
+    Ok(server.workers(1).bind(address)?.run())
+}
+
+fn with_state<T>(state: &SharedPlatform, work: impl FnOnce(&mut PlatformState) -> T) -> T {
+    work(&mut state.lock().expect("no holder panics"))
+}
+
+/// Waits out the delay, and refuses while the platform is down.
+async fn play_faults(state: &SharedPlatform) -> Option<HttpResponse> {
+    let faults = with_state(state, |state| state.faults.clone());
+    if faults.delay_ms > 0 {
+        sleep(Duration::from_millis(faults.delay_ms)).await;
+    }
+    let down = with_state(state, |state| state.faults.down);
+    down.then(|| HttpResponse::ServiceUnavailable().finish())
+}
+
+async fn append(state: SharedPlatform, body: web::Json<AppendBody>) -> HttpResponse {
+    if let Some(refusal) = play_faults(&state).await {
+        return refusal;
+    }
+    let at_ms = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64);
+    with_state(&state, |state| {
+        state.appends += 1;
+        let hits = |every: u64| every > 0 && state.appends.is_multiple_of(every);
+        let refuse = hits(state.faults.refuse_append_every);
+        let lose = hits(state.faults.lose_answer_every);
+        if refuse {
+            return HttpResponse::ServiceUnavailable().finish();
+        }
+        let first = state.end() + 1;
+        for (place, text) in body.into_inner().records.into_iter().enumerate() {
+            state.records.push(StoredRecord {
+                offset: first + place as u64,
+                at_ms,
+                text,
+            });
+        }
+        if lose {
+            return HttpResponse::GatewayTimeout().finish();
+        }
+        HttpResponse::Ok().json(serde_json::json!({ "offset": first }))
+    })
+}
+
+async fn read(state: SharedPlatform, query: web::Query<ReadQuery>) -> HttpResponse {
+    if let Some(refusal) = play_faults(&state).await {
+        return refusal;
+    }
+    with_state(&state, |state| {
+        state.reads += 1;
+        let skip = query.from.saturating_sub(state.head) as usize;
+        let limit = query.limit.unwrap_or(DEFAULT_READ_LIMIT);
+        let records = state.records.iter().skip(skip).take(limit);
+        HttpResponse::Ok().json(ReadAnswer {
+            head: state.head,
+            end: state.end(),
+            records: records
+                .map(|record| StoredRecord {
+                    offset: record.offset,
+                    at_ms: record.at_ms,
+                    text: record.text.clone(),
+                })
+                .collect(),
+        })
+    })
+}
+
+async fn list_vms(state: SharedPlatform) -> HttpResponse {
+    if let Some(refusal) = play_faults(&state).await {
+        return refusal;
+    }
+    let vms = with_state(&state, |state| state.vms.clone());
+    HttpResponse::Ok().json(VmList { vms })
+}
+
+async fn set_vms(state: SharedPlatform, list: web::Json<VmList>) -> HttpResponse {
+    with_state(&state, |state| state.vms = list.into_inner().vms);
+    HttpResponse::NoContent().finish()
+}
+
+async fn set_faults(state: SharedPlatform, faults: web::Json<PlatformFaults>) -> HttpResponse {
+    with_state(&state, |state| state.faults = faults.into_inner());
+    HttpResponse::NoContent().finish()
+}
+
+async fn cut_head(state: SharedPlatform, body: web::Json<CutBody>) -> HttpResponse {
+    with_state(&state, |state| {
+        let cut = body.head.min(state.end() + 1).saturating_sub(state.head) as usize;
+        state.records.drain(..cut);
+        state.head += cut as u64;
+    });
+    HttpResponse::NoContent().finish()
+}
+
+async fn counts(state: SharedPlatform) -> HttpResponse {
+    with_state(&state, |state| {
+        HttpResponse::Ok().json(serde_json::json!({
+            "appends": state.appends,
+            "reads": state.reads,
+            "head": state.head,
+            "end": state.end(),
+        }))
+    })
+}
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,150 @@
+//! Names and numbers that identify things across processes.
+
+use std::borrow::Borrow;
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(String);
+
+        impl $name {
+            /// Wraps a name as it stands in the table or the settings.
+            pub fn new(name: impl Into<String>) -> Self {
+                Self(name.into())
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+    };
+}
+
+name_type!(
+    /// A VM on which an entry and a steward run.
+    VmName
+);
+name_type!(
+    /// A failure domain.
+    DomainName
+);
+name_type!(
+    /// A calling team.
+    TeamName
+);
+name_type!(
+    /// A target: a model engine or a plain service.
+    TargetName
+);
+name_type!(
+    /// A model or plain service that targets offer.
+    ModelName
+);
+name_type!(
+    /// Whoever made a change to the table.
+    AuthorName
+);
+name_type!(
+    /// One life of a target's process; a restart gives a new one.
+    InstanceId
+);
+
+/// Position of a record in the platform's log; the first record has offset 1.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Offset(pub u64);
+
+impl Offset {
+    /// The position after this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl fmt::Display for Offset {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+macro_rules! hex_type {
+    ($(#[$doc:meta])* $name:ident, $prefix:literal) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Draws a new random id.
+            pub fn random() -> Self {
+                Self(rand::random())
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!($prefix, "{:016x}"), self.0)
+            }
+        }
+
+        impl std::str::FromStr for $name {
+            type Err = std::num::ParseIntError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                let digits = text.strip_prefix($prefix).unwrap_or(text);
+                u64::from_str_radix(digits, 16).map(Self)
+            }
+        }
+    };
+}
+
+hex_type!(
+    /// One caller's request.
+    RequestId,
+    "req-"
+);
+hex_type!(
+    /// One record of ours in the log; a record that is sent again keeps its id.
+    RecordId,
+    "rec-"
+);
+hex_type!(
+    /// One attempt to run a non-idempotent request.
+    ClaimId,
+    "clm-"
+);
+
+/// One reservation at a target or team, unique across owners and restarts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct GrantId {
+    /// Offset of the granting steward's join record, which also fences orders.
+    pub epoch: Offset,
+    /// Counter within the epoch.
+    pub serial: u64,
+}
+
+impl fmt::Display for GrantId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "grant-{}-{}", self.epoch, self.serial)
+    }
+}
--- /dev/null
+++ b/src/ledger/fair_queue.rs
@@ -0,0 +1,145 @@
+//! Weighted fair queueing over teams, by tokens.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::ids::TeamName;
+
+/// A waiting item and what it costs its team.
+#[derive(Debug)]
+struct QueuedItem<T> {
+    serial: u64,
+    cost: u64,
+    item: T,
+}
+
+#[derive(Debug)]
+struct TeamQueue<T> {
+    weight: u32,
+    finish: f64,
+    items: VecDeque<QueuedItem<T>>,
+}
+
+/// Start-time fair queue: the team with the earliest virtual start goes first.
+///
+/// A team that was idle starts at the present virtual time, so that its unused share
+/// is lent to the others and comes back with its next request.
+///
+/// ```
+/// use plantainnotch::ids::TeamName;
+/// use plantainnotch::ledger::fair_queue::FairQueue;
+/// let mut queue = FairQueue::default();
+/// queue.push(&TeamName::new("a"), 1, 100, "a1");
+/// queue.push(&TeamName::new("a"), 1, 100, "a2");
+/// queue.push(&TeamName::new("b"), 1, 100, "b1");
+/// let taken: Vec<_> = (0..3).filter_map(|_| queue.pop_where(|_| true)).collect();
+/// assert_eq!(taken, ["a1", "b1", "a2"]);
+/// ```
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    teams: BTreeMap<TeamName, TeamQueue<T>>,
+    virtual_time: f64,
+    next_serial: u64,
+}
+
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        Self {
+            teams: BTreeMap::new(),
+            virtual_time: 0.0,
+            next_serial: 0,
+        }
+    }
+}
+
+impl<T> FairQueue<T> {
+    /// Appends an item to its team's queue.
+    pub fn push(&mut self, team: &TeamName, weight: u32, cost: u64, item: T) {
+        let serial = self.next_serial;
+        self.next_serial += 1;
+        let queue = self.teams.entry(team.clone()).or_insert(TeamQueue {
+            weight: 1,
+            finish: 0.0,
+            items: VecDeque::new(),
+        });
+        queue.weight = weight.max(1);
+        queue.items.push_back(QueuedItem { serial, cost, item });
+    }
+
+    /// Takes the first team's head that `place` accepts, in fair order, and charges
+    /// the team for it. A head that does not fit does not hold up other teams.
+    pub fn pop_where(&mut self, mut place: impl FnMut(&T) -> bool) -> Option<T> {
+        let mut order: Vec<(f64, u64, TeamName)> = self
+            .teams
+            .iter()
+            .filter_map(|(team, queue)| {
+                let head = queue.items.front()?;
+                Some((
+                    queue.finish.max(self.virtual_time),
+                    head.serial,
+                    team.clone(),
+                ))
+            })
+            .collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        for (start, _, team) in order {
+            let queue = self.teams.get_mut(&team)?;
+            if !queue.items.front().is_some_and(|head| place(&head.item)) {
+                continue;
+            }
+            let head = queue.items.pop_front()?;
+            self.virtual_time = start;
+            queue.finish = start + head.cost as f64 / f64::from(queue.weight);
+            self.drop_idle_teams();
+            return Some(head.item);
+        }
+        None
+    }
+
+    /// Takes out all items that `pick` names, in no particular order.
+    pub fn remove_where(&mut self, mut pick: impl FnMut(&T) -> bool) -> Vec<T> {
+        let mut removed = Vec::new();
+        for queue in self.teams.values_mut() {
+            let items = std::mem::take(&mut queue.items);
+            for queued in items {
+                if pick(&queued.item) {
+                    removed.push(queued.item);
+                } else {
+                    queue.items.push_back(queued);
+                }
+            }
+        }
+        self.drop_idle_teams();
+        removed
+    }
+
+    /// The waiting items.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        let queues = self.teams.values();
+        queues.flat_map(|queue| queue.items.iter().map(|queued| &queued.item))
+    }
+
+    /// How many items wait.
+    pub fn len(&self) -> usize {
+        self.teams.values().map(|queue| queue.items.len()).sum()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Cost of all that waits.
+    pub fn cost(&self) -> u64 {
+        let queues = self.teams.values();
+        queues
+            .flat_map(|queue| queue.items.iter().map(|queued| queued.cost))
+            .sum()
+    }
+
+    /// Forgets teams that have nothing waiting and no debt.
+    fn drop_idle_teams(&mut self) {
+        let virtual_time = self.virtual_time;
+        self.teams
+            .retain(|_, queue| !queue.items.is_empty() || queue.finish > virtual_time);
+    }
+}
--- /dev/null
+++ b/src/ledger/pool.rs
@@ -0,0 +1,682 @@
+//! A pool of targets that one steward owns: its queue, its grants and its estimates.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+
+use super::fair_queue::FairQueue;
+use super::slow_start::{StartWindow, TargetEvent};
+use super::target_ledger::{StreamReport, TargetGrant, TargetLedger};
+use crate::chart::StateChart;
+use crate::ids::{GrantId, InstanceId, Offset, RequestId, TargetName, TeamName};
+use crate::policy::estimate::{DemandMeter, RateEstimate};
+use crate::policy::lane::{PromptLane, lane_of, long_target_cap};
+use crate::policy::placement::{
+    PlacementCandidate, PlacementNeed, PlacementPolicy, gang_size, gather_targets, least_loaded,
+    place_by_lanes,
+};
+use crate::view::fold::TargetRef;
+use crate::view::in_force::GRANT_USE_BY;
+
+/// A first token this many times later than expected counts as a failure.
+const SLOW_FIRST_TOKEN: u32 = 8;
+const SLOW_FIRST_TOKEN_FLOOR: Duration = Duration::from_secs(2);
+const SHORTEST_RETRY: Duration = Duration::from_secs(1);
+const LONGEST_RETRY: Duration = Duration::from_secs(60);
+
+/// A caller of [`PoolLedger::acquire`], to whom the answer goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TicketId(pub u64);
+
+/// What an entry asks a pool for.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PoolRequest {
+    /// The caller's request.
+    pub request: RequestId,
+    /// The team.
+    pub team: TeamName,
+    /// The team's weight.
+    pub weight: u32,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// The most tokens that may be generated.
+    pub max_output: u64,
+    /// Hash of the start of the prompt.
+    pub prefix: u64,
+    /// When the answer must be complete.
+    pub deadline: Instant,
+}
+
+impl PoolRequest {
+    fn amount(&self) -> u64 {
+        self.prompt + self.max_output
+    }
+}
+
+/// A reserved target.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct GrantPart {
+    /// The reservation.
+    pub grant: GrantId,
+    /// The target.
+    pub target: TargetName,
+    /// Host and port.
+    pub address: String,
+    /// Tokens of memory reserved.
+    pub share: u64,
+}
+
+/// Why a request was refused by a pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PoolRefusal {
+    /// No target of the pool takes new work from the team.
+    NoTarget,
+    /// The pool's targets together cannot hold the request.
+    TooLong,
+    /// The answer could not be complete by the deadline.
+    Deadline,
+}
+
+/// A pool's answer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum PoolReply {
+    /// Reserved, all parts or none; the first target leads.
+    Granted {
+        /// The parts.
+        parts: Vec<GrantPart>,
+        /// Until when the entry may send.
+        use_by: Instant,
+        /// The lane.
+        lane: PromptLane,
+        /// Priority at the target; lower goes first.
+        priority: i64,
+        /// How many targets could have been chosen.
+        alternatives: usize,
+        /// Time spent in the queue.
+        waited: Duration,
+    },
+    /// Not reserved, and nothing was sent.
+    Refused {
+        /// Why.
+        refusal: PoolRefusal,
+        /// When coming back helps.
+        retry_after: Duration,
+    },
+}
+
+/// How a grant ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GrantEnd {
+    /// The answer was complete.
+    Completed {
+        /// Tokens generated.
+        output: u64,
+        /// Tokens that were allowed.
+        max_output: u64,
+        /// Milliseconds from the first token to the last.
+        decode_ms: u64,
+    },
+    /// The target answered with an error, or too late.
+    Failed,
+    /// The connection was refused or reset.
+    Disconnected,
+    /// Nothing was sent, or the caller hung up.
+    Withdrawn,
+}
+
+/// How a pool stands, for the entries' choice among pools.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct PoolLoad {
+    /// Targets in service.
+    pub targets: u32,
+    /// Requests that the targets bear at present.
+    pub slots: u32,
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Estimated wait of a short prompt, in milliseconds.
+    pub short_wait_ms: u64,
+    /// Estimated wait of a long prompt, in milliseconds.
+    pub long_wait_ms: u64,
+    /// Memory of all targets in service, in tokens.
+    pub memory: u64,
+}
+
+#[derive(Debug)]
+struct WaitingRequest {
+    ticket: TicketId,
+    request: PoolRequest,
+    lane: PromptLane,
+    arrived: Instant,
+    assigned: Option<TargetName>,
+}
+
+/// Whether a team is approved at a target, as the view now says.
+pub type ApprovalCheck<'a> = &'a dyn Fn(&TeamName, &TargetName) -> bool;
+
+/// A pool's targets, queue and estimates.
+#[derive(Debug)]
+pub struct PoolLedger {
+    chart: StateChart,
+    policy: PlacementPolicy,
+    epoch: Offset,
+    next_serial: u64,
+    next_turn: usize,
+    targets: BTreeMap<TargetName, TargetLedger>,
+    addresses: BTreeMap<TargetName, String>,
+    short_queue: FairQueue<WaitingRequest>,
+    long_queue: FairQueue<WaitingRequest>,
+    reserved: BTreeSet<TargetName>,
+    rate: RateEstimate,
+    short_demand: DemandMeter,
+    replies: Vec<(TicketId, PoolReply)>,
+}
+
+impl PoolLedger {
+    /// A pool without targets, whose grants carry `epoch`.
+    pub fn new(chart: StateChart, policy: PlacementPolicy, epoch: Offset) -> Self {
+        Self {
+            chart,
+            policy,
+            epoch,
+            next_serial: 0,
+            next_turn: 0,
+            targets: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            short_queue: FairQueue::default(),
+            long_queue: FairQueue::default(),
+            reserved: BTreeSet::new(),
+            rate: RateEstimate::default(),
+            short_demand: DemandMeter::new(),
+            replies: Vec::new(),
+        }
+    }
+
+    /// Takes over the pool's targets from the table; one that is deleted stays, out of
+    /// service, until its last grant has ended.
+    pub fn set_targets<'a>(
+        &mut self,
+        targets: impl Iterator<Item = TargetRef<'a>>,
+        in_service: impl Fn(TargetRef<'a>) -> bool,
+    ) {
+        let mut listed = BTreeSet::new();
+        for target in targets {
+            listed.insert(target.name.clone());
+            let row = target.row;
+            let ledger = self.targets.entry(target.name.clone()).or_insert_with(|| {
+                let window = StartWindow::new(&self.chart, row.cold_limit, row.warm_limit);
+                TargetLedger::new(row.memory_tokens, window)
+            });
+            ledger.memory = row.memory_tokens;
+            ledger.window.set_bounds(row.cold_limit, row.warm_limit);
+            ledger.in_service = in_service(target);
+            self.addresses
+                .insert(target.name.clone(), row.address.clone());
+        }
+        for (name, ledger) in &mut self.targets {
+            ledger.in_service &= listed.contains(name);
+        }
+        self.targets
+            .retain(|name, ledger| listed.contains(name) || ledger.running() > 0);
+    }
+
+    /// The targets' ledgers.
+    pub fn targets(&self) -> &BTreeMap<TargetName, TargetLedger> {
+        &self.targets
+    }
+
+    /// Where a target is reached.
+    pub fn address(&self, target: &TargetName) -> Option<&str> {
+        self.addresses.get(target).map(String::as_str)
+    }
+
+    /// Queues a request; its answer comes from [`Self::take_replies`].
+    pub fn acquire(
+        &mut self,
+        ticket: TicketId,
+        request: PoolRequest,
+        approved: ApprovalCheck<'_>,
+        now: Instant,
+    ) {
+        let lane = lane_of(request.prompt, &self.rate);
+        if lane == PromptLane::Short {
+            self.short_demand.arrive(request.prompt, now);
+        }
+        if let Some(refusal) = self.refusal_on_arrival(&request, lane, approved, now) {
+            self.refuse(ticket, refusal, lane);
+            return;
+        }
+        let assigned = self.assign_on_arrival(&request, approved);
+        let waiting = WaitingRequest {
+            ticket,
+            lane,
+            arrived: now,
+            assigned,
+            request,
+        };
+        self.enqueue(waiting);
+    }
+
+    /// Withdraws a request that still waits.
+    pub fn cancel(&mut self, ticket: TicketId) {
+        for queue in [&mut self.short_queue, &mut self.long_queue] {
+            queue.remove_where(|waiting| waiting.ticket == ticket);
+        }
+    }
+
+    /// Ends a grant and learns from how it ended.
+    pub fn release(&mut self, grant: GrantId, end: GrantEnd) {
+        for ledger in self.targets.values_mut() {
+            if ledger.release(grant).is_none() {
+                continue;
+            }
+            let event = match end {
+                GrantEnd::Completed { .. } => TargetEvent::Completed,
+                GrantEnd::Failed => TargetEvent::Failed,
+                GrantEnd::Disconnected => TargetEvent::Restarted,
+                GrantEnd::Withdrawn => break,
+            };
+            ledger.window.apply(&self.chart, event);
+            break;
+        }
+        if let GrantEnd::Completed {
+            output,
+            max_output,
+            decode_ms,
+        } = end
+        {
+            self.rate
+                .learn_decode(output, max_output, Duration::from_millis(decode_ms));
+        }
+    }
+
+    /// Notes that the first token of a grant came `elapsed` after it was sent.
+    pub fn first_token(&mut self, grant: GrantId, elapsed: Duration) {
+        for ledger in self.targets.values_mut() {
+            let Some(held) = ledger.grants().get(&grant) else {
+                continue;
+            };
+            let expected = self.rate.prefill_time(ledger.prefill_backlog());
+            let slow = elapsed > expected * SLOW_FIRST_TOKEN + SLOW_FIRST_TOKEN_FLOOR;
+            let prompt = held.prompt;
+            ledger.mark_prefilled(grant);
+            if slow {
+                ledger.window.apply(&self.chart, TargetEvent::Failed);
+            } else {
+                self.rate.learn_prefill(prompt, elapsed);
+            }
+            return;
+        }
+    }
+
+    /// Takes over a grant that the pool's previous steward made.
+    pub fn adopt(&mut self, target: &TargetName, id: GrantId, grant: TargetGrant) {
+        if let Some(ledger) = self.targets.get_mut(target) {
+            ledger.reserve(id, grant);
+        }
+    }
+
+    /// Compares a target's own list, asked for at `asked`, with its ledger. Returns
+    /// the requests to cancel at the target.
+    pub fn reconcile(
+        &mut self,
+        target: &TargetName,
+        instance: &InstanceId,
+        listed: &[StreamReport],
+        asked: Instant,
+        now: Instant,
+    ) -> Vec<RequestId> {
+        let Some(ledger) = self.targets.get_mut(target) else {
+            return Vec::new();
+        };
+        ledger.window.see_instance(&self.chart, instance);
+        ledger.reconcile(listed, asked, now)
+    }
+
+    /// Notes that a target could not be reached.
+    pub fn target_unreachable(&mut self, target: &TargetName) {
+        if let Some(ledger) = self.targets.get_mut(target) {
+            ledger.window.apply(&self.chart, TargetEvent::Restarted);
+        }
+    }
+
+    /// Refuses what cannot be served in time any more, and grants what fits. Only
+    /// called while the steward's view is fresh and its ownership in force.
+    pub fn dispatch(&mut self, approved: ApprovalCheck<'_>, now: Instant) {
+        self.refuse_hopeless(approved, now);
+        while self.grant_urgent(approved, now)
+            || self.grant_next(PromptLane::Short, approved, now)
+            || self.grant_next(PromptLane::Long, approved, now)
+        {}
+        self.gather_for_gang(approved);
+    }
+
+    /// Refuses everything that waits, with `retry_after`; used when ownership ends.
+    pub fn refuse_all(&mut self) {
+        for lane in [PromptLane::Short, PromptLane::Long] {
+            for waiting in self.queue(lane).remove_where(|_| true) {
+                let reply = PoolReply::Refused {
+                    refusal: PoolRefusal::NoTarget,
+                    retry_after: SHORTEST_RETRY,
+                };
+                self.replies.push((waiting.ticket, reply));
+            }
+        }
+    }
+
+    /// Answers made since the last call.
+    pub fn take_replies(&mut self) -> Vec<(TicketId, PoolReply)> {
+        std::mem::take(&mut self.replies)
+    }
+
+    /// How the pool stands.
+    pub fn load(&self) -> PoolLoad {
+        let serving = || self.targets.values().filter(|ledger| ledger.in_service);
+        PoolLoad {
+            targets: serving().count() as u32,
+            slots: serving().map(|ledger| ledger.window.limit()).sum(),
+            running: serving().map(|ledger| ledger.running() as u32).sum(),
+            waiting: (self.short_queue.len() + self.long_queue.len()) as u32,
+            short_wait_ms: self.estimated_wait(PromptLane::Short).as_millis() as u64,
+            long_wait_ms: self.estimated_wait(PromptLane::Long).as_millis() as u64,
+            memory: serving().map(|ledger| ledger.memory).sum(),
+        }
+    }
+
+    fn queue(&mut self, lane: PromptLane) -> &mut FairQueue<WaitingRequest> {
+        match (self.policy, lane) {
+            (PlacementPolicy::Lanes, PromptLane::Long) => &mut self.long_queue,
+            _ => &mut self.short_queue,
+        }
+    }
+
+    /// Baselines queue in order of arrival: for all targets, or for the assigned one.
+    fn enqueue(&mut self, waiting: WaitingRequest) {
+        let cost = waiting.request.amount();
+        let (queue_name, weight) = match self.policy {
+            PlacementPolicy::Lanes => (waiting.request.team.clone(), waiting.request.weight),
+            _ => {
+                let name = waiting.assigned.as_ref().map_or("", TargetName::as_str);
+                (TeamName::new(name), 1)
+            }
+        };
+        let lane = waiting.lane;
+        self.queue(lane).push(&queue_name, weight, cost, waiting);
+    }
+
+    fn assign_on_arrival(
+        &mut self,
+        request: &PoolRequest,
+        approved: ApprovalCheck<'_>,
+    ) -> Option<TargetName> {
+        let waiting_for = |name: &TargetName| {
+            let waiting = self.short_queue.iter();
+            waiting
+                .filter(|item| item.assigned.as_ref() == Some(name))
+                .count()
+        };
+        let candidates = candidates(&self.targets, &request.team, approved);
+        let assigned = match self.policy {
+            PlacementPolicy::RoundRobin => {
+                let turn = self.next_turn % candidates.len().max(1);
+                candidates.get(turn).map(|target| target.name.clone())
+            }
+            PlacementPolicy::LeastLoaded => least_loaded(&candidates, waiting_for).cloned(),
+            PlacementPolicy::Lanes | PlacementPolicy::SharedQueue => None,
+        };
+        self.next_turn = self.next_turn.wrapping_add(1);
+        assigned
+    }
+
+    fn refusal_on_arrival(
+        &self,
+        request: &PoolRequest,
+        lane: PromptLane,
+        approved: ApprovalCheck<'_>,
+        now: Instant,
+    ) -> Option<PoolRefusal> {
+        let candidates = candidates(&self.targets, &request.team, approved);
+        if candidates.is_empty() {
+            return Some(PoolRefusal::NoTarget);
+        }
+        let memory = candidates.iter().map(|target| target.ledger.memory).min();
+        if gang_size(request.amount(), memory.unwrap_or(0)) > candidates.len() {
+            return Some(PoolRefusal::TooLong);
+        }
+        let done = now + self.estimated_wait(lane) + self.service_time(request);
+        (done > request.deadline).then_some(PoolRefusal::Deadline)
+    }
+
+    /// Time to serve a request that has its targets to itself.
+    fn service_time(&self, request: &PoolRequest) -> Duration {
+        let memory = self.targets.values().map(|ledger| ledger.memory).min();
+        let size = gang_size(request.amount(), memory.unwrap_or(u64::MAX)).max(1) as u64;
+        self.rate.prefill_time(request.prompt / size) + self.rate.decode_time(request.max_output)
+    }
+
+    /// Time until a request that arrives now would start.
+    fn estimated_wait(&self, lane: PromptLane) -> Duration {
+        let serving = self.targets.values().filter(|ledger| ledger.in_service);
+        let count = serving.clone().count().max(1) as u64;
+        let room = serving
+            .clone()
+            .any(|ledger| ledger.running() < ledger.window.limit() as usize);
+        let waiting_short = self.short_queue.iter().map(|item| item.request.prompt);
+        let ahead = match lane {
+            PromptLane::Short if room && self.short_queue.is_empty() => 0,
+            PromptLane::Short => waiting_short.sum(),
+            PromptLane::Long => {
+                let waiting_long = self.long_queue.iter().map(|item| item.request.prompt);
+                let running: u64 = serving.map(TargetLedger::prefill_backlog).sum();
+                waiting_short.sum::<u64>() + waiting_long.sum::<u64>() + running
+            }
+        };
+        self.rate.prefill_time(ahead / count)
+    }
+
+    fn refuse(&mut self, ticket: TicketId, refusal: PoolRefusal, lane: PromptLane) {
+        let retry_after = self
+            .estimated_wait(lane)
+            .clamp(SHORTEST_RETRY, LONGEST_RETRY);
+        let reply = PoolReply::Refused {
+            refusal,
+            retry_after,
+        };
+        self.replies.push((ticket, reply));
+    }
+
+    fn refuse_hopeless(&mut self, approved: ApprovalCheck<'_>, now: Instant) {
+        for lane in [PromptLane::Short, PromptLane::Long] {
+            let mut queue = std::mem::take(self.queue(lane));
+            let mut refusals = Vec::new();
+            queue.remove_where(|waiting| {
+                let refusal = self.refusal_while_waiting(&waiting.request, approved, now);
+                refusals.extend(refusal.map(|refusal| (waiting.ticket, refusal)));
+                refusal.is_some()
+            });
+            *self.queue(lane) = queue;
+            for (ticket, refusal) in refusals {
+                self.refuse(ticket, refusal, lane);
+            }
+        }
+    }
+
+    fn refusal_while_waiting(
+        &self,
+        request: &PoolRequest,
+        approved: ApprovalCheck<'_>,
+        now: Instant,
+    ) -> Option<PoolRefusal> {
+        if now + self.service_time(request) > request.deadline {
+            return Some(PoolRefusal::Deadline);
+        }
+        let none = candidates(&self.targets, &request.team, approved).is_empty();
+        none.then_some(PoolRefusal::NoTarget)
+    }
+
+    /// Grants the long request with the least slack if waiting longer would make it late.
+    fn grant_urgent(&mut self, approved: ApprovalCheck<'_>, now: Instant) -> bool {
+        let slack = |waiting: &WaitingRequest| {
+            let left = waiting.request.deadline.saturating_duration_since(now);
+            left.saturating_sub(self.service_time(&waiting.request))
+        };
+        let urgent = self
+            .long_queue
+            .iter()
+            .filter(|waiting| slack(waiting) < self.service_time(&waiting.request))
+            .min_by_key(|waiting| slack(waiting))
+            .map(|waiting| waiting.ticket);
+        let Some(ticket) = urgent else {
+            return false;
+        };
+        let Some(waiting) = self.long_queue.iter().find(|item| item.ticket == ticket) else {
+            return false;
+        };
+        let Some(names) = self.place(waiting, approved, now) else {
+            return false;
+        };
+        let removed = self.long_queue.remove_where(|item| item.ticket == ticket);
+        for waiting in removed {
+            self.grant(&waiting, &names, approved, now);
+        }
+        true
+    }
+
+    fn grant_next(&mut self, lane: PromptLane, approved: ApprovalCheck<'_>, now: Instant) -> bool {
+        let mut queue = std::mem::take(self.queue(lane));
+        let mut chosen = None;
+        let taken = queue.pop_where(|waiting| {
+            chosen = self.place(waiting, approved, now);
+            chosen.is_some()
+        });
+        *self.queue(lane) = queue;
+        let (Some(waiting), Some(names)) = (taken, chosen) else {
+            return false;
+        };
+        self.grant(&waiting, &names, approved, now);
+        true
+    }
+
+    fn place(
+        &self,
+        waiting: &WaitingRequest,
+        approved: ApprovalCheck<'_>,
+        now: Instant,
+    ) -> Option<Vec<TargetName>> {
+        let need = PlacementNeed {
+            amount: waiting.request.amount(),
+            lane: waiting.lane,
+            prefix: waiting.request.prefix,
+        };
+        let all = candidates(&self.targets, &waiting.request.team, approved);
+        let memory = all.iter().map(|target| target.ledger.memory).min()?;
+        let is_gang = gang_size(need.amount, memory) > 1;
+        if self.policy == PlacementPolicy::Lanes || is_gang {
+            let no_reserve = BTreeSet::new();
+            let reserved = if is_gang { &no_reserve } else { &self.reserved };
+            return place_by_lanes(&all, need, self.long_cap(now), reserved);
+        }
+        let assigned = waiting.assigned.as_ref();
+        let mut open = all
+            .iter()
+            .filter(|target| assigned.is_none_or(|name| name == target.name));
+        let chosen = open.find(|target| target.ledger.fits(need.amount))?;
+        Some(vec![chosen.name.clone()])
+    }
+
+    fn long_cap(&self, now: Instant) -> usize {
+        let serving = self
+            .targets
+            .values()
+            .filter(|ledger| ledger.in_service)
+            .count();
+        let capacity = self.rate.prefill_per_s() * serving.max(1) as f64;
+        long_target_cap(serving, self.short_demand.per_s(now) / capacity)
+    }
+
+    fn grant(
+        &mut self,
+        waiting: &WaitingRequest,
+        names: &[TargetName],
+        approved: ApprovalCheck<'_>,
+        now: Instant,
+    ) {
+        let request = &waiting.request;
+        let alternatives = candidates(&self.targets, &request.team, approved).len();
+        let size = names.len().max(1) as u64;
+        let share = request.amount().div_ceil(size);
+        let use_by = now + GRANT_USE_BY;
+        let mut parts = Vec::new();
+        for name in names {
+            self.next_serial += 1;
+            let id = GrantId {
+                epoch: self.epoch,
+                serial: self.next_serial,
+            };
+            let Some(ledger) = self.targets.get_mut(name) else {
+                continue;
+            };
+            let grant = TargetGrant {
+                request: request.request,
+                amount: share,
+                prompt: request.prompt / size,
+                lane: waiting.lane,
+                prefilled: false,
+                use_by,
+                expires: request.deadline,
+            };
+            ledger.reserve(id, grant);
+            parts.push(GrantPart {
+                grant: id,
+                target: name.clone(),
+                address: self.addresses.get(name).cloned().unwrap_or_default(),
+                share,
+            });
+        }
+        let reply = PoolReply::Granted {
+            parts,
+            use_by,
+            lane: waiting.lane,
+            priority: self.priority(waiting.lane),
+            alternatives,
+            waited: now.saturating_duration_since(waiting.arrived),
+        };
+        self.replies.push((waiting.ticket, reply));
+    }
+
+    /// Baselines leave the order of work to the target.
+    fn priority(&self, lane: PromptLane) -> i64 {
+        match (self.policy, lane) {
+            (PlacementPolicy::Lanes, PromptLane::Long) => 1,
+            _ => 0,
+        }
+    }
+
+    /// Keeps other long prompts off the targets that the first waiting gang needs.
+    fn gather_for_gang(&mut self, approved: ApprovalCheck<'_>) {
+        let gang = self.long_queue.iter().min_by_key(|waiting| waiting.arrived);
+        let wanted = gang.map(|waiting| {
+            let all = candidates(&self.targets, &waiting.request.team, approved);
+            (gather_targets(&all, waiting.request.amount()), waiting)
+        });
+        self.reserved = match wanted {
+            Some((targets, _)) if targets.len() > 1 => targets,
+            _ => BTreeSet::new(),
+        };
+    }
+}
+
+/// Targets in service where the team is approved.
+fn candidates<'a>(
+    targets: &'a BTreeMap<TargetName, TargetLedger>,
+    team: &TeamName,
+    approved: ApprovalCheck<'_>,
+) -> Vec<PlacementCandidate<'a>> {
+    targets
+        .iter()
+        .filter(|(name, ledger)| ledger.in_service && approved(team, name))
+        .map(|(name, ledger)| PlacementCandidate { name, ledger })
+        .collect()
+}
--- /dev/null
+++ b/src/ledger/team_ledger.rs
@@ -0,0 +1,75 @@
+//! One team's ceiling: the tokens that it may hold reserved at once, over all targets.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use crate::ids::GrantId;
+
+#[derive(Debug)]
+struct TeamGrant {
+    amount: u64,
+    expires: Instant,
+}
+
+/// A team's reservations against its ceiling.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use plantainnotch::ids::{GrantId, Offset};
+/// use plantainnotch::ledger::team_ledger::TeamLedger;
+/// let mut ledger = TeamLedger::default();
+/// let now = Instant::now();
+/// let later = now + Duration::from_secs(5);
+/// let id = GrantId { epoch: Offset(1), serial: 1 };
+/// assert!(ledger.reserve(id, 60, 100, later, now));
+/// let id = GrantId { epoch: Offset(1), serial: 2 };
+/// assert!(!ledger.reserve(id, 60, 100, later, now));
+/// ```
+#[derive(Debug, Default)]
+pub struct TeamLedger {
+    grants: BTreeMap<GrantId, TeamGrant>,
+}
+
+impl TeamLedger {
+    /// Reserves `amount` tokens until released, or until `expires` at the latest.
+    /// Returns whether that stays within `ceiling`.
+    pub fn reserve(
+        &mut self,
+        id: GrantId,
+        amount: u64,
+        ceiling: u64,
+        expires: Instant,
+        now: Instant,
+    ) -> bool {
+        self.expire(now);
+        if self.used() + amount > ceiling {
+            return false;
+        }
+        self.grants.insert(id, TeamGrant { amount, expires });
+        true
+    }
+
+    /// Takes over a grant made by the team's previous steward, even over the ceiling.
+    pub fn adopt(&mut self, id: GrantId, amount: u64, expires: Instant) {
+        self.grants.insert(id, TeamGrant { amount, expires });
+    }
+
+    /// Ends a reservation.
+    pub fn release(&mut self, id: GrantId) {
+        self.grants.remove(&id);
+    }
+
+    /// Tokens reserved.
+    pub fn used(&self) -> u64 {
+        self.grants.values().map(|grant| grant.amount).sum()
+    }
+
+    /// The earliest time at which a reservation ends by itself.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.grants.values().map(|grant| grant.expires).min()
+    }
+
+    fn expire(&mut self, now: Instant) {
+        self.grants.retain(|_, grant| grant.expires > now);
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,24 @@
+//! Serving layer for prompts of a thousand to a million tokens.
+//!
+//! Every process folds the same records of the platform's log into the same
+//! [`view::View`] and starts new work only while that view is fresh. The core
+//! modules ([`view`], [`ledger`], [`claim`], [`policy`]) do no input or output
+//! and take the current time as an argument.
+
+pub mod chart;
+pub mod claim;
+pub mod clock;
+pub mod cmd;
+pub mod config;
+pub mod entry;
+pub mod error;
+pub mod fake;
+pub mod ids;
+pub mod ledger;
+pub mod logging;
+pub mod platform;
+pub mod policy;
+pub mod steward;
+pub mod target;
+pub mod view;
+pub mod wire;
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,4 @@
+//! Clients of the platform's services.
+
+pub mod log;
+pub mod vms;
--- /dev/null
+++ b/src/steward/actor.rs
@@ -0,0 +1,1059 @@
+//! The steward as an actor: timers, calls, and the core between them.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix::prelude::*;
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use tokio::sync::oneshot;
+
+use super::core::{FoldNews, StewardCore};
+use super::metrics::StewardMetrics;
+use super::peers::{BEAT_EVERY, NEIGHBOURS, PeerWatch, SuspicionStep};
+use super::writer::{LogWriter, WriteState};
+use crate::clock::TimeSource;
+use crate::config::StewardSettings;
+use crate::ids::{InstanceId, Offset, TargetName, VmName};
+use crate::ledger::pool::TicketId;
+use crate::platform::log::{LogClient, LogRead, Result as LogResult};
+use crate::platform::vms::fetch_vms;
+use crate::target::control::{StreamListing, cancel_stream, list_streams};
+use crate::view::checkpoint::{self, CHECKPOINT_EVERY};
+use crate::view::ownership::{OwnedKey, PoolKey, owner_of};
+use crate::view::record::{LogRecord, MemberJoin, RecordBody};
+use crate::wire::hot::BeatMessage;
+use crate::wire::message::{PoolStatus, StewardRefusal, target_names};
+use crate::wire::{PeerCall, PeerClient, PeerReply};
+
+const READ_EVERY: Duration = Duration::from_millis(400);
+const READS_IN_FLIGHT: usize = 6;
+const READ_LATE: Duration = Duration::from_millis(1000);
+const TICK_EVERY: Duration = Duration::from_millis(50);
+const LIST_TARGETS_EVERY: Duration = Duration::from_millis(500);
+const LIST_VMS_EVERY: Duration = Duration::from_secs(5);
+const CALL_WITHIN: Duration = Duration::from_secs(1);
+const SNAPSHOT_WITHIN: Duration = Duration::from_secs(5);
+const PROBE_HELPERS: usize = 3;
+const CLAIM_TICKS: u32 = 1;
+
+/// A call from the wire and where its answer goes.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct SubmitCall {
+    ticket: TicketId,
+    call: PeerCall,
+    reply: oneshot::Sender<PeerReply>,
+}
+
+/// The caller of a ticket gave up; `granted` is what it did not receive.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct WithdrawCall {
+    ticket: TicketId,
+    granted: Option<PeerReply>,
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct LogArrived {
+    sent: Instant,
+    result: LogResult<LogRead>,
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct BeatArrived {
+    vm: VmName,
+    asked: Instant,
+    answer: Option<(BeatMessage, Vec<PoolStatus>)>,
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct NewsArrived(PeerReply);
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct ProbeEnded {
+    vm: VmName,
+    incarnation: u64,
+    dead: bool,
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct TargetListed {
+    pool: PoolKey,
+    target: TargetName,
+    asked: Instant,
+    listing: Option<StreamListing>,
+}
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct VmsListed(Vec<VmName>);
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct ViewRebuilt(crate::view::View);
+
+/// Asks the steward how it stands, as JSON for operators.
+#[derive(Message)]
+#[rtype(result = "serde_json::Value")]
+pub struct DescribeSteward;
+
+/// Asks the steward to leave; answers once the leave record was read back, or
+/// the log did not take it in time.
+#[derive(Message)]
+#[rtype(result = "oneshot::Receiver<WriteState>")]
+pub struct LeaveFleet;
+
+struct FollowWaiter {
+    after: Offset,
+    until: Instant,
+    reply: oneshot::Sender<PeerReply>,
+}
+
+/// The steward's actor.
+pub struct StewardActor {
+    settings: StewardSettings,
+    clock: TimeSource,
+    core: StewardCore,
+    log: LogClient,
+    http: awc::Client,
+    writer: LogWriter,
+    watch: PeerWatch,
+    clients: BTreeMap<String, Arc<PeerClient>>,
+    tickets: BTreeMap<TicketId, oneshot::Sender<PeerReply>>,
+    followers: Vec<FollowWaiter>,
+    reads: Vec<Instant>,
+    rebuilding: bool,
+    last_checkpoint: Offset,
+    metrics: Rc<StewardMetrics>,
+}
+
+impl StewardActor {
+    /// An actor that starts to read the log when it is started.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a chart file is faulty.
+    pub fn new(
+        settings: StewardSettings,
+        clock: TimeSource,
+        metrics: Rc<StewardMetrics>,
+    ) -> crate::chart::Result<Self> {
+        let core = StewardCore::new(settings.vm.clone(), settings.policy)?;
+        Ok(Self {
+            log: LogClient::new(&settings.platform),
+            http: awc::Client::default(),
+            core,
+            settings,
+            clock,
+            writer: LogWriter::default(),
+            watch: PeerWatch::default(),
+            clients: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            followers: Vec::new(),
+            reads: Vec::new(),
+            rebuilding: false,
+            last_checkpoint: Offset(0),
+            metrics,
+        })
+    }
+
+    fn client(&mut self, address: &str) -> Arc<PeerClient> {
+        let client = self
+            .clients
+            .entry(address.to_owned())
+            .or_insert_with(|| Arc::new(PeerClient::new(address)));
+        client.clone()
+    }
+
+    fn start_read(&mut self, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        let late = self
+            .reads
+            .iter()
+            .any(|sent| now.duration_since(*sent) > READ_LATE);
+        if late {
+            self.core.set_log_unreachable(true);
+        }
+        if self.reads.len() >= READS_IN_FLIGHT {
+            return;
+        }
+        self.reads.push(now);
+        let log = self.log.clone();
+        let after = self.core.view().offset();
+        let addr = ctx.address();
+        actix_rt::spawn(async move {
+            let result = log.read(after).await;
+            addr.do_send(LogArrived { sent: now, result });
+        });
+    }
+
+    fn send_records(&mut self, records: Vec<LogRecord>, ctx: &mut Context<Self>) {
+        if records.is_empty() {
+            return;
+        }
+        self.metrics.appends.inc_by(records.len() as u64);
+        let log = self.log.clone();
+        let addr = ctx.address();
+        actix_rt::spawn(async move {
+            if let Err(error) = log.append(&records).await {
+                tracing::warn!(%error, "append not confirmed; it is sent again until read back");
+            }
+            addr.do_send(ReadSoon);
+        });
+    }
+
+    fn write(
+        &mut self,
+        body: RecordBody,
+        waiters: Vec<oneshot::Sender<WriteState>>,
+        ctx: &mut Context<Self>,
+    ) {
+        let record = self.writer.start(body, waiters, self.clock.now());
+        self.send_records(vec![record], ctx);
+    }
+
+    fn take_news(&mut self, news: &FoldNews, ctx: &mut Context<Self>) {
+        for (entry, verdict) in &news.folded {
+            let Some(record) = &entry.record else {
+                tracing::warn!(offset = %entry.offset, "the log holds a text that is not a record of this release");
+                continue;
+            };
+            self.writer.read_back(record.id, verdict);
+            if let RecordBody::Checkpoint { as_of, .. } = &record.body {
+                self.last_checkpoint = self.last_checkpoint.max(*as_of);
+            }
+        }
+        if !news.folded.is_empty() {
+            self.answer_followers();
+            self.maintain_membership(ctx);
+            self.maintain_checkpoint(ctx);
+            self.flush_replies();
+        }
+    }
+
+    /// Joins when this life of the steward is not a member; rejoins after eviction.
+    fn maintain_membership(&mut self, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        let own = self.core.vm().clone();
+        let neighbours: Vec<(VmName, u64)> = self
+            .core
+            .view()
+            .members()
+            .neighbours(&own, NEIGHBOURS)
+            .into_iter()
+            .map(|member| (member.join.vm.clone(), member.join.incarnation))
+            .collect();
+        self.watch
+            .retain(|vm| neighbours.iter().any(|(name, _)| name == vm));
+        for (vm, incarnation) in &neighbours {
+            self.watch.watch(vm, *incarnation, now);
+        }
+        let joining = self
+            .writer
+            .has_pending(|body| matches!(body, RecordBody::Join(_)));
+        if self.core.is_member() || self.core.is_leaving() || joining {
+            return;
+        }
+        if !self.core.is_fresh(now) {
+            return;
+        }
+        let incarnation = self.core.view().members().last_incarnation(&own) + 1;
+        self.core.set_incarnation(incarnation);
+        let join = MemberJoin {
+            vm: own,
+            incarnation,
+            domain: self.settings.domain.clone(),
+            entry_address: self.settings.entry_address.clone(),
+            steward_address: self.settings.peer_address.clone(),
+            admin_address: self.settings.admin_address.clone(),
+        };
+        tracing::info!(incarnation, "joining");
+        self.write(RecordBody::Join(join), Vec::new(), ctx);
+    }
+
+    fn maintain_checkpoint(&mut self, ctx: &mut Context<Self>) {
+        let offset = self.core.view().offset();
+        let since = offset.0.saturating_sub(self.last_checkpoint.0);
+        let slot = OwnedKey::ClaimSlot(offset.0 / CHECKPOINT_EVERY);
+        let chosen = owner_of(self.core.view().members(), slot)
+            .is_some_and(|member| member.join.vm == *self.core.vm());
+        let writing = self
+            .writer
+            .has_pending(|body| matches!(body, RecordBody::Checkpoint { .. }));
+        if since < CHECKPOINT_EVERY || !chosen || writing {
+            return;
+        }
+        let record = checkpoint::write(self.core.view());
+        self.write(record.body, Vec::new(), ctx);
+    }
+
+    fn rebuild(&mut self, ctx: &mut Context<Self>) {
+        if self.rebuilding {
+            return;
+        }
+        self.rebuilding = true;
+        tracing::warn!(
+            offset = %self.core.view().offset(),
+            "the log's head was cut past this view; rebuilding from a checkpoint or a peer"
+        );
+        let log = self.log.clone();
+        let peers = self.peer_addresses();
+        let clients: Vec<Arc<PeerClient>> = peers.iter().map(|peer| self.client(peer)).collect();
+        let own = self.core.view().offset();
+        let addr = ctx.address();
+        actix_rt::spawn(async move {
+            let view = rebuild_view(&log, &clients, own).await;
+            addr.do_send(ViewRebuilt(view.unwrap_or_default()));
+        });
+    }
+
+    /// Stewards to ask: members, and the seeds from the settings.
+    fn peer_addresses(&self) -> Vec<String> {
+        let own = &self.settings.peer_address;
+        let members = self.core.view().members().iter();
+        let mut addresses: Vec<String> = members
+            .map(|(_, member)| member.join.steward_address.clone())
+            .chain(self.settings.seeds.iter().cloned())
+            .filter(|address| address != own)
+            .collect();
+        addresses.sort();
+        addresses.dedup();
+        addresses
+    }
+
+    fn answer_followers(&mut self) {
+        let now = self.clock.now();
+        let offset = self.core.view().offset();
+        let waiters = std::mem::take(&mut self.followers);
+        for waiter in waiters {
+            if waiter.after < offset || waiter.until <= now {
+                let reply = self.news(waiter.after);
+                waiter.reply.send(reply).ok();
+            } else {
+                self.followers.push(waiter);
+            }
+        }
+    }
+
+    fn news(&self, after: Offset) -> PeerReply {
+        let entries = self.core.records_after(after);
+        let now = self.clock.now();
+        PeerReply::News {
+            snapshot_needed: entries.is_none(),
+            entries: entries.unwrap_or_default(),
+            fresh_age_ms: self
+                .core
+                .fresh_age(now)
+                .map(|age| age.as_millis() as u64 + 1),
+            offset: self.core.view().offset(),
+            loads: self.core.known_loads(),
+        }
+    }
+
+    fn flush_replies(&mut self) {
+        for (ticket, reply) in self.core.dispatch(self.clock.now()) {
+            self.log_placement(ticket, &reply);
+            let delivered = match self.tickets.remove(&ticket) {
+                Some(sender) => sender.send(reply).err(),
+                None => Some(reply),
+            };
+            if let Some(reply) = delivered {
+                self.withdraw_granted(&reply);
+            }
+        }
+    }
+
+    fn log_placement(&self, ticket: TicketId, reply: &PeerReply) {
+        match reply {
+            PeerReply::PoolGranted {
+                parts,
+                alternatives,
+                waited_ms,
+                lane,
+                ..
+            } => {
+                self.metrics.granted.inc();
+                tracing::info!(
+                    decision = "placement",
+                    ticket = ticket.0,
+                    targets = ?target_names(parts),
+                    grant = ?parts.first().map(|part| part.grant.to_string()),
+                    alternatives,
+                    waited_ms,
+                    lane = lane.as_str(),
+                    reason = if *waited_ms == 0 { "room at once" } else { "room after queueing" },
+                );
+            }
+            PeerReply::PoolRefused {
+                refusal,
+                retry_after_ms,
+                ..
+            } => {
+                self.metrics.refused.inc();
+                tracing::info!(
+                    decision = "placement",
+                    ticket = ticket.0,
+                    retry_after_ms,
+                    reason = ?refusal,
+                );
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives back a grant whose asker is gone.
+    fn withdraw_granted(&mut self, reply: &PeerReply) {
+        let PeerReply::PoolGranted { parts, .. } = reply else {
+            return;
+        };
+        let keys: Vec<PoolKey> = self.core.pools().keys().cloned().collect();
+        for key in keys {
+            self.core.with_pool(&key, |pool| {
+                for part in parts {
+                    if pool.targets().contains_key(&part.target) {
+                        pool.release(part.grant, crate::ledger::pool::GrantEnd::Withdrawn);
+                    }
+                }
+            });
+        }
+    }
+
+    fn send_beats(&mut self, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        let own = self.core.vm().clone();
+        let peers: Vec<(VmName, u64, String)> = self
+            .core
+            .view()
+            .members()
+            .neighbours(&own, NEIGHBOURS)
+            .into_iter()
+            .map(|member| {
+                let join = &member.join;
+                (
+                    join.vm.clone(),
+                    join.incarnation,
+                    join.steward_address.clone(),
+                )
+            })
+            .collect();
+        let call = Arc::new(PeerCall::Beat {
+            beat: self.core.beat(now),
+            loads: self.core.own_loads(),
+        });
+        for (vm, incarnation, address) in peers {
+            let client = self.client(&address);
+            let addr = ctx.address();
+            let call = call.clone();
+            let name = vm.clone();
+            actix_rt::spawn(async move {
+                let answer = match client.call(&call, CALL_WITHIN).await {
+                    Ok(PeerReply::Beat { beat, loads }) => Some((beat, loads)),
+                    _ => None,
+                };
+                addr.do_send(BeatArrived {
+                    vm: name,
+                    asked: now,
+                    answer,
+                });
+            });
+            if self.watch.step(&vm, now) == SuspicionStep::Probe {
+                self.probe(vm, incarnation, ctx);
+            }
+        }
+    }
+
+    /// Asks other members whether they reach a silent peer.
+    fn probe(&mut self, vm: VmName, incarnation: u64, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        let helpers: Vec<String> = self
+            .core
+            .view()
+            .members()
+            .iter()
+            .filter(|(name, _)| **name != vm && *name != self.core.vm())
+            .filter(|(name, _)| self.watch.is_alive(name, now))
+            .map(|(_, member)| member.join.steward_address.clone())
+            .take(PROBE_HELPERS)
+            .collect();
+        let alone = helpers.is_empty() && self.watch.long_silent(&vm, now);
+        let clients: Vec<Arc<PeerClient>> = helpers.iter().map(|peer| self.client(peer)).collect();
+        let addr = ctx.address();
+        actix_rt::spawn(async move {
+            let call = PeerCall::Probe { vm: vm.clone() };
+            let asked = clients
+                .iter()
+                .map(|client| client.call(&call, CALL_WITHIN * 2));
+            let answers = futures_util::future::join_all(asked).await;
+            let says = |alive: bool| {
+                let reply = PeerReply::Probed { alive };
+                answers.iter().flatten().any(|answer| *answer == reply)
+            };
+            let dead = alone || (says(false) && !says(true));
+            addr.do_send(ProbeEnded {
+                vm,
+                incarnation,
+                dead,
+            });
+        });
+    }
+
+    fn list_targets(&mut self, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        for (pool, ledger) in self.core.pools() {
+            for target in ledger.targets().keys() {
+                let Some(address) = ledger.address(target).map(str::to_owned) else {
+                    continue;
+                };
+                let (http, addr) = (self.http.clone(), ctx.address());
+                let (pool, target) = (pool.clone(), target.clone());
+                actix_rt::spawn(async move {
+                    let listing = list_streams(&http, &address).await;
+                    addr.do_send(TargetListed {
+                        pool,
+                        target,
+                        asked: now,
+                        listing,
+                    });
+                });
+            }
+        }
+    }
+
+    fn list_vms(&mut self, ctx: &mut Context<Self>) {
+        let (http, addr) = (self.http.clone(), ctx.address());
+        let platform = self.settings.platform.clone();
+        actix_rt::spawn(async move {
+            if let Some(list) = fetch_vms(&http, &platform).await {
+                addr.do_send(VmsListed(list.vms));
+            }
+        });
+    }
+
+    fn tick(&mut self, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        if let Some(record) = self.writer.flush_claims(now) {
+            self.send_records(vec![record], ctx);
+        }
+        let due = self.writer.due(now);
+        self.send_records(due, ctx);
+        self.answer_followers();
+        self.flush_replies();
+        self.update_metrics(now);
+    }
+
+    fn update_metrics(&self, now: Instant) {
+        let view = self.core.view();
+        self.metrics.view_offset.set(view.offset().0 as i64);
+        let age = self.core.fresh_age(now);
+        self.metrics
+            .view_age_ms
+            .set(age.map_or(-1, |age| age.as_millis() as i64));
+        self.metrics.members.set(view.members().len() as i64);
+        self.metrics.pools.set(self.core.pools().len() as i64);
+        let loads = self.core.own_loads();
+        let waiting: u32 = loads.iter().map(|status| status.load.waiting).sum();
+        let running: u32 = loads.iter().map(|status| status.load.running).sum();
+        self.metrics.waiting.set(i64::from(waiting));
+        self.metrics.running.set(i64::from(running));
+    }
+
+    fn answer_call(&mut self, submit: SubmitCall, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        let SubmitCall {
+            ticket,
+            call,
+            reply,
+        } = submit;
+        let answer = match call {
+            PeerCall::Beat { beat, loads } => {
+                self.take_beat(&beat, loads, now, ctx);
+                PeerReply::Beat {
+                    beat: self.core.beat(now),
+                    loads: self.core.own_loads(),
+                }
+            }
+            PeerCall::Probe { vm } => PeerReply::Probed {
+                alive: self.watch.is_alive(&vm, now),
+            },
+            PeerCall::Follow { after, wait_ms } => {
+                if after >= self.core.view().offset() && wait_ms > 0 {
+                    let until = now + Duration::from_millis(wait_ms);
+                    self.followers.push(FollowWaiter {
+                        after,
+                        until,
+                        reply,
+                    });
+                    return;
+                }
+                self.news(after)
+            }
+            PeerCall::Snapshot => PeerReply::Snapshot {
+                state: self.core.snapshot(),
+            },
+            PeerCall::AcquirePool(ask) => match self.core.acquire_pool(ticket, &ask, now) {
+                Some(refusal) => refusal,
+                None => {
+                    self.tickets.insert(ticket, reply);
+                    self.flush_replies();
+                    return;
+                }
+            },
+            PeerCall::ReleasePool { pool, grants, end } => {
+                self.core.with_pool(&pool, |ledger| {
+                    for grant in grants {
+                        ledger.release(grant, end);
+                    }
+                });
+                self.flush_replies();
+                PeerReply::Done
+            }
+            PeerCall::FirstToken {
+                pool,
+                grants,
+                elapsed_ms,
+            } => {
+                self.core.with_pool(&pool, |ledger| {
+                    for grant in grants {
+                        ledger.first_token(grant, Duration::from_millis(elapsed_ms));
+                    }
+                });
+                self.flush_replies();
+                PeerReply::Done
+            }
+            PeerCall::AcquireTeam {
+                team,
+                amount,
+                deadline_ms,
+            } => {
+                let deadline = Duration::from_millis(deadline_ms);
+                self.core.acquire_team(&team, amount, deadline, now)
+            }
+            PeerCall::ReleaseTeam { team, grant } => {
+                self.core.release_team(&team, grant);
+                PeerReply::Done
+            }
+            PeerCall::Adopt { targets, teams } => {
+                self.core.adopt_grants(&targets, &teams, now);
+                PeerReply::Done
+            }
+            PeerCall::Append(items) => {
+                self.append_claims(items, reply);
+                return;
+            }
+        };
+        reply.send(answer).ok();
+    }
+
+    fn append_claims(
+        &mut self,
+        items: Vec<crate::view::record::ClaimEvent>,
+        reply: oneshot::Sender<PeerReply>,
+    ) {
+        let (sender, receiver) = oneshot::channel();
+        self.writer.add_claims(items, sender);
+        actix_rt::spawn(async move {
+            let answer = match receiver.await {
+                Ok(WriteState::Accepted | WriteState::Ignored) => PeerReply::Done,
+                _ => PeerReply::Refused {
+                    refusal: StewardRefusal::LogUnavailable,
+                    retry_after_ms: 2_000,
+                },
+            };
+            reply.send(answer).ok();
+        });
+    }
+
+    fn take_beat(
+        &mut self,
+        beat: &BeatMessage,
+        loads: Vec<PoolStatus>,
+        asked: Instant,
+        ctx: &mut Context<Self>,
+    ) {
+        let now = self.clock.now();
+        self.watch.heard(&beat.vm, now);
+        if !self.core.peer_beat(beat, loads, asked, now) {
+            return;
+        }
+        let Some(member) = self.core.view().members().get(&beat.vm) else {
+            return;
+        };
+        let address = member.join.steward_address.clone();
+        let client = self.client(&address);
+        let call = PeerCall::Follow {
+            after: self.core.view().offset(),
+            wait_ms: 0,
+        };
+        let addr = ctx.address();
+        actix_rt::spawn(async move {
+            if let Ok(news) = client.call(&call, CALL_WITHIN).await {
+                addr.do_send(NewsArrived(news));
+            }
+        });
+    }
+}
+
+impl Actor for StewardActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(4096);
+        self.start_read(ctx);
+        self.list_vms(ctx);
+        ctx.run_interval(READ_EVERY, Self::start_read);
+        ctx.run_interval(TICK_EVERY * CLAIM_TICKS, Self::tick);
+        ctx.run_interval(BEAT_EVERY, Self::send_beats);
+        ctx.run_interval(LIST_TARGETS_EVERY, Self::list_targets);
+        ctx.run_interval(LIST_VMS_EVERY, Self::list_vms);
+    }
+}
+
+/// Asks for a read of the log without waiting for the next turn.
+#[derive(Message)]
+#[rtype(result = "()")]
+struct ReadSoon;
+
+impl Handler<ReadSoon> for StewardActor {
+    type Result = ();
+
+    fn handle(&mut self, _: ReadSoon, ctx: &mut Self::Context) {
+        self.start_read(ctx);
+    }
+}
+
+impl Handler<SubmitCall> for StewardActor {
+    type Result = ();
+
+    fn handle(&mut self, submit: SubmitCall, ctx: &mut Self::Context) {
+        self.answer_call(submit, ctx);
+    }
+}
+
+impl Handler<WithdrawCall> for StewardActor {
+    type Result = ();
+
+    fn handle(&mut self, call: WithdrawCall, _: &mut Self::Context) {
+        self.tickets.remove(&call.ticket);
+        self.core.cancel(call.ticket);
+        if let Some(granted) = call.granted {
+            self.withdraw_granted(&granted);
+        }
+    }
+}
+
+impl Handler<LogArrived> for StewardActor {
+    type Result = ();
+
+    fn handle(&mut self, arrived: LogArrived, ctx: &mut Self::Context) {
+        let now = self.clock.now();
+        if let Some(place) = self.reads.iter().position(|sent| *sent == arrived.sent) {
+            self.reads.swap_remove(place);
+        }
+        let read = match arrived.result {
+            Ok(read) => read,
+            Err(error) => {
+                if !self.core.beat(now).log_unreachable {
+                    tracing::warn!(%error, "log read failed");
+                }
+                self.core.set_log_unreachable(true);
+                return;
+            }
+        };
+        let on_time = now.duration_since(arrived.sent) <= READ_LATE;
+        self.core.set_log_unreachable(!on_time);
+        match self.core.log_answered(&read, arrived.sent, now) {
+            Ok(news) => {
+                self.take_news(&news, ctx);
+                self.maintain_membership(ctx);
+                if self.core.view().offset() < read.end {
+                    self.start_read(ctx);
+                }
+            }
+            Err(_) => self.rebuild(ctx),
+        }
+    }
+}
+
+impl Handler<ViewRebuilt> for StewardActor {
+    type Result = ();
+
+    fn handle(&mut self, rebuilt: ViewRebuilt, ctx: &mut Self::Context) {
+        self.rebuilding = false;
+        self.core.adopt_view(rebuilt.0, self.clock.now());
+        self.answer_followers();
+        self.maintain_membership(ctx);
+        self.flush_replies();
+    }
+}
+
+impl Handler<BeatArrived> for StewardActor {
+    type Result = ();
+
+    fn handle(&mut self, arrived: BeatArrived, ctx: &mut Self::Context) {
+        if let Some((beat, loads)) = arrived.answer
+            && beat.vm == arrived.vm
+        {
+            self.take_beat(&beat, loads, arrived.asked, ctx);
+        }
+    }
+}
+
+impl Handler<NewsArrived> for StewardActor {
+    type Result = ();
+
+    fn handle(&mut self, news: NewsArrived, ctx: &mut Self::Context) {
+        let PeerReply::News {
+            entries,
+            snapshot_needed,
+            ..
+        } = news.0
+        else {
+            return;
+        };
+        if snapshot_needed {
+            self.rebuild(ctx);
+            return;
+        }
+        let folded = self.core.fold(&entries, self.clock.now());
+        self.take_news(&folded, ctx);
+    }
+}
+
+impl Handler<ProbeEnded> for StewardActor {
+    type Result = ();
+
+    fn handle(&mut self, ended: ProbeEnded, ctx: &mut Self::Context) {
+        let now = self.clock.now();
+        self.watch.probed(&ended.vm);
+        let member = self.core.view().members().get(&ended.vm);
+        let stands = member.is_some_and(|member| member.join.incarnation == ended.incarnation);
+        let evicting = self
+            .writer
+            .has_pending(|body| matches!(body, RecordBody::Evict { vm, .. } if *vm == ended.vm));
+        let silent = !self.watch.is_alive(&ended.vm, now);
+        let may_judge = self.core.is_member() && self.core.is_fresh(now);
+        if !ended.dead || !stands || evicting || !silent || !may_judge {
+            return;
+        }
+        tracing::warn!(vm = %ended.vm, incarnation = ended.incarnation, "evicting a silent VM");
+        let body = RecordBody::Evict {
+            vm: ended.vm,
+            incarnation: ended.incarnation,
+        };
+        self.write(body, Vec::new(), ctx);
+    }
+}
+
+impl Handler<TargetListed> for StewardActor {
+    type Result = ();
+
+    fn handle(&mut self, listed: TargetListed, _: &mut Self::Context) {
+        let now = self.clock.now();
+        let Some(listing) = listed.listing else {
+            self.core.with_pool(&listed.pool, |pool| {
+                pool.target_unreachable(&listed.target);
+            });
+            return;
+        };
+        let instance: &InstanceId = &listing.instance;
+        let cancels = self.core.target_listed(
+            &listed.pool,
+            &listed.target,
+            instance,
+            &listing.reports(),
+            listed.asked,
+            now,
+        );
+        let pool = self.core.pools().get(&listed.pool);
+        let Some(address) = pool.and_then(|pool| pool.address(&listed.target)) else {
+            return;
+        };
+        for request in cancels {
+            self.metrics.orphans.inc();
+            tracing::warn!(%request, target = %listed.target, "cancelling a stream past its deadline or unexplained");
+            let (http, address) = (self.http.clone(), address.to_owned());
+            actix_rt::spawn(async move {
+                cancel_stream(&http, &address, request).await;
+            });
+        }
+        self.flush_replies();
+    }
+}
+
+impl Handler<VmsListed> for StewardActor {
+    type Result = ();
+
+    fn handle(&mut self, listed: VmsListed, _: &mut Self::Context) {
+        self.core.vms_listed(&listed.0, self.clock.now());
+    }
+}
+
+impl Handler<DescribeSteward> for StewardActor {
+    type Result = MessageResult<DescribeSteward>;
+
+    fn handle(&mut self, _: DescribeSteward, _: &mut Self::Context) -> Self::Result {
+        let now = self.clock.now();
+        let view = self.core.view();
+        let members: Vec<serde_json::Value> = view
+            .members()
+            .iter()
+            .map(|(vm, member)| {
+                serde_json::json!({
+                    "vm": vm,
+                    "incarnation": member.join.incarnation,
+                    "domain": member.join.domain,
+                    "entry": member.join.entry_address,
+                    "admin": member.join.admin_address,
+                })
+            })
+            .collect();
+        let targets: Vec<serde_json::Value> = self
+            .core
+            .pools()
+            .iter()
+            .flat_map(|(pool, ledger)| {
+                ledger.targets().iter().map(move |(name, target)| {
+                    serde_json::json!({
+                        "pool": pool.to_string(),
+                        "target": name,
+                        "in_service": target.in_service,
+                        "state": target.window.state(),
+                        "limit": target.window.limit(),
+                        "running": target.running(),
+                        "used_tokens": target.used(),
+                    })
+                })
+            })
+            .collect();
+        MessageResult(serde_json::json!({
+            "vm": self.core.vm(),
+            "incarnation": self.core.incarnation(),
+            "member": self.core.is_member(),
+            "leaving": self.core.is_leaving(),
+            "offset": view.offset(),
+            "fresh": self.core.is_fresh(now),
+            "view_age_ms": self.core.fresh_age(now).map(|age| age.as_millis() as u64),
+            "log_unreachable": self.core.beat(now).log_unreachable,
+            "claims": view.claims().len(),
+            "members": members,
+            "owned_targets": targets,
+        }))
+    }
+}
+
+impl Handler<LeaveFleet> for StewardActor {
+    type Result = MessageResult<LeaveFleet>;
+
+    fn handle(&mut self, _: LeaveFleet, ctx: &mut Self::Context) -> Self::Result {
+        let (sender, receiver) = oneshot::channel();
+        self.core.start_leaving();
+        if self.core.is_member() {
+            let body = RecordBody::Leave {
+                vm: self.core.vm().clone(),
+                incarnation: self.core.incarnation(),
+            };
+            self.write(body, vec![sender], ctx);
+        } else {
+            sender.send(WriteState::Ignored).ok();
+        }
+        MessageResult(receiver)
+    }
+}
+
+async fn rebuild_view(
+    log: &LogClient,
+    peers: &[Arc<PeerClient>],
+    own: Offset,
+) -> Option<crate::view::View> {
+    match log.read_all().await {
+        Ok(all) => match checkpoint::rebuild(all.head, &all.entries) {
+            Ok(view) if view.offset() > own => return Some(view),
+            Ok(_) => {}
+            Err(error) => tracing::warn!(%error, "the log alone does not give a view"),
+        },
+        Err(error) => tracing::warn!(%error, "the log cannot be read; asking peers"),
+    }
+    for peer in peers {
+        let Ok(PeerReply::Snapshot { state }) =
+            peer.call(&PeerCall::Snapshot, SNAPSHOT_WITHIN).await
+        else {
+            continue;
+        };
+        match checkpoint::decode(own, &state) {
+            Ok(view) if view.offset() > own => return Some(view),
+            Ok(_) => {}
+            Err(error) => {
+                tracing::warn!(%error, peer = peer.address(), "peer's view cannot be read");
+            }
+        }
+    }
+    None
+}
+
+/// Withdraws a call when its caller gives up before the answer is delivered.
+struct CallGuard {
+    ticket: TicketId,
+    addr: Addr<StewardActor>,
+    receiver: Option<oneshot::Receiver<PeerReply>>,
+}
+
+impl CallGuard {
+    /// Notes that the answer was delivered.
+    fn disarm(&mut self) {
+        self.receiver = None;
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        let Some(mut receiver) = self.receiver.take() else {
+            return;
+        };
+        receiver.close();
+        self.addr.do_send(WithdrawCall {
+            ticket: self.ticket,
+            granted: receiver.try_recv().ok(),
+        });
+    }
+}
+
+/// A handler for the wire server that hands calls to the actor.
+pub fn call_handler(addr: Addr<StewardActor>) -> crate::wire::server::CallHandler {
+    let next = Rc::new(Cell::new(0_u64));
+    Rc::new(move |call| -> LocalBoxFuture<'static, PeerReply> {
+        let ticket = TicketId(next.get());
+        next.set(next.get() + 1);
+        let (sender, receiver) = oneshot::channel();
+        addr.do_send(SubmitCall {
+            ticket,
+            call,
+            reply: sender,
+        });
+        let mut guard = CallGuard {
+            ticket,
+            addr: addr.clone(),
+            receiver: Some(receiver),
+        };
+        async move {
+            let answer = match guard.receiver.as_mut() {
+                Some(receiver) => receiver.await.ok(),
+                None => None,
+            };
+            guard.disarm();
+            answer.unwrap_or(PeerReply::Refused {
+                refusal: StewardRefusal::NotOwner,
+                retry_after_ms: 250,
+            })
+        }
+        .boxed_local()
+    })
+}
--- /dev/null
+++ b/src/view/mod.rs
@@ -0,0 +1,13 @@
+//! What every process knows: the records of the platform's log, folded.
+
+pub mod checkpoint;
+pub mod fold;
+pub mod freshness;
+pub mod in_force;
+pub mod membership;
+pub mod ownership;
+pub mod record;
+pub mod sheet;
+pub mod table;
+
+pub use fold::{Verdict, View};
--- /dev/null
+++ b/src/view/ownership.rs
@@ -0,0 +1,61 @@
+//! Which steward owns a pool of targets or a team: rendezvous hashing over members.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::membership::{MemberEntry, MemberTable};
+use crate::ids::{DomainName, ModelName, TeamName, VmName};
+
+/// The targets of one model in one failure domain, which one steward owns.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PoolKey {
+    /// The model or service.
+    pub model: ModelName,
+    /// The failure domain.
+    pub domain: DomainName,
+}
+
+impl fmt::Display for PoolKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.model, self.domain)
+    }
+}
+
+/// Something that exactly one steward owns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OwnedKey<'a> {
+    /// A pool of targets.
+    Pool(&'a PoolKey),
+    /// A team's ceiling.
+    Team(&'a TeamName),
+    /// The appends of claims whose key hashes to this slot.
+    ClaimSlot(u64),
+}
+
+impl OwnedKey<'_> {
+    fn score(&self, vm: &VmName) -> u64 {
+        let text = match self {
+            Self::Pool(pool) => format!("pool\n{pool}\n{vm}"),
+            Self::Team(team) => format!("team\n{team}\n{vm}"),
+            Self::ClaimSlot(slot) => format!("claim\n{slot}\n{vm}"),
+        };
+        xxh3_64(text.as_bytes())
+    }
+}
+
+/// The member that owns `key`; all processes at the same offset agree.
+///
+/// ```
+/// use plantainnotch::ids::TeamName;
+/// use plantainnotch::view::{View, ownership::{OwnedKey, owner_of}};
+/// let view = View::default();
+/// assert!(owner_of(view.members(), OwnedKey::Team(&TeamName::new("kigali"))).is_none());
+/// ```
+pub fn owner_of<'a>(members: &'a MemberTable, key: OwnedKey<'_>) -> Option<&'a MemberEntry> {
+    members
+        .iter()
+        .max_by_key(|(vm, _)| (key.score(vm), *vm))
+        .map(|(_, member)| member)
+}
--- /dev/null
+++ b/src/view/sheet.rs
@@ -0,0 +1,373 @@
+//! The table as CSV that a spreadsheet opens.
+
+use std::collections::BTreeSet;
+
+use csv::{ReaderBuilder, StringRecord, WriterBuilder};
+
+use super::fold::View;
+use super::table::{
+    ApprovalRow, DomainRow, KeyDigest, RowKey, ServiceState, TableRow, TargetKind, TargetPattern,
+    TargetRow, TeamRow,
+};
+use crate::error::ErrorList;
+use crate::ids::{AuthorName, DomainName, ModelName, TargetName, TeamName};
+
+/// Columns of the sheet.
+pub const COLUMNS: [&str; 15] = [
+    "kind",
+    "name",
+    "target",
+    "domain",
+    "owner",
+    "model",
+    "address",
+    "memory_tokens",
+    "cold_limit",
+    "warm_limit",
+    "fencing",
+    "weight",
+    "ceiling_tokens",
+    "key",
+    "state",
+];
+
+const DIGEST_PREFIX: &str = "sha256:";
+
+/// Result of reading a sheet.
+pub type Result<T> = std::result::Result<T, ErrorList>;
+
+/// A row with its key.
+#[derive(Debug, Clone, PartialEq)]
+pub struct SheetRow {
+    /// The key.
+    pub key: RowKey,
+    /// The row.
+    pub row: TableRow,
+}
+
+/// Reads a whole sheet, and checks it before anything is done with it.
+///
+/// # Errors
+///
+/// Fails with every mistake found: file, line, column and remedy.
+///
+/// ```
+/// use plantainnotch::view::sheet;
+/// let rows = sheet::read("table.csv", "kind,name,state\ndomain,rw-a,in\n")?;
+/// assert_eq!(rows.len(), 1);
+/// assert!(sheet::read("table.csv", "kind,name,state\ndomain,rw-a,maybe\n").is_err());
+/// # Ok::<(), plantainnotch::error::ErrorList>(())
+/// ```
+pub fn read(file: &str, text: &str) -> Result<Vec<SheetRow>> {
+    let text = text.trim_start_matches('\u{feff}');
+    let mut check = SheetCheck {
+        file: file.to_owned(),
+        headers: StringRecord::new(),
+        mistakes: Vec::new(),
+    };
+    let header_line = text.lines().next().unwrap_or_default();
+    let delimiter = if header_line.contains(';') {
+        b';'
+    } else {
+        b','
+    };
+    let mut reader = ReaderBuilder::new()
+        .delimiter(delimiter)
+        .flexible(true)
+        .trim(csv::Trim::All)
+        .from_reader(text.as_bytes());
+    match reader.headers() {
+        Ok(headers) => check.headers = headers.clone(),
+        Err(error) => check
+            .mistakes
+            .push(format!("{file}:1: {error}; save the sheet as CSV in UTF-8")),
+    }
+    check.check_headers();
+    let mut rows = Vec::new();
+    let mut seen = BTreeSet::new();
+    for record in reader.records() {
+        let record = match record {
+            Ok(record) => record,
+            Err(error) => {
+                check
+                    .mistakes
+                    .push(format!("{file}: {error}; save the sheet as CSV in UTF-8"));
+                break;
+            }
+        };
+        let line = record.position().map_or(0, csv::Position::line);
+        let cells = SheetCells {
+            record: &record,
+            line,
+        };
+        if let Some(row) = check.row(cells) {
+            if !seen.insert(row.key.clone()) {
+                check.mistake(
+                    line,
+                    "name",
+                    &format!("{} stands twice", row.key),
+                    "delete one of the rows",
+                );
+            }
+            rows.push(row);
+        }
+    }
+    ErrorList::check(check.mistakes)?;
+    Ok(rows)
+}
+
+/// Writes all rows of a view.
+pub fn write(view: &View) -> String {
+    let mut writer = WriterBuilder::new().from_writer(Vec::new());
+    writer.write_record(COLUMNS).ok();
+    for (key, entry) in view.rows() {
+        if let Some(row) = &entry.row {
+            writer.write_record(cells_of(key, row)).ok();
+        }
+    }
+    let bytes = writer.into_inner().unwrap_or_default();
+    String::from_utf8(bytes).unwrap_or_default()
+}
+
+fn cells_of(key: &RowKey, row: &TableRow) -> Vec<String> {
+    let mut cells: Vec<String> = vec![String::new(); COLUMNS.len()];
+    let mut set = |column: &str, value: &dyn ToString| {
+        if let Some(place) = COLUMNS.iter().position(|name| *name == column) {
+            cells[place] = value.to_string();
+        }
+    };
+    match (key, row) {
+        (RowKey::Domain(name), TableRow::Domain(row)) => {
+            set("kind", &"domain");
+            set("name", name);
+            set("state", &state_text(row.state));
+        }
+        (RowKey::Target(name), TableRow::Target(row)) => {
+            let kind = match row.kind {
+                TargetKind::Engine => "engine",
+                TargetKind::Service => "service",
+            };
+            set("kind", &kind);
+            set("name", name);
+            set("domain", &row.domain);
+            set("owner", &row.owner);
+            set("model", &row.model);
+            set("address", &row.address);
+            set("memory_tokens", &row.memory_tokens);
+            set("cold_limit", &row.cold_limit);
+            set("warm_limit", &row.warm_limit);
+            set("fencing", &if row.checks_fencing { "yes" } else { "no" });
+            set("state", &state_text(row.state));
+        }
+        (RowKey::Team(name), TableRow::Team(row)) => {
+            set("kind", &"team");
+            set("name", name);
+            set("weight", &row.weight);
+            set("ceiling_tokens", &row.ceiling_tokens);
+            set("key", &format!("{DIGEST_PREFIX}{}", row.key.as_str()));
+        }
+        (RowKey::Approval(team, pattern), TableRow::Approval(row)) => {
+            set("kind", &"approval");
+            set("name", team);
+            set("target", &pattern.as_str());
+            set("state", &if row.approved { "approved" } else { "refused" });
+        }
+        _ => {}
+    }
+    cells
+}
+
+fn state_text(state: ServiceState) -> &'static str {
+    match state {
+        ServiceState::In => "in",
+        ServiceState::Out => "out",
+    }
+}
+
+/// One line of the sheet.
+#[derive(Clone, Copy)]
+struct SheetCells<'a> {
+    record: &'a StringRecord,
+    line: u64,
+}
+
+struct SheetCheck {
+    file: String,
+    headers: StringRecord,
+    mistakes: Vec<String>,
+}
+
+impl SheetCheck {
+    fn mistake(&mut self, line: u64, column: &str, what: &str, remedy: &str) {
+        let file = &self.file;
+        self.mistakes
+            .push(format!("{file}:{line}: column {column}: {what}; {remedy}"));
+    }
+
+    fn check_headers(&mut self) {
+        let unknown: Vec<String> = self
+            .headers
+            .iter()
+            .filter(|name| !COLUMNS.contains(name))
+            .map(str::to_owned)
+            .collect();
+        for name in unknown {
+            let remedy = format!("use only {}", COLUMNS.join(", "));
+            self.mistake(1, &name, "no such column", &remedy);
+        }
+        for name in ["kind", "name"] {
+            if !self.headers.iter().any(|header| header == name) {
+                self.mistake(1, name, "the column is missing", "add it");
+            }
+        }
+    }
+
+    fn cell<'a>(&self, cells: SheetCells<'a>, column: &str) -> &'a str {
+        let place = self.headers.iter().position(|name| name == column);
+        place
+            .and_then(|place| cells.record.get(place))
+            .unwrap_or("")
+    }
+
+    fn text(&mut self, cells: SheetCells<'_>, column: &str) -> String {
+        let text = self.cell(cells, column).to_owned();
+        if text.is_empty() {
+            self.mistake(cells.line, column, "the cell is empty", "fill it in");
+        }
+        text
+    }
+
+    fn number(&mut self, cells: SheetCells<'_>, column: &str, least: u64, most: u64) -> u64 {
+        let text = self.cell(cells, column).to_owned();
+        match text.parse::<u64>() {
+            Ok(number) if (least..=most).contains(&number) => number,
+            _ => {
+                let what = format!("{text:?} is not a whole number from {least} to {most}");
+                self.mistake(cells.line, column, &what, "mend it");
+                least
+            }
+        }
+    }
+
+    /// The value that goes with the cell's text; an empty cell means the first choice.
+    fn choice<T: Copy>(
+        &mut self,
+        cells: SheetCells<'_>,
+        column: &str,
+        choices: [(&str, T); 2],
+    ) -> T {
+        let text = self.cell(cells, column).to_lowercase();
+        let found = choices.iter().find(|(name, _)| *name == text);
+        if let Some((_, value)) = found {
+            return *value;
+        }
+        if !text.is_empty() {
+            let what = format!("{text:?} is not known");
+            let remedy = format!("use {} or {}", choices[0].0, choices[1].0);
+            self.mistake(cells.line, column, &what, &remedy);
+        }
+        choices[0].1
+    }
+
+    fn state(&mut self, cells: SheetCells<'_>) -> ServiceState {
+        self.choice(
+            cells,
+            "state",
+            [("in", ServiceState::In), ("out", ServiceState::Out)],
+        )
+    }
+
+    fn row(&mut self, cells: SheetCells<'_>) -> Option<SheetRow> {
+        let kind = self.cell(cells, "kind").to_owned();
+        let name = self.text(cells, "name");
+        match kind.as_str() {
+            "domain" => Some(SheetRow {
+                key: RowKey::Domain(DomainName::new(name)),
+                row: TableRow::Domain(DomainRow {
+                    state: self.state(cells),
+                }),
+            }),
+            "engine" => Some(self.target(cells, name, TargetKind::Engine)),
+            "service" => Some(self.target(cells, name, TargetKind::Service)),
+            "team" => Some(self.team(cells, name)),
+            "approval" => Some(SheetRow {
+                key: RowKey::Approval(
+                    TeamName::new(name),
+                    TargetPattern::new(self.text(cells, "target")),
+                ),
+                row: TableRow::Approval(ApprovalRow {
+                    approved: self.choice(cells, "state", [("approved", true), ("refused", false)]),
+                }),
+            }),
+            other => {
+                let what = format!("{other:?} is not a kind of row");
+                self.mistake(
+                    cells.line,
+                    "kind",
+                    &what,
+                    "use domain, engine, service, team or approval",
+                );
+                None
+            }
+        }
+    }
+
+    fn target(&mut self, cells: SheetCells<'_>, name: String, kind: TargetKind) -> SheetRow {
+        let address = self.text(cells, "address");
+        if !address.is_empty() && address.parse::<std::net::SocketAddr>().is_err() {
+            let what = format!("{address:?} is not an IP and port");
+            self.mistake(cells.line, "address", &what, "write it like 10.0.0.1:9000");
+        }
+        let cold_limit = self.number(cells, "cold_limit", 1, 100_000) as u32;
+        let warm_limit = self.number(cells, "warm_limit", 1, 100_000) as u32;
+        if warm_limit < cold_limit {
+            let what = "the warm limit is under the cold limit";
+            self.mistake(cells.line, "warm_limit", what, "raise it");
+        }
+        let row = TargetRow {
+            kind,
+            domain: DomainName::new(self.text(cells, "domain")),
+            owner: AuthorName::new(self.text(cells, "owner")),
+            model: ModelName::new(self.text(cells, "model")),
+            address,
+            memory_tokens: self.number(cells, "memory_tokens", 1, 1 << 40),
+            cold_limit,
+            warm_limit,
+            checks_fencing: self.choice(cells, "fencing", [("no", false), ("yes", true)]),
+            state: self.state(cells),
+        };
+        SheetRow {
+            key: RowKey::Target(TargetName::new(name)),
+            row: TableRow::Target(row),
+        }
+    }
+
+    fn team(&mut self, cells: SheetCells<'_>, name: String) -> SheetRow {
+        let key = self.text(cells, "key");
+        let digest = match key.strip_prefix(DIGEST_PREFIX) {
+            Some(hex) if hex.len() == 64 && hex.bytes().all(|byte| byte.is_ascii_hexdigit()) => {
+                KeyDigest::from_hex(hex.to_lowercase())
+            }
+            Some(_) => {
+                let what = "the digest does not have 64 hexadecimal digits";
+                self.mistake(
+                    cells.line,
+                    "key",
+                    what,
+                    "write the key itself, or its whole digest",
+                );
+                KeyDigest::from_hex("")
+            }
+            None => KeyDigest::of_key(&key),
+        };
+        let row = TeamRow {
+            weight: self.number(cells, "weight", 1, 1_000_000) as u32,
+            ceiling_tokens: self.number(cells, "ceiling_tokens", 1, 1 << 40),
+            key: digest,
+        };
+        SheetRow {
+            key: RowKey::Team(TeamName::new(name)),
+            row: TableRow::Team(row),
+        }
+    }
+}
--- /dev/null
+++ b/src/wire/codec.rs
@@ -0,0 +1,58 @@
+//! Encoding of messages, with a bound on what is decoded.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+/// Largest message, in bytes.
+pub const MESSAGE_LIMIT: usize = 64 << 20;
+
+/// Result of encoding or decoding.
+pub type Result<T> = std::result::Result<T, CodecError>;
+
+/// A message that cannot be encoded or decoded.
+#[derive(Debug, Error)]
+pub enum CodecError {
+    /// The message cannot be encoded.
+    #[error("message cannot be encoded: {0}; report this as a fault of plantainnotch")]
+    Encode(#[from] bincode::error::EncodeError),
+    /// The bytes are not a message of this release.
+    #[error("message cannot be decoded: {0}; run the same release on all VMs")]
+    Decode(#[from] bincode::error::DecodeError),
+    /// Bytes follow the message.
+    #[error("{0} bytes follow the message; run the same release on all VMs")]
+    Trailing(usize),
+}
+
+/// Encodes a message.
+///
+/// # Errors
+///
+/// Fails when the message holds something that has no encoding.
+///
+/// ```
+/// use plantainnotch::wire::codec::{decode, encode};
+/// let bytes = encode(&(1_u32, "text"))?;
+/// assert_eq!(decode::<(u32, String)>(&bytes)?, (1, "text".to_owned()));
+/// # Ok::<(), plantainnotch::wire::codec::CodecError>(())
+/// ```
+pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>> {
+    Ok(bincode::serde::encode_to_vec(
+        message,
+        bincode::config::standard(),
+    )?)
+}
+
+/// Decodes a message that fills all of `bytes`.
+///
+/// # Errors
+///
+/// Fails when the bytes are not exactly one message.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    let config = bincode::config::standard().with_limit::<MESSAGE_LIMIT>();
+    let (message, read) = bincode::serde::decode_from_slice(bytes, config)?;
+    if read != bytes.len() {
+        return Err(CodecError::Trailing(bytes.len() - read));
+    }
+    Ok(message)
+}
