Count unasked heartbeats for nothing that depends on time, keep attempts apart

A heartbeat that a peer sent unasked was dated by its arrival, so one delayed in the network made a stale view look fresh; only answers, dated from before the question, count now. A lost attempt's cancel could hit the retry at the same target, as both had one stream id; each attempt has its own now. A new owner that had not folded its ownership dropped what entries told it; it refuses now and entries repeat. Targets that cannot be reached get no work for a second. In a log outage a team whose steward died is served from a static share of its ceiling.

Ruled out: dating unasked heartbeats by the sender's clock, as clocks step.

--- a/src/entry/assembler.rs
+++ b/src/entry/assembler.rs
@@ -84,6 +84,12 @@
         FeedResult::Ready(ready)
     }
 
+    /// Goes on with the same answer under another stream id.
+    pub fn continue_as(&mut self, stream: RequestId) {
+        self.request = stream.to_string();
+        self.early.clear();
+    }
+
     /// Drops what came too early, before the stream is resumed elsewhere.
     pub fn drop_early(&mut self) {
         self.early.clear();
--- a/src/entry/follower.rs
+++ b/src/entry/follower.rs
@@ -16,6 +16,10 @@
 const SNAPSHOT_WITHIN: Duration = Duration::from_secs(5);
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(50);
 
+/// The new owner may not have folded yet that it is the owner.
+const ADOPT_TRIES: u32 = 20;
+const PAUSE_BETWEEN_ADOPTS: Duration = Duration::from_millis(100);
+
 /// A steward whose view is older than this is left for another.
 const PREFERRED_AGE_MS: u64 = 1_200;
 
@@ -78,6 +82,7 @@
         fresh_age_ms,
         offset,
         loads,
+        log_unreachable,
     } = reply
     else {
         return false;
@@ -93,6 +98,7 @@
         let as_of = asked.checked_sub(Duration::from_millis(age));
         followed.fresh_as_of = followed.fresh_as_of.max(as_of);
     }
+    followed.log_unreachable = log_unreachable;
     followed.loads = loads
         .into_iter()
         .map(|status| (status.pool, status.load))
@@ -146,9 +152,16 @@
                 targets: notice.targets,
                 teams: notice.teams,
             };
-            if let Err(error) = client.call(&call, CALL_WITHIN).await {
-                tracing::warn!(%error, address = client.address(), "new owner not told of reservations");
+            for _ in 0..ADOPT_TRIES {
+                if let Ok(PeerReply::Done) = client.call(&call, CALL_WITHIN).await {
+                    return;
+                }
+                sleep(PAUSE_BETWEEN_ADOPTS).await;
             }
+            tracing::warn!(
+                address = client.address(),
+                "new owner not told of reservations"
+            );
         });
     }
 }
--- a/src/entry/grants.rs
+++ b/src/entry/grants.rs
@@ -9,7 +9,7 @@
 use super::held::{PoolHold, TeamHold};
 use super::route::{RankedPool, RouteNeed, rank_pools};
 use super::shared::{EntryShared, RequestContext};
-use crate::ids::{GrantId, ModelName, TargetName, TeamName};
+use crate::ids::{GrantId, ModelName, Offset, RequestId, TargetName, TeamName};
 use crate::ledger::pool::{GrantEnd, GrantPart, PoolRefusal};
 use crate::policy::lane::PromptLane;
 use crate::view::ownership::{OwnedKey, PoolKey, owner_of};
@@ -184,6 +184,9 @@
             }
             _ => {}
         }
+        if let Some(guard) = reserve_static_share(context, amount) {
+            return Ok(guard);
+        }
         if shared.now() >= give_up {
             return Err(no_steward());
         }
@@ -191,6 +194,44 @@
     }
 }
 
+/// Reserves from this entry's static share of the ceiling: for a log outage in which the
+/// team's steward died and no other can take over.
+fn reserve_static_share(context: &RequestContext, amount: u64) -> Option<TeamGuard> {
+    let shared = &context.shared;
+    let now = shared.now();
+    let share = shared.read(|followed| {
+        let outage = followed.log_unreachable && followed.is_fresh(now);
+        let ceiling = followed.view.team(&context.team)?.ceiling_tokens;
+        let members = followed.view.members().len().max(1) as u64;
+        outage.then_some(ceiling / members)
+    })?;
+    let grant = GrantId {
+        epoch: Offset(0),
+        serial: rand::random(),
+    };
+    let hold = TeamHold {
+        team: context.team.clone(),
+        amount,
+        deadline: context.deadline,
+    };
+    let reserved = shared.with_held(|held| {
+        let fits = held.team_held(&context.team) + amount <= share;
+        if fits {
+            held.hold_team(grant, hold);
+        }
+        fits
+    });
+    if !reserved {
+        return None;
+    }
+    context.note("route", vec![], vec![], "static share of the ceiling");
+    Some(TeamGuard {
+        shared: shared.clone(),
+        team: context.team.clone(),
+        grant,
+    })
+}
+
 async fn ask_team_owner(context: &RequestContext, amount: u64) -> Option<PeerReply> {
     let shared = &context.shared;
     let address = owner_address(shared, OwnedKey::Team(&context.team))?;
@@ -225,12 +266,17 @@
 }
 
 /// Reserves targets for a request, trying pools from the best on.
+/// `stream` is the id under which the targets are to know the attempt.
 ///
 /// # Errors
 ///
 /// Fails at once when no pool can serve the request in time, or when no steward
 /// can decide.
-pub async fn reserve_targets(context: &RequestContext, need: &ReserveNeed) -> Result<PoolGuard> {
+pub async fn reserve_targets(
+    context: &RequestContext,
+    need: &ReserveNeed,
+    stream: RequestId,
+) -> Result<PoolGuard> {
     let shared = &context.shared;
     let give_up = shared.now() + UNSETTLED_PATIENCE.min(context.time_left());
     loop {
@@ -238,7 +284,7 @@
         let mut refusals: Vec<(PoolRefusal, Duration)> = Vec::new();
         let mut unsettled = false;
         for pool in &pools {
-            match ask_pool(context, need, &pool.pool).await {
+            match ask_pool(context, need, stream, &pool.pool).await {
                 PoolAnswer::Granted(guard) => {
                     note_grant(context, &guard, &pools, pool);
                     return Ok(guard);
@@ -339,14 +385,19 @@
     .retry_after(RETRY_NO_CAPACITY)
 }
 
-async fn ask_pool(context: &RequestContext, need: &ReserveNeed, pool: &PoolKey) -> PoolAnswer {
+async fn ask_pool(
+    context: &RequestContext,
+    need: &ReserveNeed,
+    stream: RequestId,
+    pool: &PoolKey,
+) -> PoolAnswer {
     let shared = &context.shared;
     let Some(address) = owner_address(shared, OwnedKey::Pool(pool)) else {
         return PoolAnswer::Unsettled;
     };
     let time_left = context.time_left();
     let call = PeerCall::AcquirePool(PoolAsk {
-        request: context.request,
+        request: stream,
         team: context.team.clone(),
         pool: pool.clone(),
         prompt: need.prompt,
@@ -366,7 +417,7 @@
         }) => {
             let hold = PoolHold {
                 pool: pool.clone(),
-                request: context.request,
+                request: stream,
                 parts: parts.clone(),
                 prompt: need.prompt,
                 lane,
--- a/src/entry/held.rs
+++ b/src/entry/held.rs
@@ -95,6 +95,15 @@
         self.teams.remove(&id);
     }
 
+    /// Tokens held for a team by this entry.
+    pub fn team_held(&self, team: &TeamName) -> u64 {
+        let holds = self.teams.values().map(|held| &held.hold);
+        holds
+            .filter(|hold| hold.team == *team)
+            .map(|hold| hold.amount)
+            .sum()
+    }
+
     /// What the stewards that became owners since the last call must be told, by
     /// steward address.
     pub fn notices(&mut self, view: &View, now: Instant) -> BTreeMap<String, AdoptNotice> {
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -162,23 +162,14 @@
     async fn serve(&self, progress: &mut RelayProgress) -> Result<()> {
         progress.step(self, "admit");
         loop {
-            let mut guard = match reserve_targets(&self.context, &self.need).await {
-                Ok(guard) => guard,
-                Err(error) if progress.sent => {
-                    return Err(ApiError::failed(error.kind, error.message));
-                }
-                Err(error) => return Err(error),
-            };
+            let mut guard = self.reserve(progress).await?;
             progress.step(self, "grant");
             let end = match self.check_before_send(&guard) {
                 Ok(()) => {
                     progress.step(self, "send");
                     self.attempt(&mut guard, progress).await
                 }
-                Err(reason) => AttemptEnd::Lost {
-                    reason,
-                    disconnected: false,
-                },
+                Err(reason) => lost(reason, false),
             };
             let AttemptEnd::Lost {
                 reason,
@@ -188,35 +179,41 @@
                 return Ok(());
             };
             if progress.sent {
-                guard.end = if disconnected {
-                    GrantEnd::Disconnected
-                } else {
-                    GrantEnd::Failed
+                guard.end = match disconnected {
+                    true => GrantEnd::Disconnected,
+                    false => GrantEnd::Failed,
                 };
             }
-            progress.assembler.drop_early();
-            let targets = guard.targets();
-            drop(guard);
-            self.context.note("retry", targets, vec![], reason.clone());
-            self.context.shared.metrics.retries.inc();
-            let allowed = self
-                .context
-                .shared
-                .budget
-                .lock()
-                .expect("no holder panics")
-                .try_spend();
-            if !allowed {
-                return Err(ApiError::failed(
-                    ErrorKind::TargetFailed,
-                    format!(
-                        "the target failed ({reason}) and retries are used up; come back later"
-                    ),
-                )
-                .retry_after(Duration::from_secs(2)));
-            }
-            progress.step(self, "retry");
+            self.prepare_retry(&guard, &reason, progress)?;
+        }
+    }
+
+    async fn reserve(&self, progress: &RelayProgress) -> Result<PoolGuard> {
+        let reserved = reserve_targets(&self.context, &self.need, progress.stream).await;
+        reserved.map_err(|error| match progress.sent {
+            true => ApiError::failed(error.kind, error.message),
+            false => error,
+        })
+    }
+
+    /// Spends a retry on a lost attempt, or gives the request up.
+    fn prepare_retry(
+        &self,
+        guard: &PoolGuard,
+        reason: &str,
+        progress: &mut RelayProgress,
+    ) -> Result<()> {
+        let shared = &self.context.shared;
+        let budget = &shared.budget;
+        if !budget.lock().expect("no holder panics").try_spend() {
+            return Err(retries_used_up(reason, progress.sent));
         }
+        shared.metrics.retries.inc();
+        progress.step(self, "retry");
+        progress.start_new_stream();
+        let reason = format!("{reason}; continued as {}", progress.stream);
+        self.context.note("retry", guard.targets(), vec![], reason);
+        Ok(())
     }
 
     /// Checks, right before sending, everything that may have changed since the grant.
@@ -242,9 +239,9 @@
     }
 
     async fn attempt(&self, guard: &mut PoolGuard, progress: &mut RelayProgress) -> AttemptEnd {
-        let request = self.context.request;
+        let request = progress.stream;
         let _cancel = CancelOnDrop::new(self.clients.fresh.clone(), request, &guard.parts);
-        if let Err(reason) = self.hold_members(guard).await {
+        if let Err(reason) = self.hold_members(guard, progress.stream).await {
             return lost(reason, false);
         }
         let sent_at = Instant::now();
@@ -264,11 +261,15 @@
     }
 
     /// Holds memory at the members of a gang, in target order, the leader excepted.
-    async fn hold_members(&self, guard: &PoolGuard) -> std::result::Result<(), String> {
+    async fn hold_members(
+        &self,
+        guard: &PoolGuard,
+        stream: RequestId,
+    ) -> std::result::Result<(), String> {
         for part in guard.parts.iter().skip(1) {
             let url = format!(
                 "http://{}/v1/streams/{}?tokens={}",
-                part.address, self.context.request, part.share
+                part.address, stream, part.share
             );
             let answer = self
                 .clients
@@ -331,7 +332,7 @@
             .clients
             .pooled
             .post(url)
-            .insert_header((REQUEST_HEADER, self.context.request.to_string()))
+            .insert_header((REQUEST_HEADER, progress.stream.to_string()))
             .insert_header((PRIORITY_HEADER, guard.priority.to_string()))
             .insert_header((GANG_SIZE_HEADER, guard.parts.len().to_string()))
             .insert_header((GANG_MEMBERS_HEADER, members.join(",")))
@@ -360,7 +361,7 @@
         let url = format!(
             "http://{}/v1/streams/{}?after={}",
             leader.address,
-            self.context.request,
+            progress.stream,
             progress.assembler.last_seq()
         );
         match timeout(HEAD_WITHIN, self.clients.fresh.get(url).send()).await {
@@ -412,6 +413,15 @@
     }
 }
 
+fn retries_used_up(reason: &str, sent: bool) -> ApiError {
+    let message = format!("the target failed ({reason}) and retries are used up; come back later");
+    let error = match sent {
+        true => ApiError::failed(ErrorKind::TargetFailed, message),
+        false => ApiError::not_run(ErrorKind::NoCapacity, message),
+    };
+    error.retry_after(Duration::from_secs(2))
+}
+
 fn lost(reason: impl Into<String>, disconnected: bool) -> AttemptEnd {
     AttemptEnd::Lost {
         reason: reason.into(),
@@ -448,6 +458,8 @@
 /// How far a request has come.
 struct RelayProgress {
     state: String,
+    /// The id under which the targets know the present attempt.
+    stream: RequestId,
     assembler: AnswerAssembler,
     text: String,
     sent: bool,
@@ -459,6 +471,7 @@
     fn new(relay: &ChatRelay) -> Self {
         Self {
             state: relay.chart.initial().to_owned(),
+            stream: relay.context.request,
             assembler: AnswerAssembler::new(relay.context.request),
             text: String::new(),
             sent: false,
@@ -475,6 +488,12 @@
         }
     }
 
+    /// Takes a new id, so that cancelling the lost attempt cannot hit the next one.
+    fn start_new_stream(&mut self) {
+        self.stream = RequestId::random();
+        self.assembler.continue_as(self.stream);
+    }
+
     fn note_first(&mut self, relay: &ChatRelay, guard: &PoolGuard) {
         if self.first_at.is_some() {
             return;
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -157,7 +157,7 @@
 ) -> Result<HttpResponse> {
     let _team = reserve_team(context, 1).await?;
     loop {
-        let mut guard = reserve_targets(context, &need_of(call)).await?;
+        let mut guard = reserve_targets(context, &need_of(call), context.request).await?;
         let reason = match send(context, clients, call, &mut guard, None).await {
             SendResult::Answered(answer) => return Ok(respond(&answer)),
             SendResult::NotSent(reason) | SendResult::NoAnswer(reason) => reason,
@@ -200,7 +200,7 @@
         recorded: false,
     };
     let _team = reserve_team(context, 1).await?;
-    let mut guard = reserve_targets(context, &need_of(call)).await?;
+    let mut guard = reserve_targets(context, &need_of(call), context.request).await?;
     attempt.check_before_send(&guard)?;
     attempt.sent = true;
     let result = send(context, clients, call, &mut guard, Some(key)).await;
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -26,6 +26,8 @@
     pub view: View,
     /// When the view was known to be the newest.
     pub fresh_as_of: Option<Instant>,
+    /// Whether the steward followed cannot reach the log.
+    pub log_unreachable: bool,
     /// Loads of pools.
     pub loads: BTreeMap<PoolKey, PoolLoad>,
 }
--- a/src/ledger/pool.rs
+++ b/src/ledger/pool.rs
@@ -207,7 +207,7 @@
             let row = target.row;
             let ledger = self.targets.entry(target.name.clone()).or_insert_with(|| {
                 let window = StartWindow::new(&self.chart, row.cold_limit, row.warm_limit);
-                TargetLedger::new(row.memory_tokens, window)
+                TargetLedger::new(row.kind, row.memory_tokens, window)
             });
             ledger.memory = row.memory_tokens;
             ledger.window.set_bounds(row.cold_limit, row.warm_limit);
@@ -267,7 +267,7 @@
     }
 
     /// Ends a grant and learns from how it ended.
-    pub fn release(&mut self, grant: GrantId, end: GrantEnd) {
+    pub fn release(&mut self, grant: GrantId, end: GrantEnd, now: Instant) {
         for ledger in self.targets.values_mut() {
             if ledger.release(grant).is_none() {
                 continue;
@@ -278,6 +278,9 @@
                 GrantEnd::Disconnected => TargetEvent::Restarted,
                 GrantEnd::Withdrawn => break,
             };
+            if end == GrantEnd::Disconnected {
+                ledger.avoid(now);
+            }
             ledger.window.apply(&self.chart, event);
             break;
         }
@@ -336,8 +339,9 @@
     }
 
     /// Notes that a target could not be reached.
-    pub fn target_unreachable(&mut self, target: &TargetName) {
+    pub fn target_unreachable(&mut self, target: &TargetName, now: Instant) {
         if let Some(ledger) = self.targets.get_mut(target) {
+            ledger.avoid(now);
             ledger.window.apply(&self.chart, TargetEvent::Restarted);
         }
     }
@@ -345,6 +349,9 @@
     /// Refuses what cannot be served in time any more, and grants what fits. Only
     /// called while the steward's view is fresh and its ownership in force.
     pub fn dispatch(&mut self, approved: ApprovalCheck<'_>, now: Instant) {
+        for ledger in self.targets.values_mut() {
+            ledger.expire(now);
+        }
         self.refuse_hopeless(approved, now);
         while self.grant_urgent(approved, now)
             || self.grant_next(PromptLane::Short, approved, now)
@@ -570,7 +577,8 @@
             lane: waiting.lane,
             prefix: waiting.request.prefix,
         };
-        let all = candidates(&self.targets, &waiting.request.team, approved);
+        let mut all = candidates(&self.targets, &waiting.request.team, approved);
+        all.retain(|target| target.ledger.reachable(now));
         let memory = all.iter().map(|target| target.ledger.memory).min()?;
         let is_gang = gang_size(need.amount, memory) > 1;
         if self.policy == PlacementPolicy::Lanes || is_gang {
--- a/src/ledger/target_ledger.rs
+++ b/src/ledger/target_ledger.rs
@@ -6,10 +6,14 @@
 use super::slow_start::StartWindow;
 use crate::ids::{GrantId, RequestId};
 use crate::policy::lane::PromptLane;
+use crate::view::table::TargetKind;
 
 /// Allowance for a report that lags behind what the target does.
 pub const REPORT_LAG: Duration = Duration::from_secs(2);
 
+/// A target that could not be reached gets no work for this long.
+const AVOID_FOR: Duration = Duration::from_secs(1);
+
 /// A stream that no ledger entry explains is cancelled after this long.
 pub const ORPHAN_GRACE: Duration = Duration::from_secs(10);
 
@@ -48,8 +52,11 @@
     pub memory: u64,
     /// Concurrency that the target bears.
     pub window: StartWindow,
+    /// Engine or plain service.
+    pub kind: TargetKind,
     /// Whether it takes new work.
     pub in_service: bool,
+    avoid_until: Option<Instant>,
     grants: BTreeMap<GrantId, TargetGrant>,
     strangers: BTreeMap<RequestId, StrangerStream>,
 }
@@ -62,11 +69,13 @@
 
 impl TargetLedger {
     /// A ledger without grants.
-    pub fn new(memory: u64, window: StartWindow) -> Self {
+    pub fn new(kind: TargetKind, memory: u64, window: StartWindow) -> Self {
         Self {
             memory,
             window,
+            kind,
             in_service: true,
+            avoid_until: None,
             grants: BTreeMap::new(),
             strangers: BTreeMap::new(),
         }
@@ -90,6 +99,23 @@
         self.in_service && amount <= free && self.running() < self.window.limit() as usize
     }
 
+    /// Whether it could be reached when last tried, or enough time has passed to try again.
+    pub fn reachable(&self, now: Instant) -> bool {
+        self.avoid_until.is_none_or(|until| until <= now)
+    }
+
+    /// Notes that it could not be reached.
+    pub fn avoid(&mut self, now: Instant) {
+        self.avoid_until = Some(now + AVOID_FOR);
+    }
+
+    /// Ends the grants of a plain service, which lists no streams, at their deadline.
+    pub fn expire(&mut self, now: Instant) {
+        if self.kind == TargetKind::Service {
+            self.grants.retain(|_, grant| grant.expires > now);
+        }
+    }
+
     /// Prompt tokens whose first token has not come yet.
     pub fn prefill_backlog(&self) -> u64 {
         let waiting = self.grants.values().filter(|grant| !grant.prefilled);
--- a/src/steward/actor.rs
+++ b/src/steward/actor.rs
@@ -25,6 +25,7 @@
 use crate::view::checkpoint::{self, CHECKPOINT_EVERY};
 use crate::view::ownership::{OwnedKey, PoolKey, owner_of};
 use crate::view::record::{LogRecord, MemberJoin, RecordBody};
+use crate::view::table::TargetKind;
 use crate::wire::hot::BeatMessage;
 use crate::wire::message::{PoolStatus, StewardRefusal, target_names};
 use crate::wire::{PeerCall, PeerClient, PeerReply};
@@ -356,6 +357,7 @@
                 .map(|age| age.as_millis() as u64 + 1),
             offset: self.core.view().offset(),
             loads: self.core.known_loads(),
+            log_unreachable: self.core.beat(now).log_unreachable,
         }
     }
 
@@ -415,12 +417,13 @@
         let PeerReply::PoolGranted { parts, .. } = reply else {
             return;
         };
+        let now = self.clock.now();
         let keys: Vec<PoolKey> = self.core.pools().keys().cloned().collect();
         for key in keys {
             self.core.with_pool(&key, |pool| {
                 for part in parts {
                     if pool.targets().contains_key(&part.target) {
-                        pool.release(part.grant, crate::ledger::pool::GrantEnd::Withdrawn);
+                        pool.release(part.grant, crate::ledger::pool::GrantEnd::Withdrawn, now);
                     }
                 }
             });
@@ -509,7 +512,10 @@
     fn list_targets(&mut self, ctx: &mut Context<Self>) {
         let now = self.clock.now();
         for (pool, ledger) in self.core.pools() {
-            for target in ledger.targets().keys() {
+            for (target, state) in ledger.targets() {
+                if state.kind == TargetKind::Service {
+                    continue;
+                }
                 let Some(address) = ledger.address(target).map(str::to_owned) else {
                     continue;
                 };
@@ -575,7 +581,10 @@
         } = submit;
         let answer = match call {
             PeerCall::Beat { beat, loads } => {
-                self.take_beat(&beat, loads, now, ctx);
+                self.watch.heard(&beat.vm, now);
+                if self.core.peer_told(&beat, loads, now) {
+                    self.pull_from(&beat.vm, ctx);
+                }
                 PeerReply::Beat {
                     beat: self.core.beat(now),
                     loads: self.core.own_loads(),
@@ -610,7 +619,7 @@
             PeerCall::ReleasePool { pool, grants, end } => {
                 self.core.with_pool(&pool, |ledger| {
                     for grant in grants {
-                        ledger.release(grant, end);
+                        ledger.release(grant, end, now);
                     }
                 });
                 self.flush_replies();
@@ -642,8 +651,14 @@
                 PeerReply::Done
             }
             PeerCall::Adopt { targets, teams } => {
-                self.core.adopt_grants(&targets, &teams, now);
-                PeerReply::Done
+                if self.core.adopt_grants(&targets, &teams, now) {
+                    PeerReply::Done
+                } else {
+                    PeerReply::Refused {
+                        refusal: StewardRefusal::NotOwner,
+                        retry_after_ms: 250,
+                    }
+                }
             }
             PeerCall::Append(items) => {
                 self.append_claims(items, reply);
@@ -672,19 +687,9 @@
         });
     }
 
-    fn take_beat(
-        &mut self,
-        beat: &BeatMessage,
-        loads: Vec<PoolStatus>,
-        asked: Instant,
-        ctx: &mut Context<Self>,
-    ) {
-        let now = self.clock.now();
-        self.watch.heard(&beat.vm, now);
-        if !self.core.peer_beat(beat, loads, asked, now) {
-            return;
-        }
-        let Some(member) = self.core.view().members().get(&beat.vm) else {
+    /// Asks a peer for the records that this steward lacks.
+    fn pull_from(&mut self, vm: &VmName, ctx: &mut Context<Self>) {
+        let Some(member) = self.core.view().members().get(vm) else {
             return;
         };
         let address = member.join.steward_address.clone();
@@ -802,7 +807,11 @@
         if let Some((beat, loads)) = arrived.answer
             && beat.vm == arrived.vm
         {
-            self.take_beat(&beat, loads, arrived.asked, ctx);
+            let now = self.clock.now();
+            self.watch.heard(&beat.vm, now);
+            if self.core.peer_answered(&beat, loads, arrived.asked, now) {
+                self.pull_from(&beat.vm, ctx);
+            }
         }
     }
 }
@@ -860,7 +869,7 @@
         let now = self.clock.now();
         let Some(listing) = listed.listing else {
             self.core.with_pool(&listed.pool, |pool| {
-                pool.target_unreachable(&listed.target);
+                pool.target_unreachable(&listed.target, now);
             });
             return;
         };
--- a/src/steward/core.rs
+++ b/src/steward/core.rs
@@ -15,6 +15,7 @@
 use crate::view::checkpoint::{self, RebuildError};
 use crate::view::freshness::{FreshnessTracker, PeerReport};
 use crate::view::in_force::ForceTracker;
+use crate::view::membership::KEPT_CHANGES;
 use crate::view::ownership::{OwnedKey, PoolKey, owner_of};
 use crate::view::record::LogEntry;
 use crate::view::{Verdict, View};
@@ -163,22 +164,23 @@
         if view.offset() <= self.view.offset() {
             return;
         }
-        let before = self.view.members().clone();
+        let known = self.view.members().changed();
         self.view = view;
         self.recent.clear();
-        self.after_fold(&before, now);
+        self.note_membership(known);
+        self.sync_pools();
+        self.acknowledge_self(now);
     }
 
     /// Folds records that follow the view, from the log or a peer.
     pub fn fold(&mut self, entries: &[LogEntry], now: Instant) -> FoldNews {
         let mut news = FoldNews::default();
+        let known = self.view.members().changed();
         for entry in entries {
             if entry.offset != self.view.offset().next() {
                 continue;
             }
-            let before = self.view.members().clone();
             let verdict = self.view.fold(entry);
-            self.note_membership(&before);
             self.recent.push_back(entry.clone());
             if self.recent.len() > RECENT_RECORDS {
                 self.recent.pop_front();
@@ -186,28 +188,24 @@
             news.folded.push((entry.clone(), verdict));
         }
         if !news.folded.is_empty() {
+            self.note_membership(known);
             self.sync_pools();
             self.acknowledge_self(now);
         }
         news
     }
 
-    fn after_fold(&mut self, before: &crate::view::membership::MemberTable, now: Instant) {
-        if before.changed() != self.view.members().changed() {
-            let changed = self.view.members().changed();
-            self.pending.push(ForceTracker::watch(changed, before));
-        }
-        self.sync_pools();
-        self.acknowledge_self(now);
-    }
-
-    fn note_membership(&mut self, before: &crate::view::membership::MemberTable) {
+    fn note_membership(&mut self, known: Offset) {
         let members = self.view.members();
-        if before.changed() == members.changed() {
+        if members.changed() == known {
             return;
         }
+        let changes = members.recent_changes();
+        let newer = changes.into_iter().filter(|(offset, _)| *offset > known);
         self.pending
-            .push(ForceTracker::watch(members.changed(), before));
+            .extend(newer.map(|(offset, before)| ForceTracker::watch(offset, &before)));
+        let excess = self.pending.len().saturating_sub(KEPT_CHANGES);
+        self.pending.drain(..excess);
         self.freshness.retain_members(members);
         self.peer_loads.retain(|vm, _| members.get(vm).is_some());
     }
@@ -436,8 +434,23 @@
         }
     }
 
-    /// Takes over reservations that an entry holds from this key's previous owner.
-    pub fn adopt_grants(&mut self, targets: &[HeldTarget], teams: &[HeldTeam], now: Instant) {
+    /// Takes over reservations that an entry holds from their previous owner. Returns
+    /// whether this steward knows itself as the owner of all of them.
+    pub fn adopt_grants(
+        &mut self,
+        targets: &[HeldTarget],
+        teams: &[HeldTeam],
+        now: Instant,
+    ) -> bool {
+        let owns_pools = targets
+            .iter()
+            .all(|held| self.owns(OwnedKey::Pool(&held.pool)));
+        let owns_teams = teams
+            .iter()
+            .all(|held| self.owns(OwnedKey::Team(&held.team)));
+        if !owns_pools || !owns_teams {
+            return false;
+        }
         for held in targets {
             let expires = now + Duration::from_millis(held.deadline_ms);
             let grant = TargetGrant {
@@ -454,12 +467,11 @@
             });
         }
         for held in teams {
-            if self.owns(OwnedKey::Team(&held.team)) {
-                let expires = now + Duration::from_millis(held.deadline_ms);
-                let ledger = self.teams.entry(held.team.clone()).or_default();
-                ledger.adopt(held.grant, held.amount, expires);
-            }
+            let expires = now + Duration::from_millis(held.deadline_ms);
+            let ledger = self.teams.entry(held.team.clone()).or_default();
+            ledger.adopt(held.grant, held.amount, expires);
         }
+        true
     }
 
     /// Takes in a target's own list; returns what to cancel there.
@@ -507,9 +519,20 @@
         loads
     }
 
-    /// Takes in what a peer said of itself, asked or received at `asked`. Returns
-    /// whether the peer has records that this steward lacks.
-    pub fn peer_beat(
+    /// Takes in what a peer said of itself unasked. How old that is cannot be known, so
+    /// it counts for nothing that depends on time. Returns whether the peer has records
+    /// that this steward lacks.
+    pub fn peer_told(&mut self, beat: &BeatMessage, loads: Vec<PoolStatus>, now: Instant) -> bool {
+        if self.view.members().get(&beat.vm).is_some() {
+            self.peer_loads.insert(beat.vm.clone(), loads);
+        }
+        self.acknowledge(&beat.vm, beat.offset, now);
+        beat.offset > self.view.offset()
+    }
+
+    /// Takes in a peer's answer to what was asked at `asked`. Returns whether the peer
+    /// has records that this steward lacks.
+    pub fn peer_answered(
         &mut self,
         beat: &BeatMessage,
         loads: Vec<PoolStatus>,
@@ -523,16 +546,14 @@
                 log_unreachable: beat.log_unreachable,
             };
             self.freshness.report(&beat.vm, report);
-            self.peer_loads.insert(beat.vm.clone(), loads);
         }
-        self.acknowledge(&beat.vm, beat.offset, now);
         if beat.offset <= self.view.offset() {
             let age = beat.fresh_age_ms.map(Duration::from_millis);
             if let Some(as_of) = age.and_then(|age| asked.checked_sub(age)) {
                 self.freshness.confirm(as_of);
             }
         }
-        beat.offset > self.view.offset()
+        self.peer_told(beat, loads, now)
     }
 
     /// Records after `after`, if they are all still in memory.
--- a/src/view/membership.rs
+++ b/src/view/membership.rs
@@ -1,6 +1,6 @@
 //! Which VMs are members, as the log's join, leave and evict records say.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -18,12 +18,24 @@
     pub epoch: Offset,
 }
 
+/// Changes remembered; older ones are taken to be in force everywhere.
+pub const KEPT_CHANGES: usize = 64;
+
+/// One change of who is a member.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct MemberChange {
+    offset: Offset,
+    vm: VmName,
+    before: Option<MemberEntry>,
+}
+
 /// Members by VM, and the highest incarnation of those that went.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct MemberTable {
     live: BTreeMap<VmName, MemberEntry>,
     gone: BTreeMap<VmName, u64>,
     changed: Offset,
+    history: VecDeque<MemberChange>,
 }
 
 impl MemberTable {
@@ -52,6 +64,36 @@
         self.changed
     }
 
+    /// The remembered changes, oldest first: each offset with the members before it.
+    pub fn recent_changes(&self) -> Vec<(Offset, MemberTable)> {
+        let mut table = Self {
+            history: VecDeque::new(),
+            ..self.clone()
+        };
+        let mut changes = Vec::new();
+        for change in self.history.iter().rev() {
+            match &change.before {
+                Some(entry) => table.live.insert(change.vm.clone(), entry.clone()),
+                None => table.live.remove(&change.vm),
+            };
+            changes.push((change.offset, table.clone()));
+        }
+        changes.reverse();
+        changes
+    }
+
+    fn note_change(&mut self, offset: Offset, vm: &VmName, before: Option<MemberEntry>) {
+        self.changed = offset;
+        self.history.push_back(MemberChange {
+            offset,
+            vm: vm.clone(),
+            before,
+        });
+        if self.history.len() > KEPT_CHANGES {
+            self.history.pop_front();
+        }
+    }
+
     /// Smallest number of members that is more than half of them.
     pub fn majority(&self) -> usize {
         self.live.len() / 2 + 1
@@ -74,8 +116,8 @@
             join: join.clone(),
             epoch: offset,
         };
-        self.live.insert(join.vm.clone(), entry);
-        self.changed = offset;
+        let before = self.live.insert(join.vm.clone(), entry);
+        self.note_change(offset, &join.vm, before);
         Verdict::Accepted
     }
 
@@ -92,9 +134,9 @@
         if current != Some(incarnation) {
             return Verdict::Ignored;
         }
-        self.live.remove(vm);
+        let before = self.live.remove(vm);
         self.gone.insert(vm.clone(), incarnation);
-        self.changed = offset;
+        self.note_change(offset, vm, before);
         Verdict::Accepted
     }
 
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -165,6 +165,8 @@
         offset: Offset,
         /// Pool loads that the steward knows.
         loads: Vec<PoolStatus>,
+        /// Whether the steward cannot reach the log.
+        log_unreachable: bool,
     },
     /// The answer to [`PeerCall::Snapshot`].
     Snapshot {
