Prove the core: properties, three models, and failures over real processes

Properties by quickcheck with fixed seeds over fold, claims, ledgers, queue, assembler and every decoder; models searched whole by pathfinding over the core's own functions.

Reading it showed a real fault: with fewer than 2000 records within the retention no checkpoint was ever written, so that a fleet started whole afterwards would have lost its table. A checkpoint is now due by records or by age.

--- a/src/cmd/fake_load.rs
+++ b/src/cmd/fake_load.rs
@@ -146,7 +146,7 @@
         }
         print_table(&samples, &summary);
         println!("{}", serde_json::to_string(&summary)?);
-        if summary.late + summary.wrong + summary.executed_twice > 0 {
+        if summary.late + summary.wrong + summary.executed_twice + summary.untrue_not_run > 0 {
             bail!(
                 "a request had no final answer in time, a wrong answer, or ran twice; see the table"
             );
--- a/src/fake/load.rs
+++ b/src/fake/load.rs
@@ -108,6 +108,8 @@
     pub tokens: u64,
     /// Kind of the error, if any.
     pub error: String,
+    /// Idempotency key, if any.
+    pub key: Option<String>,
 }
 
 /// The last line of the output.
@@ -129,6 +131,8 @@
     pub wrong: u64,
     /// Non-idempotent requests that a target ran twice, as the targets counted.
     pub executed_twice: u64,
+    /// Requests refused as not run that a target ran, as the targets counted.
+    pub untrue_not_run: u64,
     /// Limits exceeded, as the targets counted.
     pub limit_exceeded: u64,
     /// Tokens of memory still held at the end, as the targets counted.
@@ -334,6 +338,7 @@
                 0
             },
             error: result.error,
+            key: (class.prompt == 0).then(|| idempotency_key(arrival.seed)),
         })
     }
 
@@ -385,7 +390,7 @@
             .http
             .post(url)
             .bearer_auth(key)
-            .insert_header((IDEMPOTENCY_HEADER, format!("key-{:x}", arrival.seed)))
+            .insert_header((IDEMPOTENCY_HEADER, idempotency_key(arrival.seed)))
             .insert_header((TIMEOUT_HEADER, time_left.as_millis().max(1).to_string()))
             .send_body(format!("{{\"item\":{}}}", arrival.seed));
         let mut answer = match sending.await {
@@ -469,6 +474,10 @@
     }
 }
 
+fn idempotency_key(seed: u64) -> String {
+    format!("key-{seed:x}")
+}
+
 /// Reads an error body; a refusal or an unknown result may be repeated.
 fn refused(body: &[u8]) -> TryResult {
     let parsed: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
@@ -536,6 +545,12 @@
         let audit: serde_json::Value = answer.json().limit(BODY_LIMIT).await.unwrap_or_default();
         let number = |name: &str| audit[name].as_u64().unwrap_or(0);
         summary.executed_twice += number("executed_twice");
+        let ran = |key: &str| audit["executed"][key].as_u64().unwrap_or(0) > 0;
+        let untrue = samples.iter().filter(|sample| {
+            let refused = sample.outcome == SeenOutcome::NotRun;
+            refused && sample.key.as_deref().is_some_and(ran)
+        });
+        summary.untrue_not_run += untrue.count() as u64;
         summary.limit_exceeded += number("limit_exceeded") + number("memory_exceeded");
         summary.held_tokens += number("held_tokens");
     }
--- a/src/steward/actor.rs
+++ b/src/steward/actor.rs
@@ -22,7 +22,7 @@
 use crate::platform::log::{LogClient, LogRead, Result as LogResult};
 use crate::platform::vms::fetch_vms;
 use crate::target::control::{StreamListing, cancel_stream, list_streams};
-use crate::view::checkpoint::{self, CHECKPOINT_EVERY};
+use crate::view::checkpoint;
 use crate::view::ownership::{OwnedKey, PoolKey, owner_of};
 use crate::view::record::{LogRecord, MemberJoin, RecordBody};
 use crate::view::table::TargetKind;
@@ -134,6 +134,7 @@
     reads: Vec<Instant>,
     rebuilding: bool,
     last_checkpoint: Offset,
+    checkpoint_seen: Instant,
     metrics: Rc<StewardMetrics>,
 }
 
@@ -154,6 +155,7 @@
             http: awc::Client::default(),
             core,
             settings,
+            checkpoint_seen: clock.now(),
             clock,
             writer: LogWriter::default(),
             watch: PeerWatch::default(),
@@ -231,12 +233,12 @@
             self.writer.read_back(record.id, verdict);
             if let RecordBody::Checkpoint { as_of, .. } = &record.body {
                 self.last_checkpoint = self.last_checkpoint.max(*as_of);
+                self.checkpoint_seen = self.clock.now();
             }
         }
         if !news.folded.is_empty() {
             self.answer_followers();
             self.maintain_membership(ctx);
-            self.maintain_checkpoint(ctx);
             self.flush_replies();
         }
     }
@@ -283,14 +285,15 @@
 
     fn maintain_checkpoint(&mut self, ctx: &mut Context<Self>) {
         let offset = self.core.view().offset();
-        let since = offset.0.saturating_sub(self.last_checkpoint.0);
-        let slot = OwnedKey::ClaimSlot(offset.0 / CHECKPOINT_EVERY);
+        let records = offset.0.saturating_sub(self.last_checkpoint.0);
+        let age = self.clock.now().duration_since(self.checkpoint_seen);
+        let slot = OwnedKey::ClaimSlot(self.last_checkpoint.0);
         let chosen = owner_of(self.core.view().members(), slot)
             .is_some_and(|member| member.join.vm == *self.core.vm());
         let writing = self
             .writer
             .has_pending(|body| matches!(body, RecordBody::Checkpoint { .. }));
-        if since < CHECKPOINT_EVERY || !chosen || writing {
+        if !checkpoint::is_due(records, age) || !chosen || writing {
             return;
         }
         let record = checkpoint::write(self.core.view());
@@ -553,6 +556,7 @@
         self.send_records(due, ctx);
         self.answer_followers();
         self.flush_replies();
+        self.maintain_checkpoint(ctx);
         self.update_metrics(now);
     }
 
--- a/src/view/checkpoint.rs
+++ b/src/view/checkpoint.rs
@@ -1,13 +1,32 @@
 //! Checkpoints: the whole view as a record, so that the log's head may be cut.
 
+use std::time::Duration;
+
 use thiserror::Error;
 
 use super::fold::View;
 use super::record::{LogEntry, LogRecord, RecordBody};
 use crate::ids::Offset;
 
-/// A checkpoint is due after this many records.
-pub const CHECKPOINT_EVERY: u64 = 2000;
+const CHECKPOINT_RECORDS: u64 = 20_000;
+const CHECKPOINT_AFTER: Duration = Duration::from_secs(600);
+const CHECKPOINT_AT_LEAST: Duration = Duration::from_secs(6 * 3600);
+
+/// Whether a checkpoint is due, `records` after the last one's offset and `age` after it
+/// was seen. The checkpoint's own record does not count as news; even without news it is
+/// written again before the log's retention can take it.
+///
+/// ```
+/// use std::time::Duration;
+/// use plantainnotch::view::checkpoint::is_due;
+/// assert!(!is_due(1, Duration::from_secs(3600)));
+/// assert!(is_due(2, Duration::from_secs(3600)));
+/// assert!(is_due(1, Duration::from_secs(7 * 3600)));
+/// ```
+pub fn is_due(records: u64, age: Duration) -> bool {
+    let news = records > 1;
+    records >= CHECKPOINT_RECORDS || (news && age >= CHECKPOINT_AFTER) || age >= CHECKPOINT_AT_LEAST
+}
 
 /// Result of building a view.
 pub type Result<T> = std::result::Result<T, RebuildError>;
--- /dev/null
+++ b/tests/core/doors.rs
@@ -0,0 +1,171 @@
+//! Every door takes any bytes: a typed error, no panic, bounded memory.
+
+use plantainnotch::entry::chat::ChatBody;
+use plantainnotch::ids::{ModelName, RequestId, TeamName};
+use plantainnotch::platform::log::{ReadAnswer, StoredRecord};
+use plantainnotch::target::control::StreamListing;
+use plantainnotch::target::stream::ChunkReader;
+use plantainnotch::view::checkpoint;
+use plantainnotch::view::ownership::PoolKey;
+use plantainnotch::view::sheet;
+use plantainnotch::wire::codec::{decode, encode};
+use plantainnotch::wire::hot::{BeatMessage, PoolAsk};
+use plantainnotch::wire::{PeerCall, PeerReply};
+
+use crate::fixtures::*;
+
+fn ask(prompt: u64) -> PoolAsk {
+    PoolAsk {
+        request: RequestId(prompt),
+        team: TeamName::new("kigali"),
+        pool: PoolKey {
+            model: ModelName::new("appraisal"),
+            domain: plantainnotch::ids::DomainName::new("rw-a"),
+        },
+        prompt,
+        max_output: 10,
+        prefix: 3,
+        deadline_ms: 1_000,
+    }
+}
+
+#[test]
+fn messages_with_visitors_by_hand_survive_the_wire() {
+    fn property(numbers: (u64, u64, u64, bool)) -> bool {
+        let (a, b, c, flag) = numbers;
+        let sent = PoolAsk {
+            max_output: b,
+            prefix: c,
+            ..ask(a)
+        };
+        let beat = BeatMessage {
+            vm: vm(1),
+            incarnation: a,
+            offset: plantainnotch::ids::Offset(b),
+            fresh_age_ms: flag.then_some(c),
+            log_unreachable: flag,
+        };
+        decode::<PoolAsk>(&encode(&sent).expect("encodes")).expect("decodes") == sent
+            && decode::<BeatMessage>(&encode(&beat).expect("encodes")).expect("decodes") == beat
+    }
+    check(41, property as fn((u64, u64, u64, bool)) -> bool);
+}
+
+#[test]
+fn the_wire_takes_any_bytes() {
+    fn property(bytes: Vec<u8>, place: usize, value: u8) -> bool {
+        let mut mutated = encode(&PeerCall::AcquirePool(ask(7))).expect("encodes");
+        let place = place % mutated.len();
+        mutated[place] = value;
+        decode::<PeerCall>(&bytes).ok();
+        decode::<PeerReply>(&bytes).ok();
+        decode::<PeerCall>(&mutated).ok();
+        decode::<PeerCall>(&mutated[..place]).is_err()
+    }
+    check(42, property as fn(Vec<u8>, usize, u8) -> bool);
+}
+
+#[test]
+fn a_length_that_lies_allocates_nothing() {
+    // A list of claims that says it has 2^60 items.
+    let mut bytes = encode(&PeerCall::Append(vec![])).expect("encodes");
+    bytes.pop();
+    bytes.push(253);
+    bytes.extend((1_u64 << 60).to_le_bytes());
+    assert!(decode::<PeerCall>(&bytes).is_err());
+}
+
+#[test]
+fn the_log_takes_any_text() {
+    fn property(text: String, offset: u64) -> bool {
+        let stored = StoredRecord {
+            offset,
+            at_ms: 0,
+            text,
+        };
+        let entry = stored.parse();
+        entry.offset.0 == offset && serde_json::from_str::<ReadAnswer>(&stored.text).is_err()
+    }
+    check(43, property as fn(String, u64) -> bool);
+}
+
+#[test]
+fn a_checkpoint_takes_any_text() {
+    fn property(text: String, bytes: Vec<u8>) -> bool {
+        let coded = base64::Engine::encode(&base64::engine::general_purpose::STANDARD, &bytes);
+        let offset = plantainnotch::ids::Offset(1);
+        checkpoint::decode(offset, &coded).ok();
+        checkpoint::decode(offset, &text).is_err() || text.is_empty()
+    }
+    check(44, property as fn(String, Vec<u8>) -> bool);
+}
+
+#[test]
+fn the_sheet_takes_any_text_and_names_the_line() {
+    fn property(cells: Vec<String>) -> bool {
+        let text = format!("kind,name,weight\nteam,{}\n", cells.join(","));
+        match sheet::read("t.csv", &text) {
+            Ok(_) => true,
+            Err(list) => list.0.iter().all(|mistake| mistake.starts_with("t.csv:")),
+        }
+    }
+    check(45, property as fn(Vec<String>) -> bool);
+}
+
+#[test]
+fn a_sheet_is_refused_whole_with_every_mistake() {
+    // Arrange
+    let text = "kind,name,target,domain,owner,model,address,memory_tokens,cold_limit,warm_limit,state\n\
+                domain,rw-a,,,,,,,,,sideways\n\
+                engine,app-1,,rw-a,owner,appraisal,nowhere,0,4,2,in\n\
+                teem,x,,,,,,,,,\n\
+                domain,rw-a,,,,,,,,,in\n";
+
+    // Act
+    let mistakes = sheet::read("t.csv", text)
+        .expect_err("the sheet has mistakes")
+        .0;
+
+    // Assert
+    let has = |part: &str| mistakes.iter().any(|mistake| mistake.contains(part));
+    assert!(has("t.csv:2: column state"));
+    assert!(has("t.csv:3: column address"));
+    assert!(has("t.csv:3: column memory_tokens"));
+    assert!(has("t.csv:3: column warm_limit"));
+    assert!(has("t.csv:4: column kind"));
+    assert!(has("t.csv:5: column name: domain/rw-a stands twice"));
+}
+
+#[test]
+fn a_sheet_that_was_exported_reads_back_the_same() {
+    let view = view_of(small_table(3, 1000));
+    let rows = sheet::read("t.csv", &sheet::write(&view)).expect("an export is a good sheet");
+    let stand = rows.iter().all(|row| {
+        let entry = view.rows().get(&row.key);
+        entry.and_then(|entry| entry.row.as_ref()) == Some(&row.row)
+    });
+    assert!(stand);
+    assert_eq!(rows.len(), view.rows().len());
+}
+
+#[test]
+fn callers_and_targets_may_send_any_bytes() {
+    fn property(bytes: Vec<u8>, text: String) -> bool {
+        ChatBody::parse(&bytes).ok();
+        ChatBody::parse(text.as_bytes()).ok();
+        serde_json::from_slice::<StreamListing>(&bytes).ok();
+        let mut reader = ChunkReader::default();
+        reader.feed(&bytes).ok();
+        reader.feed(format!("data: {text}\n\n").as_bytes()).ok();
+        true
+    }
+    check(46, property as fn(Vec<u8>, String) -> bool);
+}
+
+#[test]
+fn an_event_without_an_end_is_refused_before_it_fills_memory() {
+    let mut reader = ChunkReader::default();
+    let part = vec![b'x'; 400_000];
+    let fed: Vec<bool> = (0..4).map(|_| reader.feed(&part).is_ok()).collect();
+    assert_eq!(fed, [true, true, false, false]);
+}
--- /dev/null
+++ b/tests/core/ledger.rs
@@ -0,0 +1,320 @@
+//! Ledgers: never more than a target bears, gangs all or nothing, every ticket answered once.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use plantainnotch::chart;
+use plantainnotch::ids::{GrantId, InstanceId, Offset, RequestId, TargetName, TeamName};
+use plantainnotch::ledger::pool::{GrantEnd, PoolLedger, PoolReply, TicketId};
+use plantainnotch::ledger::slow_start::{StartWindow, TargetEvent};
+use plantainnotch::ledger::target_ledger::{REPORT_LAG, StreamReport};
+use plantainnotch::policy::placement::PlacementPolicy;
+use plantainnotch::view::View;
+
+use crate::fixtures::*;
+
+const MEMORY: u64 = 10_000;
+
+fn pool_of(view: &View, policy: PlacementPolicy) -> PoolLedger {
+    let chart = chart::target_chart().expect("the chart is good");
+    let mut pool = PoolLedger::new(chart, policy, Offset(1));
+    pool.set_targets(view.targets(), |target| view.in_service(target.row));
+    pool
+}
+
+fn all_approved(_: &TeamName, _: &TargetName) -> bool {
+    true
+}
+
+/// A pool driven by drawn steps, with the answers it gave.
+struct DrivenPool {
+    pool: PoolLedger,
+    now: Instant,
+    next_ticket: u64,
+    answers: BTreeMap<TicketId, usize>,
+    open: Vec<Vec<GrantId>>,
+    sound: bool,
+}
+
+impl DrivenPool {
+    fn new(policy: PlacementPolicy) -> Self {
+        Self {
+            pool: pool_of(&view_of(small_table(3, MEMORY)), policy),
+            now: Instant::now(),
+            next_ticket: 0,
+            answers: BTreeMap::new(),
+            open: Vec::new(),
+            sound: true,
+        }
+    }
+
+    fn step(&mut self, draw: (u8, u8, u16)) {
+        let (kind, pick, size) = draw;
+        match kind % 6 {
+            0 | 1 => {
+                let ticket = TicketId(self.next_ticket);
+                self.next_ticket += 1;
+                let deadline = self.now + Duration::from_millis(u64::from(size) * 2);
+                let prompt = u64::from(size) % 30_000;
+                let team = if pick % 2 == 0 { "kigali" } else { "zharyq" };
+                let request = pool_request(ticket.0, team, prompt, deadline);
+                self.pool.acquire(ticket, request, &all_approved, self.now);
+            }
+            2 if !self.open.is_empty() => {
+                let grants = self.open.swap_remove(usize::from(pick) % self.open.len());
+                let end = match size % 3 {
+                    0 => GrantEnd::Failed,
+                    1 => GrantEnd::Disconnected,
+                    _ => GrantEnd::Completed {
+                        output: 5,
+                        max_output: 10,
+                        decode_ms: 50,
+                    },
+                };
+                for grant in grants {
+                    self.pool.release(grant, end, self.now);
+                }
+            }
+            3 => self.now += Duration::from_millis(u64::from(size) % 3_000),
+            4 => {
+                let name = TargetName::new(format!("app-{}", pick % 3));
+                let instance = InstanceId::new(format!("i{}", size % 4));
+                self.pool
+                    .reconcile(&name, &instance, &[], self.now, self.now);
+            }
+            _ => {}
+        }
+        self.pool.dispatch(&all_approved, self.now);
+        self.take_answers();
+    }
+
+    fn take_answers(&mut self) {
+        for (ticket, reply) in self.pool.take_replies() {
+            *self.answers.entry(ticket).or_default() += 1;
+            if let PoolReply::Granted { parts, .. } = reply {
+                self.check_room(&parts);
+                self.open
+                    .push(parts.iter().map(|part| part.grant).collect());
+            }
+        }
+    }
+
+    /// What was just granted must have fitted memory and the window.
+    fn check_room(&mut self, parts: &[plantainnotch::ledger::pool::GrantPart]) {
+        for part in parts {
+            let ledger = &self.pool.targets()[&part.target];
+            self.sound &= ledger.used() <= MEMORY;
+            self.sound &= ledger.running() <= ledger.window.limit() as usize;
+        }
+        let mut names: Vec<&TargetName> = parts.iter().map(|part| &part.target).collect();
+        names.dedup();
+        self.sound &= names.len() == parts.len();
+    }
+}
+
+fn keeps_limits(policy: PlacementPolicy, draws: Vec<(u8, u8, u16)>) -> bool {
+    let mut driven = DrivenPool::new(policy);
+    for draw in draws {
+        driven.step(draw);
+    }
+    driven.now += Duration::from_secs(200);
+    driven.pool.dispatch(&all_approved, driven.now);
+    driven.take_answers();
+    let answered_once =
+        (0..driven.next_ticket).all(|ticket| driven.answers.get(&TicketId(ticket)) == Some(&1));
+    driven.sound && answered_once
+}
+
+#[test]
+fn lanes_never_grant_more_than_targets_bear_and_answer_every_ticket_once() {
+    fn property(draws: Vec<(u8, u8, u16)>) -> bool {
+        keeps_limits(PlacementPolicy::Lanes, draws)
+    }
+    check(61, property as fn(Vec<(u8, u8, u16)>) -> bool);
+}
+
+#[test]
+fn baselines_keep_the_same_limits() {
+    fn property(draws: Vec<(u8, u8, u16)>) -> bool {
+        let policies = [
+            PlacementPolicy::RoundRobin,
+            PlacementPolicy::LeastLoaded,
+            PlacementPolicy::SharedQueue,
+        ];
+        policies
+            .into_iter()
+            .all(|policy| keeps_limits(policy, draws.clone()))
+    }
+    check(62, property as fn(Vec<(u8, u8, u16)>) -> bool);
+}
+
+#[test]
+fn a_window_closes_on_a_restart_and_stays_within_its_bounds() {
+    fn property(events: Vec<u8>) -> bool {
+        let chart = chart::target_chart().expect("the chart is good");
+        let mut window = StartWindow::new(&chart, 2, 9);
+        events.iter().all(|event| {
+            let event = match event % 4 {
+                0 => TargetEvent::Failed,
+                1 => TargetEvent::Restarted,
+                _ => TargetEvent::Completed,
+            };
+            window.apply(&chart, event);
+            let closed = event != TargetEvent::Restarted
+                || (window.limit() == 2 && window.state() == "cold");
+            closed && (2..=9).contains(&window.limit())
+        })
+    }
+    check(63, property as fn(Vec<u8>) -> bool);
+}
+
+/// Grants one short request and returns its grant.
+fn grant_one(pool: &mut PoolLedger, number: u64, now: Instant) -> (TargetName, GrantId) {
+    let request = pool_request(number, "kigali", 100, now + seconds(30.0));
+    pool.acquire(TicketId(number), request, &all_approved, now);
+    pool.dispatch(&all_approved, now);
+    match pool.take_replies().pop() {
+        Some((_, PoolReply::Granted { parts, .. })) => (parts[0].target.clone(), parts[0].grant),
+        other => panic!("expected a grant, got {other:?}"),
+    }
+}
+
+#[test]
+fn memory_comes_back_only_when_the_target_no_longer_lists_the_stream() {
+    // Arrange: a grant whose entry died after it sent.
+    let view = view_of(small_table(1, MEMORY));
+    let mut pool = pool_of(&view, PlacementPolicy::Lanes);
+    let start = Instant::now();
+    let (target, _) = grant_one(&mut pool, 1, start);
+    let instance = InstanceId::new("i");
+    let listed = [StreamReport {
+        request: RequestId(1),
+        tokens: 110,
+    }];
+    let late = start + seconds(31.0);
+
+    // Act
+    let cancels = pool.reconcile(&target, &instance, &listed, late, late);
+    let held = pool.targets()[&target].used();
+    pool.reconcile(&target, &instance, &[], late, late);
+    let freed = pool.targets()[&target].used();
+
+    // Assert
+    assert_eq!(cancels, [RequestId(1)]);
+    assert_eq!((held, freed), (110, 0));
+}
+
+#[test]
+fn a_grant_that_was_never_used_lapses() {
+    let view = view_of(small_table(1, MEMORY));
+    let mut pool = pool_of(&view, PlacementPolicy::Lanes);
+    let start = Instant::now();
+    let (target, _) = grant_one(&mut pool, 1, start);
+    let instance = InstanceId::new("i");
+    let soon = start + seconds(1.0);
+    let late = start + seconds(1.6) + REPORT_LAG;
+    pool.reconcile(&target, &instance, &[], soon, soon);
+    assert_eq!(pool.targets()[&target].running(), 1);
+    pool.reconcile(&target, &instance, &[], late, late);
+    assert_eq!(pool.targets()[&target].running(), 0);
+}
+
+#[test]
+fn a_stream_that_nothing_explains_counts_and_is_cancelled_after_the_grace() {
+    let view = view_of(small_table(1, MEMORY));
+    let mut pool = pool_of(&view, PlacementPolicy::Lanes);
+    let start = Instant::now();
+    let target = TargetName::new("app-0");
+    let instance = InstanceId::new("i");
+    let listed = [StreamReport {
+        request: RequestId(5),
+        tokens: 9_990,
+    }];
+    let first = pool.reconcile(&target, &instance, &listed, start, start);
+    let used = pool.targets()[&target].used();
+    let later = start + seconds(11.0);
+    let second = pool.reconcile(&target, &instance, &listed, later, later);
+    assert!(first.is_empty());
+    assert_eq!(used, 9_990);
+    assert_eq!(second, [RequestId(5)]);
+}
+
+#[test]
+fn a_gang_reserves_all_its_targets_or_none() {
+    // Arrange: three targets, one of them busy, and a prompt that needs all three.
+    let view = view_of(small_table(3, MEMORY));
+    let mut pool = pool_of(&view, PlacementPolicy::Lanes);
+    let now = Instant::now();
+    let (_, busy) = grant_one(&mut pool, 1, now);
+    let request = pool_request(2, "kigali", 25_000, now + seconds(120.0));
+
+    // Act
+    pool.acquire(TicketId(2), request, &all_approved, now);
+    pool.dispatch(&all_approved, now);
+    let while_busy = pool.take_replies();
+    let reserved: usize = pool.targets().values().map(|ledger| ledger.running()).sum();
+    pool.release(busy, GrantEnd::Withdrawn, now);
+    pool.dispatch(&all_approved, now);
+    let after = pool.take_replies();
+
+    // Assert
+    assert!(while_busy.is_empty());
+    assert_eq!(reserved, 1);
+    match &after[..] {
+        [(_, PoolReply::Granted { parts, .. })] => {
+            let names: Vec<&str> = parts.iter().map(|part| part.target.as_str()).collect();
+            assert_eq!(names, ["app-0", "app-1", "app-2"]);
+        }
+        other => panic!("expected one grant, got {other:?}"),
+    }
+}
+
+#[test]
+fn what_cannot_be_served_in_time_is_refused_at_once_with_when_to_come_back() {
+    let view = view_of(small_table(1, MEMORY));
+    let mut pool = pool_of(&view, PlacementPolicy::Lanes);
+    let now = Instant::now();
+    let request = pool_request(1, "kigali", 9_000, now + seconds(0.01));
+    pool.acquire(TicketId(1), request, &all_approved, now);
+    match &pool.take_replies()[..] {
+        [(_, PoolReply::Refused { retry_after, .. })] => assert!(*retry_after >= seconds(1.0)),
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
+
+#[test]
+fn a_target_out_of_service_gets_nothing_more() {
+    // Arrange
+    let view = view_of(small_table(1, MEMORY));
+    let mut pool = pool_of(&view, PlacementPolicy::Lanes);
+    let now = Instant::now();
+
+    // Act: the domain goes out while a request waits for it.
+    pool.set_targets(view.targets(), |_| false);
+    let request = pool_request(1, "kigali", 100, now + seconds(30.0));
+    pool.acquire(TicketId(1), request, &all_approved, now);
+    pool.dispatch(&all_approved, now);
+
+    // Assert
+    assert!(matches!(
+        &pool.take_replies()[..],
+        [(_, PoolReply::Refused { .. })]
+    ));
+}
+
+#[test]
+fn a_target_that_could_not_be_reached_is_left_alone_for_a_while() {
+    let view = view_of(small_table(1, MEMORY));
+    let mut pool = pool_of(&view, PlacementPolicy::Lanes);
+    let now = Instant::now();
+    pool.target_unreachable(&TargetName::new("app-0"), now);
+    let request = pool_request(1, "kigali", 100, now + seconds(30.0));
+    pool.acquire(TicketId(1), request, &all_approved, now);
+    pool.dispatch(&all_approved, now);
+    assert!(pool.take_replies().is_empty());
+    pool.dispatch(&all_approved, now + seconds(1.1));
+    assert!(matches!(
+        &pool.take_replies()[..],
+        [(_, PoolReply::Granted { .. })]
+    ));
+}
--- /dev/null
+++ b/tests/core/main.rs
@@ -0,0 +1,14 @@
+//! Properties of the core, its model, and the doors through which input comes.
+
+mod assembler;
+mod claims;
+mod doors;
+mod fixtures;
+mod fold;
+mod freshness;
+mod ledger;
+mod model_claim;
+mod model_ownership;
+mod model_table;
+mod queue;
+mod steward;
--- /dev/null
+++ b/tests/core/model_claim.rs
@@ -0,0 +1,241 @@
+//! Model: two senders, one key, a log that loses answers, crashes between claim and send.
+
+use pathfinding::prelude::bfs;
+use plantainnotch::ids::{ClaimId, RequestId, TeamName};
+use plantainnotch::view::View;
+use plantainnotch::view::record::{ClaimEvent, ClaimKey, ClaimOutcome, RecordBody};
+
+use crate::fixtures::*;
+
+const LOG_LIMIT: usize = 6;
+const SENDERS: usize = 2;
+
+/// A record of the claim's protocol, by sender and attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum ClaimStep {
+    Claim(u8),
+    Release(u8),
+    Outcome(u8),
+}
+
+/// Where a sender stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum SenderPhase {
+    Idle,
+    /// The claim was appended; whether its answer came is not known.
+    Claimed,
+    /// The claim's append was answered with success, and nothing was read back.
+    Answered,
+    Sent,
+    Crashed,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct ClaimState {
+    log: Vec<ClaimStep>,
+    /// How much of the log each sender has folded.
+    folded: [usize; SENDERS],
+    phase: [SenderPhase; SENDERS],
+    attempt: [u8; SENDERS],
+    sends: u8,
+}
+
+/// Guards that the search switches off in turn.
+#[derive(Debug, Clone, Copy)]
+struct ClaimGuards {
+    /// A sender acts only on what it read back.
+    read_back: bool,
+    /// A claim is never taken over from a sender that crashed.
+    no_takeover: bool,
+    /// A sender that has sent does not send again.
+    sent_once: bool,
+    /// A sender that has sent does not release.
+    no_release_after_send: bool,
+}
+
+const ALL_GUARDS: ClaimGuards = ClaimGuards {
+    read_back: true,
+    no_takeover: true,
+    sent_once: true,
+    no_release_after_send: true,
+};
+
+fn claim_id(sender: usize, attempt: u8) -> u8 {
+    sender as u8 * 10 + attempt
+}
+
+fn key() -> ClaimKey {
+    ClaimKey {
+        team: TeamName::new("kigali"),
+        key: "certificate-1".into(),
+    }
+}
+
+fn event(step: ClaimStep) -> ClaimEvent {
+    let key = key();
+    match step {
+        ClaimStep::Claim(id) => ClaimEvent::Claim {
+            key,
+            claim: ClaimId(id.into()),
+            digest: 1,
+            vm: vm(usize::from(id / 10)),
+            request: RequestId(id.into()),
+        },
+        ClaimStep::Release(id) => ClaimEvent::Release {
+            key,
+            claim: ClaimId(id.into()),
+        },
+        ClaimStep::Outcome(id) => ClaimEvent::Outcome {
+            key,
+            claim: ClaimId(id.into()),
+            outcome: ClaimOutcome::Unknown,
+        },
+    }
+}
+
+fn view_at(log: &[ClaimStep]) -> View {
+    let mut view = View::default();
+    for (place, step) in log.iter().enumerate() {
+        view.fold(&entry(
+            place as u64 + 1,
+            RecordBody::Claims {
+                items: vec![event(*step)],
+            },
+        ));
+    }
+    view
+}
+
+impl ClaimState {
+    fn may_send(&self, sender: usize, guards: ClaimGuards) -> bool {
+        let phase = self.phase[sender];
+        if phase == SenderPhase::Crashed || phase == SenderPhase::Idle {
+            return false;
+        }
+        if !guards.read_back && phase == SenderPhase::Answered {
+            return true;
+        }
+        let view = view_at(&self.log[..self.folded[sender]]);
+        let sent = guards.sent_once && phase == SenderPhase::Sent;
+        let own = ClaimId(claim_id(sender, self.attempt[sender]).into());
+        if view.claims().may_send(&key(), own, sent) {
+            return true;
+        }
+        let holder = view.claims().holder(&key());
+        let other_crashed = self.phase[1 - sender] == SenderPhase::Crashed;
+        !guards.no_takeover
+            && other_crashed
+            && holder.is_some_and(|holder| holder.outcome.is_none() && holder.claim != own)
+    }
+
+    fn append(&self, step: ClaimStep) -> Option<Self> {
+        if self.log.len() >= LOG_LIMIT {
+            return None;
+        }
+        let mut after = self.clone();
+        after.log.push(step);
+        Some(after)
+    }
+}
+
+fn sender_moves(state: &ClaimState, sender: usize, guards: ClaimGuards) -> Vec<ClaimState> {
+    let mut next = Vec::new();
+    let phase = state.phase[sender];
+    let id = claim_id(sender, state.attempt[sender]);
+    if phase == SenderPhase::Crashed {
+        return next;
+    }
+    let moved = |state: &ClaimState, phase: SenderPhase| {
+        let mut after = state.clone();
+        after.phase[sender] = phase;
+        after
+    };
+    next.push(moved(state, SenderPhase::Crashed));
+    if state.folded[sender] < state.log.len() {
+        let mut after = state.clone();
+        after.folded[sender] += 1;
+        next.push(after);
+    }
+    if phase == SenderPhase::Idle {
+        // The append takes effect; its answer comes, or is lost.
+        if let Some(after) = state.append(ClaimStep::Claim(id)) {
+            next.push(moved(&after, SenderPhase::Claimed));
+            next.push(moved(&after, SenderPhase::Answered));
+        }
+        // Or it has no effect for now, and is sent again below.
+        next.push(moved(state, SenderPhase::Claimed));
+    } else {
+        next.extend(state.append(ClaimStep::Claim(id)));
+    }
+    if state.may_send(sender, guards) {
+        let mut after = moved(state, SenderPhase::Sent);
+        after.sends += 1;
+        next.push(after);
+    }
+    let may_release = phase != SenderPhase::Sent || !guards.no_release_after_send;
+    if phase != SenderPhase::Idle && may_release && state.attempt[sender] == 0 {
+        // Gives the attempt up, and claims anew with another id.
+        if let Some(mut after) = state.append(ClaimStep::Release(id)) {
+            after.attempt[sender] += 1;
+            next.push(moved(&after, SenderPhase::Idle));
+        }
+    }
+    if phase == SenderPhase::Sent {
+        next.extend(state.append(ClaimStep::Outcome(id)));
+    }
+    next
+}
+
+fn search(guards: ClaimGuards) -> (Option<Vec<ClaimState>>, usize) {
+    let start = ClaimState {
+        log: Vec::new(),
+        folded: [0; SENDERS],
+        phase: [SenderPhase::Idle; SENDERS],
+        attempt: [0; SENDERS],
+        sends: 0,
+    };
+    let mut seen = 0;
+    let path = bfs(
+        &start,
+        |state| {
+            seen += 1;
+            let moves = (0..SENDERS).flat_map(|sender| sender_moves(state, sender, guards));
+            moves.collect::<Vec<_>>()
+        },
+        |state| state.sends > 1,
+    );
+    (path, seen)
+}
+
+#[test]
+fn a_key_is_sent_at_most_once() {
+    let (path, seen) = search(ALL_GUARDS);
+    report_states("claims", seen);
+    assert_eq!(path, None);
+}
+
+#[test]
+fn each_guard_is_needed() {
+    let without = [
+        ClaimGuards {
+            read_back: false,
+            ..ALL_GUARDS
+        },
+        ClaimGuards {
+            no_takeover: false,
+            ..ALL_GUARDS
+        },
+        ClaimGuards {
+            sent_once: false,
+            ..ALL_GUARDS
+        },
+        ClaimGuards {
+            no_release_after_send: false,
+            ..ALL_GUARDS
+        },
+    ];
+    for guards in without {
+        let (path, _) = search(guards);
+        assert!(path.is_some(), "no counterexample with {guards:?}");
+    }
+}
--- /dev/null
+++ b/tests/processes/fleet.rs
@@ -0,0 +1,377 @@
+//! A small fleet of real processes on loopback, ended when dropped.
+
+use std::collections::BTreeSet;
+use std::net::TcpListener;
+use std::process::{Child, Command, Output, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use plantainnotch::fake::load::{
+    self, LoadClass, LoadPlan, LoadSample, LoadSummary, LoadTeam, SeenOutcome,
+};
+use serde_json::Value;
+
+/// One fleet at a time, so that fleets do not slow each other down.
+static ONE_FLEET: Mutex<()> = Mutex::new(());
+
+const READY_WITHIN: Duration = Duration::from_secs(30);
+const ENGINES_PER_DOMAIN: usize = 2;
+pub const DOMAINS: [&str; 3] = ["rw-a", "rw-b", "rw-c"];
+
+/// A process of ours, killed when dropped.
+pub struct RunningProcess {
+    child: Child,
+}
+
+impl RunningProcess {
+    fn start(program: &str, args: &[String]) -> Self {
+        let child = Command::new(program)
+            .args(args)
+            .env("NOTCH_LOG", "error")
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program was built");
+        Self { child }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        Command::new("kill").args(["-s", name, &pid]).status().ok();
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+
+    /// Whether the process ended by itself with success.
+    pub fn ended_well(&mut self, within: Duration) -> bool {
+        let begun = Instant::now();
+        while begun.elapsed() < within {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.success();
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+}
+
+impl Drop for RunningProcess {
+    fn drop(&mut self) {
+        self.signal("CONT");
+        self.kill();
+    }
+}
+
+/// The addresses of one VM.
+#[derive(Clone)]
+pub struct VmAddresses {
+    pub entry: String,
+    pub peer: String,
+    pub admin: String,
+}
+
+/// Platform, engines, a service, and three VMs.
+pub struct TestFleet {
+    pub platform: String,
+    pub vms: Vec<VmAddresses>,
+    pub engines: Vec<String>,
+    pub service: String,
+    pub stewards: Vec<Option<RunningProcess>>,
+    pub entries: Vec<Option<RunningProcess>>,
+    targets: Vec<RunningProcess>,
+    _platform: RunningProcess,
+    _alone: MutexGuard<'static, ()>,
+}
+
+fn free_addresses(count: usize) -> Vec<String> {
+    let listeners: Vec<TcpListener> = (0..count)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port is free"))
+        .collect();
+    let addresses = listeners
+        .iter()
+        .map(|listener| listener.local_addr().expect("it is bound"));
+    addresses.map(|address| address.to_string()).collect()
+}
+
+fn words(text: &str) -> Vec<String> {
+    text.split_whitespace().map(str::to_owned).collect()
+}
+
+impl TestFleet {
+    /// Starts everything, imports a table, and waits until requests are served.
+    pub async fn start() -> Self {
+        let alone = ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut addresses = free_addresses(11 + DOMAINS.len() * ENGINES_PER_DOMAIN);
+        let mut take = || addresses.pop().expect("enough were reserved");
+        let platform = take();
+        let service = take();
+        let vms: Vec<VmAddresses> = DOMAINS
+            .iter()
+            .map(|_| VmAddresses {
+                entry: take(),
+                peer: take(),
+                admin: take(),
+            })
+            .collect();
+        let engines: Vec<String> = (0..DOMAINS.len() * ENGINES_PER_DOMAIN)
+            .map(|_| take())
+            .collect();
+        let fake = env!("CARGO_BIN_EXE_notch-fake");
+        let running = RunningProcess::start(
+            fake,
+            &words(&format!(
+                "platform --listen {platform} --vms vm-0,vm-1,vm-2"
+            )),
+        );
+        let mut targets: Vec<RunningProcess> = engines
+            .iter()
+            .map(|address| {
+                let text = format!(
+                    "target --listen {address} --memory-tokens 20000 --cold-limit 2 --warm-limit 12 --prefill-per-s 40000 --decode-ms 5"
+                );
+                RunningProcess::start(fake, &words(&text))
+            })
+            .collect();
+        let text = format!("target --service --listen {service} --work-ms 30");
+        targets.push(RunningProcess::start(fake, &words(&text)));
+        let mut fleet = Self {
+            platform: format!("http://{platform}"),
+            vms,
+            engines,
+            service,
+            stewards: (0..DOMAINS.len()).map(|_| None).collect(),
+            entries: (0..DOMAINS.len()).map(|_| None).collect(),
+            targets,
+            _platform: running,
+            _alone: alone,
+        };
+        for number in 0..DOMAINS.len() {
+            fleet.start_steward(number);
+            fleet.start_entry(number);
+        }
+        fleet
+            .wait_until(READY_WITHIN, "all stewards are members", |fleet| {
+                fleet.members() == 3
+            })
+            .await;
+        fleet.import_tables();
+        fleet.wait_until_served(READY_WITHIN).await;
+        fleet
+    }
+
+    pub fn start_steward(&mut self, number: usize) {
+        let seeds: Vec<&str> = self.vms.iter().map(|vm| vm.peer.as_str()).collect();
+        let vm = &self.vms[number];
+        let text = format!(
+            "--vm vm-{number} --domain {} --platform {} --peer-address {} --admin-address {} --entry-address {} --seeds {} --drain-seconds 4",
+            DOMAINS[number],
+            self.platform,
+            vm.peer,
+            vm.admin,
+            vm.entry,
+            seeds.join(",")
+        );
+        let started = RunningProcess::start(env!("CARGO_BIN_EXE_notch-steward"), &words(&text));
+        self.stewards[number] = Some(started);
+    }
+
+    pub fn start_entry(&mut self, number: usize) {
+        let vm = &self.vms[number];
+        let others: Vec<&str> = self.vms.iter().map(|vm| vm.peer.as_str()).collect();
+        let text = format!(
+            "--vm vm-{number} --domain {} --listen {} --stewards {},{} --drain-seconds 4",
+            DOMAINS[number],
+            vm.entry,
+            vm.peer,
+            others.join(",")
+        );
+        let started = RunningProcess::start(env!("CARGO_BIN_EXE_notch-entry"), &words(&text));
+        self.entries[number] = Some(started);
+    }
+
+    /// Runs `notchctl` and returns what it printed.
+    pub fn ctl(&self, author: &str, args: &str) -> Output {
+        self.start_ctl(author, args)
+            .wait_with_output()
+            .expect("notchctl ends")
+    }
+
+    pub fn start_ctl(&self, author: &str, args: &str) -> Child {
+        Command::new(env!("CARGO_BIN_EXE_notchctl"))
+            .args(["--platform", &self.platform, "--author", author])
+            .args(args.split_whitespace())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program was built")
+    }
+
+    fn import_tables(&self) {
+        let mut sheet = String::from(
+            "kind,name,target,domain,owner,model,address,memory_tokens,cold_limit,warm_limit,fencing,weight,ceiling_tokens,key,state\n",
+        );
+        for domain in DOMAINS {
+            sheet.push_str(&format!("domain,{domain},,,,,,,,,,,,,in\n"));
+        }
+        for (number, address) in self.engines.iter().enumerate() {
+            let domain = DOMAINS[number / ENGINES_PER_DOMAIN];
+            sheet.push_str(&format!(
+                "engine,app-{number},,{domain},owner,appraisal,{address},20000,2,12,yes,,,,in\n"
+            ));
+        }
+        let service = &self.service;
+        sheet.push_str(&format!(
+            "service,reg-0,,rw-a,owner,registry,{service},1000000,8,64,no,,,,in\n"
+        ));
+        sheet.push_str("team,kigali,,,,,,,,,,1,10000000,kigali-key,\n");
+        let approvals = "kind,name,target,state\napproval,kigali,app-*,approved\napproval,kigali,reg-*,approved\n";
+        for (author, text) in [("operator", sheet.as_str()), ("owner", approvals)] {
+            let file =
+                std::env::temp_dir().join(format!("notch-{author}-{}.csv", std::process::id()));
+            std::fs::write(&file, text).expect("the temporary folder can be written");
+            let output = self.ctl(author, &format!("table import {}", file.display()));
+            std::fs::remove_file(&file).ok();
+            let error = String::from_utf8_lossy(&output.stderr).into_owned();
+            assert!(output.status.success(), "import failed: {error}");
+        }
+    }
+
+    /// How many members the first steward that answers knows.
+    pub fn members(&self) -> usize {
+        let pages = self
+            .vms
+            .iter()
+            .filter_map(|vm| page(&vm.admin, "/v1/status"));
+        let counts = pages.map(|page| page["members"].as_array().map_or(0, Vec::len));
+        counts.max().unwrap_or(0)
+    }
+
+    pub async fn wait_until(&self, within: Duration, what: &str, ready: impl Fn(&Self) -> bool) {
+        let begun = Instant::now();
+        while !ready(self) {
+            assert!(begun.elapsed() < within, "not within {within:?}: {what}");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// Waits until both an engine and the service answer through every entry.
+    pub async fn wait_until_served(&self, within: Duration) {
+        let begun = Instant::now();
+        loop {
+            let probe = self.plan(Duration::from_millis(600), 5);
+            let samples = load::run(probe).await;
+            let served = samples
+                .iter()
+                .all(|sample| sample.outcome == SeenOutcome::Finished);
+            if served && !samples.is_empty() {
+                return;
+            }
+            assert!(
+                begun.elapsed() < within,
+                "not served within {within:?}: {samples:?}"
+            );
+        }
+    }
+
+    /// A load of short and long prompts and non-idempotent calls.
+    pub fn plan(&self, duration: Duration, seed: u64) -> LoadPlan {
+        let class = |name: &str, prompt: u64, output: u64, per_s: f64, timeout: u64| LoadClass {
+            name: name.to_owned(),
+            prompt,
+            output,
+            per_s,
+            timeout: Duration::from_secs(timeout),
+        };
+        let mut audits = self.engines.clone();
+        audits.push(self.service.clone());
+        LoadPlan {
+            entry: self.vms[0].entry.clone(),
+            direct: None,
+            audits,
+            model: "appraisal".into(),
+            service: "registry".into(),
+            classes: vec![
+                class("short", 500, 40, 12.0, 15),
+                class("long", 9_000, 60, 1.0, 30),
+                class("gang", 25_000, 60, 0.3, 30),
+                class("certificate", 0, 1, 6.0, 15),
+            ],
+            teams: vec![LoadTeam {
+                key: "kigali-key".into(),
+                share: 1.0,
+            }],
+            duration,
+            seed,
+        }
+    }
+
+    /// Kills an engine's process for good.
+    pub fn kill_engine(&mut self, number: usize) {
+        self.targets[number].kill();
+    }
+
+    /// Kills whatever runs on a VM.
+    pub fn kill_vm(&mut self, number: usize) {
+        self.stewards[number] = None;
+        self.entries[number] = None;
+    }
+}
+
+/// A page as JSON, by a client that blocks.
+pub fn page(address: &str, path: &str) -> Option<Value> {
+    let text = exchange(address, "GET", path, "")?;
+    serde_json::from_str(&text).ok()
+}
+
+/// Posts JSON to a stand-in.
+pub fn post(address: &str, path: &str, body: &Value) {
+    let address = address.trim_start_matches("http://");
+    exchange(address, "POST", path, &body.to_string()).expect("the stand-in answers");
+}
+
+fn exchange(address: &str, method: &str, path: &str, body: &str) -> Option<String> {
+    use std::io::{Read, Write};
+    let timeout = Duration::from_secs(2);
+    let address = address.parse().ok()?;
+    let mut stream = std::net::TcpStream::connect_timeout(&address, timeout).ok()?;
+    stream.set_read_timeout(Some(timeout)).ok()?;
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    let (_, text) = answer.split_once("\r\n\r\n")?;
+    Some(text.to_owned())
+}
+
+/// What must be zero whatever fails, as callers saw it and targets counted it.
+pub fn assert_promises(what: &str, samples: &[LoadSample], summary: &LoadSummary) {
+    let kinds: BTreeSet<&str> = samples.iter().map(|sample| sample.error.as_str()).collect();
+    println!(
+        "{what}: {} kinds {kinds:?}",
+        serde_json::to_string(summary).unwrap_or_default()
+    );
+    assert_eq!(
+        summary.late, 0,
+        "{what}: admitted requests without a final answer in time"
+    );
+    assert_eq!(
+        summary.wrong, 0,
+        "{what}: answers that are not the request's own, or not whole"
+    );
+    assert_eq!(
+        summary.executed_twice, 0,
+        "{what}: non-idempotent calls executed twice"
+    );
+    assert_eq!(summary.untrue_not_run, 0, "{what}: untrue refusals");
+    assert_eq!(summary.limit_exceeded, 0, "{what}: limits exceeded");
+    assert_eq!(
+        summary.held_tokens, 0,
+        "{what}: memory not returned after quiet"
+    );
+}
--- /dev/null
+++ b/tests/processes/main.rs
@@ -0,0 +1,6 @@
+//! Failures over real processes: kills, freezes, outages, cuts, operator races.
+
+mod failures;
+mod fleet;
+mod operators;
+mod streams;
