--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -1,5 +1,8 @@
 //! Properties of the core, its model, and the doors through which input comes.
 
+// Properties take owned values, as quickcheck hands them over.
+#![allow(clippy::needless_pass_by_value)]
+
 mod assembler;
 mod claims;
 mod doors;
--- a/tests/processes/failures.rs
+++ b/tests/processes/failures.rs
@@ -182,7 +182,7 @@
     run_test(async || {
         let mut fleet = TestFleet::start().await;
         run_through("engine killed", &mut fleet, 108, 10, async |fleet| {
-            fleet.kill_engine(0)
+            fleet.kill_engine(0);
         })
         .await;
     });
