Give targets a priority by prompt length

Cause: targets worked off prompts of the short lane in order of arrival, so a prompt of 1k waited up to 250 ms behind one of 10k. Each doubling of the length now goes one step later. Ruled out: queueing at the steward (waited_ms was 0 in its decision lines).

--- a/src/ledger/pool.rs
+++ b/src/ledger/pool.rs
@@ -11,7 +11,7 @@
 use crate::chart::StateChart;
 use crate::ids::{GrantId, InstanceId, Offset, RequestId, TargetName, TeamName};
 use crate::policy::estimate::{DemandMeter, RateEstimate};
-use crate::policy::lane::{PromptLane, lane_of, long_target_cap};
+use crate::policy::lane::{PromptLane, lane_of, length_priority, long_target_cap};
 use crate::policy::placement::{
     PlacementCandidate, PlacementNeed, PlacementPolicy, gang_size, gather_targets, least_loaded,
     place_by_lanes,
@@ -647,7 +647,7 @@
             parts,
             use_by,
             lane: waiting.lane,
-            priority: self.priority(waiting.lane),
+            priority: self.priority(request.prompt),
             alternatives,
             waited: now.saturating_duration_since(waiting.arrived),
         };
@@ -655,9 +655,9 @@
     }
 
     /// Baselines leave the order of work to the target.
-    fn priority(&self, lane: PromptLane) -> i64 {
-        match (self.policy, lane) {
-            (PlacementPolicy::Lanes, PromptLane::Long) => 1,
+    fn priority(&self, prompt: u64) -> i64 {
+        match self.policy {
+            PlacementPolicy::Lanes => length_priority(prompt),
             _ => 0,
         }
     }
--- a/src/policy/lane.rs
+++ b/src/policy/lane.rs
@@ -61,3 +61,14 @@
     let kept = (targets as f64 * short_share.clamp(0.0, 1.0) * SHORT_HEADROOM).ceil() as usize;
     targets.saturating_sub(kept.max(1)).max(1)
 }
+
+/// Priority at a target: each doubling of the prompt goes one step later, so that a
+/// prompt waits for shorter ones and for work already begun, never behind longer ones.
+///
+/// ```
+/// use plantainnotch::policy::lane::length_priority;
+/// assert!(length_priority(1_000) < length_priority(10_000));
+/// ```
+pub fn length_priority(prompt: u64) -> i64 {
+    i64::from((prompt / 1_000 + 1).ilog2())
+}
