Ask pools whether one is idle before queueing at any

Second change: entries ask every pool in rank order to take the request only if a target is idle, and queue at the best one only if none is; any backlog over half the prompt counts. Ruled out: faster gossip of loads; it costs bytes at rest and stays stale. The actor's calls, messages, rebuilding and status page are files of their own.

--- a/src/cmd/steward.rs
+++ b/src/cmd/steward.rs
@@ -12,8 +12,10 @@
 use crate::clock::TimeSource;
 use crate::config::StewardSettings;
 use crate::logging;
-use crate::steward::actor::{LeaveFleet, StewardActor, call_handler};
+use crate::steward::actor::StewardActor;
 use crate::steward::admin;
+use crate::steward::calls::call_handler;
+use crate::steward::messages::LeaveFleet;
 use crate::steward::metrics::StewardMetrics;
 use crate::wire::server;
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -33,6 +33,8 @@
     pub policy: PlacementPolicy,
     /// How long to keep serving after the leave record.
     pub drain: Duration,
+    /// How many members this one watches.
+    pub neighbours: usize,
 }
 
 /// Settings of `notch-entry`.
@@ -133,6 +135,14 @@
     )
 }
 
+fn neighbours_setting() -> impl Parser<RawSetting> {
+    setting(
+        "neighbours",
+        "NOTCH_NEIGHBOURS",
+        "Members that each member watches, the same everywhere (default 12)",
+    )
+}
+
 fn listen_setting() -> impl Parser<RawSetting> {
     setting(
         "listen",
@@ -177,6 +187,7 @@
     seeds: RawSetting,
     policy: RawSetting,
     drain: RawSetting,
+    neighbours: RawSetting,
 }
 
 /// Settings as they were written, before they are checked.
@@ -202,6 +213,7 @@
     let seeds = seeds_setting();
     let policy = policy_setting();
     let drain = drain_setting();
+    let neighbours = neighbours_setting();
     construct!(RawSteward {
         vm,
         domain,
@@ -211,7 +223,8 @@
         entry,
         seeds,
         policy,
-        drain
+        drain,
+        neighbours
     })
     .to_options()
     .descr("Steward: folds the log, watches peers, owns the ledgers of targets and teams")
@@ -339,6 +352,7 @@
             seeds: check.addresses("seeds", self.seeds),
             policy: check.policy(&self.policy),
             drain: Duration::from_secs(check.number("drain-seconds", self.drain, 15, 0)),
+            neighbours: check.number("neighbours", self.neighbours, 12, 2) as usize,
         };
         ErrorList::check(check.mistakes)?;
         Ok(settings)
--- a/src/entry/grants.rs
+++ b/src/entry/grants.rs
@@ -281,23 +281,24 @@
     let give_up = shared.now() + UNSETTLED_PATIENCE.min(context.time_left());
     loop {
         let pools = ranked(context, need)?;
-        let mut refusals: Vec<(PoolRefusal, Duration)> = Vec::new();
-        let mut unsettled = false;
-        for pool in &pools {
-            match ask_pool(context, need, stream, &pool.pool).await {
+        let mut round = PoolRound::default();
+        // First whichever pool is idle; then the best one's queue.
+        let idle_pass = pools.iter().map(|pool| (pool, true));
+        let queue_pass = pools.iter().map(|pool| (pool, false));
+        for (pool, idle_only) in idle_pass.chain(queue_pass) {
+            if idle_only && pools.len() == 1 {
+                continue;
+            }
+            match ask_pool(context, need, stream, &pool.pool, idle_only).await {
                 PoolAnswer::Granted(guard) => {
                     note_grant(context, &guard, &pools, pool);
                     return Ok(guard);
                 }
-                PoolAnswer::Refused {
-                    refusal,
-                    retry_after,
-                } => refusals.push((refusal, retry_after)),
-                PoolAnswer::Unsettled => unsettled = true,
+                answer => round.note(answer),
             }
         }
-        if !unsettled || shared.now() >= give_up {
-            let error = final_refusal(&refusals);
+        if !round.unsettled || shared.now() >= give_up {
+            let error = final_refusal(&round.refusals);
             context.note("refusal", vec![], describe(&pools), error.message.clone());
             return Err(error);
         }
@@ -305,6 +306,26 @@
     }
 }
 
+/// What all pools answered in one round.
+#[derive(Default)]
+struct PoolRound {
+    refusals: Vec<(PoolRefusal, Duration)>,
+    unsettled: bool,
+}
+
+impl PoolRound {
+    fn note(&mut self, answer: PoolAnswer) {
+        match answer {
+            PoolAnswer::Refused {
+                refusal,
+                retry_after,
+            } => self.refusals.push((refusal, retry_after)),
+            PoolAnswer::Unsettled => self.unsettled = true,
+            PoolAnswer::Granted(_) => {}
+        }
+    }
+}
+
 fn note_grant(
     context: &RequestContext,
     guard: &PoolGuard,
@@ -390,6 +411,7 @@
     need: &ReserveNeed,
     stream: RequestId,
     pool: &PoolKey,
+    idle_only: bool,
 ) -> PoolAnswer {
     let shared = &context.shared;
     let Some(address) = owner_address(shared, OwnedKey::Pool(pool)) else {
@@ -404,6 +426,7 @@
         max_output: need.max_output,
         prefix: need.prefix,
         deadline_ms: time_left.as_millis() as u64,
+        idle_only,
     });
     let asked = shared.now();
     match shared.client(&address).call(&call, time_left).await {
@@ -451,6 +474,7 @@
 fn final_refusal(refusals: &[(PoolRefusal, Duration)]) -> ApiError {
     let soonest = refusals
         .iter()
+        .filter(|(refusal, _)| *refusal != PoolRefusal::Busy)
         .map(|(_, after)| *after)
         .min()
         .unwrap_or(RETRY_NO_CAPACITY);
--- a/src/ledger/pool.rs
+++ b/src/ledger/pool.rs
@@ -22,6 +22,9 @@
 /// A first token this many times later than expected counts as a failure.
 const SLOW_FIRST_TOKEN: u32 = 8;
 const SLOW_FIRST_TOKEN_FLOOR: Duration = Duration::from_secs(2);
+
+/// Targets prefill long prompts in parts; a short prompt waits for the part under way.
+const PREFILL_PART: Duration = Duration::from_millis(20);
 const SHORTEST_RETRY: Duration = Duration::from_secs(1);
 const LONGEST_RETRY: Duration = Duration::from_secs(60);
 
@@ -46,6 +49,8 @@
     pub prefix: u64,
     /// When the answer must be complete.
     pub deadline: Instant,
+    /// Whether to refuse at once rather than queue, as another pool may be idle.
+    pub idle_only: bool,
 }
 
 impl PoolRequest {
@@ -76,6 +81,8 @@
     TooLong,
     /// The answer could not be complete by the deadline.
     Deadline,
+    /// Nothing is idle, and the request asked not to be queued.
+    Busy,
 }
 
 /// A pool's answer.
@@ -380,15 +387,14 @@
 
     /// How the pool stands.
     pub fn load(&self) -> PoolLoad {
-        let serving = || self.targets.values().filter(|ledger| ledger.in_service);
         PoolLoad {
-            targets: serving().count() as u32,
-            slots: serving().map(|ledger| ledger.window.limit()).sum(),
-            running: serving().map(|ledger| ledger.running() as u32).sum(),
+            targets: self.serving().count() as u32,
+            slots: self.serving().map(|ledger| ledger.window.limit()).sum(),
+            running: self.serving().map(|ledger| ledger.running() as u32).sum(),
             waiting: (self.short_queue.len() + self.long_queue.len()) as u32,
             short_wait_ms: self.estimated_wait(PromptLane::Short).as_millis() as u64,
             long_wait_ms: self.estimated_wait(PromptLane::Long).as_millis() as u64,
-            memory: serving().map(|ledger| ledger.memory).sum(),
+            memory: self.serving().map(|ledger| ledger.memory).sum(),
         }
     }
 
@@ -453,7 +459,39 @@
             return Some(PoolRefusal::TooLong);
         }
         let done = now + self.estimated_wait(lane) + self.service_time(request);
-        (done > request.deadline).then_some(PoolRefusal::Deadline)
+        if done > request.deadline {
+            return Some(PoolRefusal::Deadline);
+        }
+        let queue_elsewhere = request.idle_only && self.policy == PlacementPolicy::Lanes;
+        let idle = self.idle_for(request, lane, &candidates, now);
+        (queue_elsewhere && !idle).then_some(PoolRefusal::Busy)
+    }
+
+    /// Whether a request would start at once, without sharing a target's prefill.
+    fn idle_for(
+        &self,
+        request: &PoolRequest,
+        lane: PromptLane,
+        candidates: &[PlacementCandidate<'_>],
+        now: Instant,
+    ) -> bool {
+        let waiting = match lane {
+            PromptLane::Short => &self.short_queue,
+            PromptLane::Long => &self.long_queue,
+        };
+        let idle: Vec<PlacementCandidate<'_>> = candidates
+            .iter()
+            .filter(|target| target.ledger.reachable(now))
+            .filter(|target| target.ledger.prefill_backlog() == 0)
+            .copied()
+            .collect();
+        let need = PlacementNeed {
+            amount: request.amount(),
+            lane,
+            prefix: request.prefix,
+        };
+        let room = long_room(self.long_cap(now), candidates);
+        waiting.is_empty() && place_by_lanes(&idle, need, room, &self.reserved).is_some()
     }
 
     /// Time to serve a request that has its targets to itself.
@@ -465,22 +503,44 @@
 
     /// Time until a request that arrives now would start.
     fn estimated_wait(&self, lane: PromptLane) -> Duration {
-        let serving = self.targets.values().filter(|ledger| ledger.in_service);
-        let count = serving.clone().count().max(1) as u64;
-        let room = serving
-            .clone()
-            .any(|ledger| ledger.running() < ledger.window.limit() as usize);
-        let waiting_short = self.short_queue.iter().map(|item| item.request.prompt);
-        let ahead = match lane {
-            PromptLane::Short if room && self.short_queue.is_empty() => 0,
-            PromptLane::Short => waiting_short.sum(),
-            PromptLane::Long => {
-                let waiting_long = self.long_queue.iter().map(|item| item.request.prompt);
-                let running: u64 = serving.map(TargetLedger::prefill_backlog).sum();
-                waiting_short.sum::<u64>() + waiting_long.sum::<u64>() + running
-            }
-        };
-        self.rate.prefill_time(ahead / count)
+        match lane {
+            PromptLane::Short => self.short_wait(),
+            PromptLane::Long => self.long_wait(),
+        }
+    }
+
+    /// A short prompt waits for other short ones, and where a long one is being
+    /// prefilled for the part of it under way.
+    fn short_wait(&self) -> Duration {
+        let room = self.serving().filter(|ledger| ledger.has_slot());
+        let soonest = room.map(|ledger| {
+            let behind_long = match ledger.in_long_prefill() {
+                true => PREFILL_PART,
+                false => Duration::ZERO,
+            };
+            self.rate.prefill_time(ledger.short_backlog()) + behind_long
+        });
+        let count = self.serving().count().max(1) as u64;
+        let queued = self.short_queue.iter().map(|item| item.request.prompt);
+        let queue = self.rate.prefill_time(queued.sum::<u64>() / count);
+        let full = || self.rate.prefill_time(self.backlog() / count);
+        queue + soonest.min().unwrap_or_else(full)
+    }
+
+    fn long_wait(&self) -> Duration {
+        let queues = [&self.short_queue, &self.long_queue];
+        let queued = queues.iter().flat_map(|queue| queue.iter());
+        let waiting: u64 = queued.map(|item| item.request.prompt).sum();
+        let count = self.serving().count().max(1) as u64;
+        self.rate.prefill_time((waiting + self.backlog()) / count)
+    }
+
+    fn serving(&self) -> impl Iterator<Item = &TargetLedger> {
+        self.targets.values().filter(|ledger| ledger.in_service)
+    }
+
+    fn backlog(&self) -> u64 {
+        self.serving().map(TargetLedger::prefill_backlog).sum()
     }
 
     fn refuse(&mut self, ticket: TicketId, refusal: PoolRefusal, lane: PromptLane) {
@@ -587,19 +647,16 @@
             return place_by_lanes(&all, need, self.long_cap(now), reserved);
         }
         let assigned = waiting.assigned.as_ref();
-        let mut open = all
+        let chosen = all
             .iter()
-            .filter(|target| assigned.is_none_or(|name| name == target.name));
-        let chosen = open.find(|target| target.ledger.fits(need.amount))?;
+            .filter(|target| assigned.is_none_or(|name| name == target.name))
+            .filter(|target| target.ledger.fits(need.amount))
+            .min_by_key(|target| (target.ledger.running(), target.name))?;
         Some(vec![chosen.name.clone()])
     }
 
     fn long_cap(&self, now: Instant) -> usize {
-        let serving = self
-            .targets
-            .values()
-            .filter(|ledger| ledger.in_service)
-            .count();
+        let serving = self.serving().count();
         let capacity = self.rate.prefill_per_s() * serving.max(1) as f64;
         long_target_cap(serving, self.short_demand.per_s(now) / capacity)
     }
@@ -676,6 +733,14 @@
     }
 }
 
+/// How many more targets may begin a long prefill.
+fn long_room(cap: usize, candidates: &[PlacementCandidate<'_>]) -> usize {
+    let busy = candidates
+        .iter()
+        .filter(|target| target.ledger.in_long_prefill());
+    cap.saturating_sub(busy.count())
+}
+
 /// Targets in service where the team is approved.
 fn candidates<'a>(
     targets: &'a BTreeMap<TargetName, TargetLedger>,
--- a/src/ledger/target_ledger.rs
+++ b/src/ledger/target_ledger.rs
@@ -93,10 +93,15 @@
         self.grants.len() + self.strangers.len()
     }
 
+    /// Whether one more request fits the window.
+    pub fn has_slot(&self) -> bool {
+        self.running() < self.window.limit() as usize
+    }
+
     /// Whether `amount` tokens and one more request fit.
     pub fn fits(&self, amount: u64) -> bool {
         let free = self.memory.saturating_sub(self.used());
-        self.in_service && amount <= free && self.running() < self.window.limit() as usize
+        self.in_service && amount <= free && self.has_slot()
     }
 
     /// Whether it could be reached when last tried, or enough time has passed to try again.
@@ -122,6 +127,13 @@
         waiting.map(|grant| grant.prompt).sum()
     }
 
+    /// Prompt tokens of short prompts whose first token has not come yet.
+    pub fn short_backlog(&self) -> u64 {
+        let waiting = self.grants.values().filter(|grant| !grant.prefilled);
+        let short = waiting.filter(|grant| grant.lane == PromptLane::Short);
+        short.map(|grant| grant.prompt).sum()
+    }
+
     /// Whether a long prompt is being prefilled.
     pub fn in_long_prefill(&self) -> bool {
         self.grants
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -113,6 +113,7 @@
                 (
                     ledger.in_long_prefill(),
                     reserved.contains(target.name),
+                    ledger.prefill_backlog() * 2 > need.amount,
                     !favoured,
                     ledger.prefill_backlog(),
                     ledger.running(),
--- a/src/steward/actor.rs
+++ b/src/steward/actor.rs
@@ -1,33 +1,34 @@
 //! The steward as an actor: timers, calls, and the core between them.
 
-use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix::prelude::*;
-use futures_util::FutureExt;
-use futures_util::future::LocalBoxFuture;
 use tokio::sync::oneshot;
 
 use super::core::{FoldNews, StewardCore};
+use super::messages::{
+    BeatArrived, LeaveFleet, LogArrived, NewsArrived, ProbeEnded, ReadSoon, TargetListed,
+    ViewRebuilt, VmsListed,
+};
 use super::metrics::StewardMetrics;
-use super::peers::{BEAT_EVERY, NEIGHBOURS, PeerWatch, SuspicionStep};
+use super::peers::{BEAT_EVERY, PeerWatch, SuspicionStep};
+use super::rebuild::rebuild_view;
 use super::writer::{LogWriter, WriteState};
 use crate::clock::TimeSource;
 use crate::config::StewardSettings;
-use crate::ids::{InstanceId, Offset, TargetName, VmName};
+use crate::ids::{InstanceId, Offset, VmName};
 use crate::ledger::pool::TicketId;
-use crate::platform::log::{LogClient, LogRead, Result as LogResult};
+use crate::platform::log::LogClient;
 use crate::platform::vms::fetch_vms;
-use crate::target::control::{StreamListing, cancel_stream, list_streams};
+use crate::target::control::{cancel_stream, list_streams};
 use crate::view::checkpoint;
 use crate::view::ownership::{OwnedKey, PoolKey, owner_of};
 use crate::view::record::{LogRecord, MemberJoin, RecordBody};
 use crate::view::table::TargetKind;
-use crate::wire::hot::BeatMessage;
-use crate::wire::message::{PoolStatus, StewardRefusal, target_names};
+use crate::wire::message::target_names;
 use crate::wire::{PeerCall, PeerClient, PeerReply};
 
 const READ_EVERY: Duration = Duration::from_millis(400);
@@ -37,105 +38,32 @@
 const LIST_TARGETS_EVERY: Duration = Duration::from_millis(500);
 const LIST_VMS_EVERY: Duration = Duration::from_secs(5);
 const CALL_WITHIN: Duration = Duration::from_secs(1);
-const SNAPSHOT_WITHIN: Duration = Duration::from_secs(5);
 const PROBE_HELPERS: usize = 3;
 const CLAIM_TICKS: u32 = 1;
 
-/// A call from the wire and where its answer goes.
-#[derive(Message)]
-#[rtype(result = "()")]
-pub struct SubmitCall {
-    ticket: TicketId,
-    call: PeerCall,
-    reply: oneshot::Sender<PeerReply>,
-}
-
-/// The caller of a ticket gave up; `granted` is what it did not receive.
-#[derive(Message)]
-#[rtype(result = "()")]
-struct WithdrawCall {
-    ticket: TicketId,
-    granted: Option<PeerReply>,
-}
-
-#[derive(Message)]
-#[rtype(result = "()")]
-struct LogArrived {
-    sent: Instant,
-    result: LogResult<LogRead>,
-}
-
-#[derive(Message)]
-#[rtype(result = "()")]
-struct BeatArrived {
-    vm: VmName,
-    asked: Instant,
-    answer: Option<(BeatMessage, Vec<PoolStatus>)>,
-}
-
-#[derive(Message)]
-#[rtype(result = "()")]
-struct NewsArrived(PeerReply);
-
-#[derive(Message)]
-#[rtype(result = "()")]
-struct ProbeEnded {
-    vm: VmName,
-    incarnation: u64,
-    dead: bool,
-}
-
-#[derive(Message)]
-#[rtype(result = "()")]
-struct TargetListed {
-    pool: PoolKey,
-    target: TargetName,
-    asked: Instant,
-    listing: Option<StreamListing>,
-}
-
-#[derive(Message)]
-#[rtype(result = "()")]
-struct VmsListed(Vec<VmName>);
-
-#[derive(Message)]
-#[rtype(result = "()")]
-struct ViewRebuilt(crate::view::View);
-
-/// Asks the steward how it stands, as JSON for operators.
-#[derive(Message)]
-#[rtype(result = "serde_json::Value")]
-pub struct DescribeSteward;
-
-/// Asks the steward to leave; answers once the leave record was read back, or
-/// the log did not take it in time.
-#[derive(Message)]
-#[rtype(result = "oneshot::Receiver<WriteState>")]
-pub struct LeaveFleet;
-
-struct FollowWaiter {
-    after: Offset,
-    until: Instant,
-    reply: oneshot::Sender<PeerReply>,
+pub(super) struct FollowWaiter {
+    pub(super) after: Offset,
+    pub(super) until: Instant,
+    pub(super) reply: oneshot::Sender<PeerReply>,
 }
 
 /// The steward's actor.
 pub struct StewardActor {
-    settings: StewardSettings,
-    clock: TimeSource,
-    core: StewardCore,
-    log: LogClient,
-    http: awc::Client,
-    writer: LogWriter,
-    watch: PeerWatch,
-    clients: BTreeMap<String, Arc<PeerClient>>,
-    tickets: BTreeMap<TicketId, oneshot::Sender<PeerReply>>,
-    followers: Vec<FollowWaiter>,
-    reads: Vec<Instant>,
-    rebuilding: bool,
-    last_checkpoint: Offset,
-    checkpoint_seen: Instant,
-    metrics: Rc<StewardMetrics>,
+    pub(super) settings: StewardSettings,
+    pub(super) clock: TimeSource,
+    pub(super) core: StewardCore,
+    pub(super) log: LogClient,
+    pub(super) http: awc::Client,
+    pub(super) writer: LogWriter,
+    pub(super) watch: PeerWatch,
+    pub(super) clients: BTreeMap<String, Arc<PeerClient>>,
+    pub(super) tickets: BTreeMap<TicketId, oneshot::Sender<PeerReply>>,
+    pub(super) followers: Vec<FollowWaiter>,
+    pub(super) reads: Vec<Instant>,
+    pub(super) rebuilding: bool,
+    pub(super) last_checkpoint: Offset,
+    pub(super) checkpoint_seen: Instant,
+    pub(super) metrics: Rc<StewardMetrics>,
 }
 
 impl StewardActor {
@@ -251,7 +179,7 @@
             .core
             .view()
             .members()
-            .neighbours(&own, NEIGHBOURS)
+            .neighbours(&own, self.settings.neighbours)
             .into_iter()
             .map(|member| (member.join.vm.clone(), member.join.incarnation))
             .collect();
@@ -348,7 +276,7 @@
         }
     }
 
-    fn news(&self, after: Offset) -> PeerReply {
+    pub(super) fn news(&self, after: Offset) -> PeerReply {
         let entries = self.core.records_after(after);
         let now = self.clock.now();
         PeerReply::News {
@@ -364,7 +292,7 @@
         }
     }
 
-    fn flush_replies(&mut self) {
+    pub(super) fn flush_replies(&mut self) {
         for (ticket, reply) in self.core.dispatch(self.clock.now()) {
             self.log_placement(ticket, &reply);
             let delivered = match self.tickets.remove(&ticket) {
@@ -416,7 +344,7 @@
     }
 
     /// Gives back a grant whose asker is gone.
-    fn withdraw_granted(&mut self, reply: &PeerReply) {
+    pub(super) fn withdraw_granted(&mut self, reply: &PeerReply) {
         let PeerReply::PoolGranted { parts, .. } = reply else {
             return;
         };
@@ -440,7 +368,7 @@
             .core
             .view()
             .members()
-            .neighbours(&own, NEIGHBOURS)
+            .neighbours(&own, self.settings.neighbours)
             .into_iter()
             .map(|member| {
                 let join = &member.join;
@@ -576,123 +504,8 @@
         self.metrics.running.set(i64::from(running));
     }
 
-    fn answer_call(&mut self, submit: SubmitCall, ctx: &mut Context<Self>) {
-        let now = self.clock.now();
-        let SubmitCall {
-            ticket,
-            call,
-            reply,
-        } = submit;
-        let answer = match call {
-            PeerCall::Beat { beat, loads } => {
-                self.watch.heard(&beat.vm, now);
-                if self.core.peer_told(&beat, loads, now) {
-                    self.pull_from(&beat.vm, ctx);
-                }
-                PeerReply::Beat {
-                    beat: self.core.beat(now),
-                    loads: self.core.own_loads(),
-                }
-            }
-            PeerCall::Probe { vm } => PeerReply::Probed {
-                alive: self.watch.is_alive(&vm, now),
-            },
-            PeerCall::Follow { after, wait_ms } => {
-                if after >= self.core.view().offset() && wait_ms > 0 {
-                    let until = now + Duration::from_millis(wait_ms);
-                    self.followers.push(FollowWaiter {
-                        after,
-                        until,
-                        reply,
-                    });
-                    return;
-                }
-                self.news(after)
-            }
-            PeerCall::Snapshot => PeerReply::Snapshot {
-                state: self.core.snapshot(),
-            },
-            PeerCall::AcquirePool(ask) => match self.core.acquire_pool(ticket, &ask, now) {
-                Some(refusal) => refusal,
-                None => {
-                    self.tickets.insert(ticket, reply);
-                    self.flush_replies();
-                    return;
-                }
-            },
-            PeerCall::ReleasePool { pool, grants, end } => {
-                self.core.with_pool(&pool, |ledger| {
-                    for grant in grants {
-                        ledger.release(grant, end, now);
-                    }
-                });
-                self.flush_replies();
-                PeerReply::Done
-            }
-            PeerCall::FirstToken {
-                pool,
-                grants,
-                elapsed_ms,
-            } => {
-                self.core.with_pool(&pool, |ledger| {
-                    for grant in grants {
-                        ledger.first_token(grant, Duration::from_millis(elapsed_ms));
-                    }
-                });
-                self.flush_replies();
-                PeerReply::Done
-            }
-            PeerCall::AcquireTeam {
-                team,
-                amount,
-                deadline_ms,
-            } => {
-                let deadline = Duration::from_millis(deadline_ms);
-                self.core.acquire_team(&team, amount, deadline, now)
-            }
-            PeerCall::ReleaseTeam { team, grant } => {
-                self.core.release_team(&team, grant);
-                PeerReply::Done
-            }
-            PeerCall::Adopt { targets, teams } => {
-                if self.core.adopt_grants(&targets, &teams, now) {
-                    PeerReply::Done
-                } else {
-                    PeerReply::Refused {
-                        refusal: StewardRefusal::NotOwner,
-                        retry_after_ms: 250,
-                    }
-                }
-            }
-            PeerCall::Append(items) => {
-                self.append_claims(items, reply);
-                return;
-            }
-        };
-        reply.send(answer).ok();
-    }
-
-    fn append_claims(
-        &mut self,
-        items: Vec<crate::view::record::ClaimEvent>,
-        reply: oneshot::Sender<PeerReply>,
-    ) {
-        let (sender, receiver) = oneshot::channel();
-        self.writer.add_claims(items, sender);
-        actix_rt::spawn(async move {
-            let answer = match receiver.await {
-                Ok(WriteState::Accepted | WriteState::Ignored) => PeerReply::Done,
-                _ => PeerReply::Refused {
-                    refusal: StewardRefusal::LogUnavailable,
-                    retry_after_ms: 2_000,
-                },
-            };
-            reply.send(answer).ok();
-        });
-    }
-
     /// Asks a peer for the records that this steward lacks.
-    fn pull_from(&mut self, vm: &VmName, ctx: &mut Context<Self>) {
+    pub(super) fn pull_from(&mut self, vm: &VmName, ctx: &mut Context<Self>) {
         let Some(member) = self.core.view().members().get(vm) else {
             return;
         };
@@ -726,11 +539,6 @@
     }
 }
 
-/// Asks for a read of the log without waiting for the next turn.
-#[derive(Message)]
-#[rtype(result = "()")]
-struct ReadSoon;
-
 impl Handler<ReadSoon> for StewardActor {
     type Result = ();
 
@@ -739,26 +547,6 @@
     }
 }
 
-impl Handler<SubmitCall> for StewardActor {
-    type Result = ();
-
-    fn handle(&mut self, submit: SubmitCall, ctx: &mut Self::Context) {
-        self.answer_call(submit, ctx);
-    }
-}
-
-impl Handler<WithdrawCall> for StewardActor {
-    type Result = ();
-
-    fn handle(&mut self, call: WithdrawCall, _: &mut Self::Context) {
-        self.tickets.remove(&call.ticket);
-        self.core.cancel(call.ticket);
-        if let Some(granted) = call.granted {
-            self.withdraw_granted(&granted);
-        }
-    }
-}
-
 impl Handler<LogArrived> for StewardActor {
     type Result = ();
 
@@ -910,59 +698,6 @@
     }
 }
 
-impl Handler<DescribeSteward> for StewardActor {
-    type Result = MessageResult<DescribeSteward>;
-
-    fn handle(&mut self, _: DescribeSteward, _: &mut Self::Context) -> Self::Result {
-        let now = self.clock.now();
-        let view = self.core.view();
-        let members: Vec<serde_json::Value> = view
-            .members()
-            .iter()
-            .map(|(vm, member)| {
-                serde_json::json!({
-                    "vm": vm,
-                    "incarnation": member.join.incarnation,
-                    "domain": member.join.domain,
-                    "entry": member.join.entry_address,
-                    "admin": member.join.admin_address,
-                })
-            })
-            .collect();
-        let targets: Vec<serde_json::Value> = self
-            .core
-            .pools()
-            .iter()
-            .flat_map(|(pool, ledger)| {
-                ledger.targets().iter().map(move |(name, target)| {
-                    serde_json::json!({
-                        "pool": pool.to_string(),
-                        "target": name,
-                        "in_service": target.in_service,
-                        "state": target.window.state(),
-                        "limit": target.window.limit(),
-                        "running": target.running(),
-                        "used_tokens": target.used(),
-                    })
-                })
-            })
-            .collect();
-        MessageResult(serde_json::json!({
-            "vm": self.core.vm(),
-            "incarnation": self.core.incarnation(),
-            "member": self.core.is_member(),
-            "leaving": self.core.is_leaving(),
-            "offset": view.offset(),
-            "fresh": self.core.is_fresh(now),
-            "view_age_ms": self.core.fresh_age(now).map(|age| age.as_millis() as u64),
-            "log_unreachable": self.core.beat(now).log_unreachable,
-            "claims": view.claims().len(),
-            "members": members,
-            "owned_targets": targets,
-        }))
-    }
-}
-
 impl Handler<LeaveFleet> for StewardActor {
     type Result = MessageResult<LeaveFleet>;
 
@@ -981,92 +716,3 @@
         MessageResult(receiver)
     }
 }
-
-async fn rebuild_view(
-    log: &LogClient,
-    peers: &[Arc<PeerClient>],
-    own: Offset,
-) -> Option<crate::view::View> {
-    match log.read_all().await {
-        Ok(all) => match checkpoint::rebuild(all.head, &all.entries) {
-            Ok(view) if view.offset() > own => return Some(view),
-            Ok(_) => {}
-            Err(error) => tracing::warn!(%error, "the log alone does not give a view"),
-        },
-        Err(error) => tracing::warn!(%error, "the log cannot be read; asking peers"),
-    }
-    for peer in peers {
-        let Ok(PeerReply::Snapshot { state }) =
-            peer.call(&PeerCall::Snapshot, SNAPSHOT_WITHIN).await
-        else {
-            continue;
-        };
-        match checkpoint::decode(own, &state) {
-            Ok(view) if view.offset() > own => return Some(view),
-            Ok(_) => {}
-            Err(error) => {
-                tracing::warn!(%error, peer = peer.address(), "peer's view cannot be read");
-            }
-        }
-    }
-    None
-}
-
-/// Withdraws a call when its caller gives up before the answer is delivered.
-struct CallGuard {
-    ticket: TicketId,
-    addr: Addr<StewardActor>,
-    receiver: Option<oneshot::Receiver<PeerReply>>,
-}
-
-impl CallGuard {
-    /// Notes that the answer was delivered.
-    fn disarm(&mut self) {
-        self.receiver = None;
-    }
-}
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        let Some(mut receiver) = self.receiver.take() else {
-            return;
-        };
-        receiver.close();
-        self.addr.do_send(WithdrawCall {
-            ticket: self.ticket,
-            granted: receiver.try_recv().ok(),
-        });
-    }
-}
-
-/// A handler for the wire server that hands calls to the actor.
-pub fn call_handler(addr: Addr<StewardActor>) -> crate::wire::server::CallHandler {
-    let next = Rc::new(Cell::new(0_u64));
-    Rc::new(move |call| -> LocalBoxFuture<'static, PeerReply> {
-        let ticket = TicketId(next.get());
-        next.set(next.get() + 1);
-        let (sender, receiver) = oneshot::channel();
-        addr.do_send(SubmitCall {
-            ticket,
-            call,
-            reply: sender,
-        });
-        let mut guard = CallGuard {
-            ticket,
-            addr: addr.clone(),
-            receiver: Some(receiver),
-        };
-        async move {
-            let answer = match guard.receiver.as_mut() {
-                Some(receiver) => receiver.await.ok(),
-                None => None,
-            };
-            guard.disarm();
-            answer.unwrap_or(PeerReply::Refused {
-                refusal: StewardRefusal::NotOwner,
-                retry_after_ms: 250,
-            })
-        }
-        .boxed_local()
-    })
-}
--- a/src/steward/admin.rs
+++ b/src/steward/admin.rs
@@ -7,7 +7,8 @@
 use actix_web::dev::Server;
 use actix_web::{App, HttpResponse, HttpServer, web};
 
-use super::actor::{DescribeSteward, StewardActor};
+use super::actor::StewardActor;
+use super::messages::DescribeSteward;
 use super::metrics::StewardMetrics;
 
 /// What the pages need; metrics are shared with the actor.
--- /dev/null
+++ b/src/steward/calls.rs
@@ -0,0 +1,214 @@
+//! Calls from the wire: their answers, and what happens when a caller gives up.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::{Addr, Context, Handler};
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use tokio::sync::oneshot;
+
+use super::actor::{FollowWaiter, StewardActor};
+use super::messages::{SubmitCall, WithdrawCall};
+use super::writer::WriteState;
+use crate::ledger::pool::TicketId;
+use crate::view::record::ClaimEvent;
+use crate::wire::message::StewardRefusal;
+use crate::wire::server::CallHandler;
+use crate::wire::{PeerCall, PeerReply};
+
+const RETRY_LOG_MS: u64 = 2_000;
+const RETRY_OWNER_MS: u64 = 250;
+
+impl StewardActor {
+    fn answer_call(&mut self, submit: SubmitCall, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        let SubmitCall {
+            ticket,
+            call,
+            reply,
+        } = submit;
+        let answer = match call {
+            PeerCall::Beat { beat, loads } => {
+                self.watch.heard(&beat.vm, now);
+                if self.core.peer_told(&beat, loads, now) {
+                    self.pull_from(&beat.vm, ctx);
+                }
+                PeerReply::Beat {
+                    beat: self.core.beat(now),
+                    loads: self.core.own_loads(),
+                }
+            }
+            PeerCall::Probe { vm } => PeerReply::Probed {
+                alive: self.watch.is_alive(&vm, now),
+            },
+            PeerCall::Follow { after, wait_ms } => {
+                if after >= self.core.view().offset() && wait_ms > 0 {
+                    let until = now + Duration::from_millis(wait_ms);
+                    self.followers.push(FollowWaiter {
+                        after,
+                        until,
+                        reply,
+                    });
+                    return;
+                }
+                self.news(after)
+            }
+            PeerCall::Snapshot => PeerReply::Snapshot {
+                state: self.core.snapshot(),
+            },
+            PeerCall::AcquirePool(ask) => match self.core.acquire_pool(ticket, &ask, now) {
+                Some(refusal) => refusal,
+                None => {
+                    self.tickets.insert(ticket, reply);
+                    self.flush_replies();
+                    return;
+                }
+            },
+            PeerCall::ReleasePool { pool, grants, end } => {
+                self.core.with_pool(&pool, |ledger| {
+                    for grant in grants {
+                        ledger.release(grant, end, now);
+                    }
+                });
+                self.flush_replies();
+                PeerReply::Done
+            }
+            PeerCall::FirstToken {
+                pool,
+                grants,
+                elapsed_ms,
+            } => {
+                self.core.with_pool(&pool, |ledger| {
+                    for grant in grants {
+                        ledger.first_token(grant, Duration::from_millis(elapsed_ms));
+                    }
+                });
+                self.flush_replies();
+                PeerReply::Done
+            }
+            PeerCall::AcquireTeam {
+                team,
+                amount,
+                deadline_ms,
+            } => {
+                let deadline = Duration::from_millis(deadline_ms);
+                self.core.acquire_team(&team, amount, deadline, now)
+            }
+            PeerCall::ReleaseTeam { team, grant } => {
+                self.core.release_team(&team, grant);
+                PeerReply::Done
+            }
+            PeerCall::Adopt { targets, teams } => {
+                if self.core.adopt_grants(&targets, &teams, now) {
+                    PeerReply::Done
+                } else {
+                    PeerReply::Refused {
+                        refusal: StewardRefusal::NotOwner,
+                        retry_after_ms: RETRY_OWNER_MS,
+                    }
+                }
+            }
+            PeerCall::Append(items) => {
+                self.append_claims(items, reply);
+                return;
+            }
+        };
+        reply.send(answer).ok();
+    }
+
+    fn append_claims(&mut self, items: Vec<ClaimEvent>, reply: oneshot::Sender<PeerReply>) {
+        let (sender, receiver) = oneshot::channel();
+        self.writer.add_claims(items, sender);
+        actix_rt::spawn(async move {
+            let answer = match receiver.await {
+                Ok(WriteState::Accepted | WriteState::Ignored) => PeerReply::Done,
+                _ => PeerReply::Refused {
+                    refusal: StewardRefusal::LogUnavailable,
+                    retry_after_ms: RETRY_LOG_MS,
+                },
+            };
+            reply.send(answer).ok();
+        });
+    }
+}
+
+impl Handler<SubmitCall> for StewardActor {
+    type Result = ();
+
+    fn handle(&mut self, submit: SubmitCall, ctx: &mut Self::Context) {
+        self.answer_call(submit, ctx);
+    }
+}
+
+impl Handler<WithdrawCall> for StewardActor {
+    type Result = ();
+
+    fn handle(&mut self, call: WithdrawCall, _: &mut Self::Context) {
+        self.tickets.remove(&call.ticket);
+        self.core.cancel(call.ticket);
+        if let Some(granted) = call.granted {
+            self.withdraw_granted(&granted);
+        }
+    }
+}
+
+/// Withdraws a call when its caller gives up before the answer is delivered.
+struct CallGuard {
+    ticket: TicketId,
+    addr: Addr<StewardActor>,
+    receiver: Option<oneshot::Receiver<PeerReply>>,
+}
+
+impl CallGuard {
+    /// Notes that the answer was delivered.
+    fn disarm(&mut self) {
+        self.receiver = None;
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        let Some(mut receiver) = self.receiver.take() else {
+            return;
+        };
+        receiver.close();
+        self.addr.do_send(WithdrawCall {
+            ticket: self.ticket,
+            granted: receiver.try_recv().ok(),
+        });
+    }
+}
+
+/// A handler for the wire server that hands calls to the actor.
+pub fn call_handler(addr: Addr<StewardActor>) -> CallHandler {
+    let next = Rc::new(Cell::new(0_u64));
+    Rc::new(move |call| -> LocalBoxFuture<'static, PeerReply> {
+        let ticket = TicketId(next.get());
+        next.set(next.get() + 1);
+        let (sender, receiver) = oneshot::channel();
+        addr.do_send(SubmitCall {
+            ticket,
+            call,
+            reply: sender,
+        });
+        let mut guard = CallGuard {
+            ticket,
+            addr: addr.clone(),
+            receiver: Some(receiver),
+        };
+        async move {
+            let answer = match guard.receiver.as_mut() {
+                Some(receiver) => receiver.await.ok(),
+                None => None,
+            };
+            guard.disarm();
+            answer.unwrap_or(PeerReply::Refused {
+                refusal: StewardRefusal::NotOwner,
+                retry_after_ms: RETRY_OWNER_MS,
+            })
+        }
+        .boxed_local()
+    })
+}
--- a/src/steward/core.rs
+++ b/src/steward/core.rs
@@ -337,6 +337,7 @@
             max_output: ask.max_output,
             prefix: ask.prefix,
             deadline: now + Duration::from_millis(ask.deadline_ms),
+            idle_only: ask.idle_only,
         };
         let view = &self.view;
         let approved = |team: &TeamName, target: &TargetName| approved_at(view, team, target);
--- a/src/steward/mod.rs
+++ b/src/steward/mod.rs
@@ -2,7 +2,11 @@
 
 pub mod actor;
 pub mod admin;
+pub mod calls;
 pub mod core;
+mod describe;
+pub mod messages;
 pub mod metrics;
 pub mod peers;
+mod rebuild;
 pub mod writer;
--- a/src/steward/peers.rs
+++ b/src/steward/peers.rs
@@ -14,9 +14,6 @@
 /// With nobody to ask, a silent peer is evicted after this long.
 pub const EVICT_ALONE_AFTER: Duration = Duration::from_secs(6);
 
-/// Members that each member watches.
-pub const NEIGHBOURS: usize = 12;
-
 /// What is known of one peer's life.
 #[derive(Debug, Clone)]
 struct PeerLife {
--- a/src/wire/hot.rs
+++ b/src/wire/hot.rs
@@ -26,9 +26,11 @@
     pub prefix: u64,
     /// Milliseconds until the answer must be complete.
     pub deadline_ms: u64,
+    /// Whether to refuse at once rather than queue.
+    pub idle_only: bool,
 }
 
-const POOL_ASK_FIELDS: usize = 8;
+const POOL_ASK_FIELDS: usize = 9;
 
 impl Serialize for PoolAsk {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
@@ -41,6 +43,7 @@
         tuple.serialize_element(&self.max_output)?;
         tuple.serialize_element(&self.prefix)?;
         tuple.serialize_element(&self.deadline_ms)?;
+        tuple.serialize_element(&self.idle_only)?;
         tuple.end()
     }
 }
@@ -57,7 +60,7 @@
     type Value = PoolAsk;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a pool ask of 8 fields")
+        f.write_str("a pool ask of 9 fields")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<PoolAsk, A::Error> {
@@ -72,6 +75,7 @@
             max_output: field(&mut seq, 5)?,
             prefix: field(&mut seq, 6)?,
             deadline_ms: field(&mut seq, 7)?,
+            idle_only: field(&mut seq, 8)?,
         })
     }
 }
--- a/tests/core/doors.rs
+++ b/tests/core/doors.rs
@@ -26,6 +26,7 @@
         max_output: 10,
         prefix: 3,
         deadline_ms: 1_000,
+        idle_only: false,
     }
 }
 
--- a/tests/core/fixtures.rs
+++ b/tests/core/fixtures.rs
@@ -167,6 +167,7 @@
         max_output: 10,
         prefix: number % 3,
         deadline,
+        idle_only: false,
     }
 }
 
