--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,8 +1,11 @@
 # Starts and ends a fleet on loopback. Sourced by the scripts beside it.
-# Ports from 17000: platform 17000, entries 17001.., stewards 17101.., pages 17201..,
-# targets 17300...
+# Ports from PORT_BASE (17000): platform 17000, entries 17001.., stewards 17101..,
+# pages 17201.., targets 17300... Scripts with different bases may run side by side.
 
 bin=target/release
+base=${PORT_BASE:-17000}
+entry=127.0.0.1:$((base + 1))
+first_target=$((base + 300))
 pids=()
 
 start() {
@@ -33,31 +36,31 @@
     shift 2
     for n in $(seq 1 "$count"); do
         names+=("vm-$n")
-        seeds+=("127.0.0.1:$((17100 + n))")
+        seeds+=("127.0.0.1:$((base + 100 + n))")
     done
     local list seed_list
     list=$(IFS=,; echo "${names[*]}")
     seed_list=$(IFS=,; echo "${seeds[*]}")
-    export NOTCH_PLATFORM=http://127.0.0.1:17000
-    start platform "$bin/notch-fake" platform --listen 127.0.0.1:17000 --vms "$list"
-    wait_for 17000
+    export NOTCH_PLATFORM=http://127.0.0.1:$base
+    start platform "$bin/notch-fake" platform --listen 127.0.0.1:$base --vms "$list"
+    wait_for $base
     for n in $(seq 1 "$count"); do
         domain=rw-$(printf "\\x$(printf %x $((97 + (n - 1) % domains)))")
         start "steward-$n" "$bin/notch-steward" --vm "vm-$n" --domain "$domain" \
-            --peer-address "127.0.0.1:$((17100 + n))" --admin-address "127.0.0.1:$((17200 + n))" \
-            --entry-address "127.0.0.1:$((17000 + n))" --seeds "$seed_list" --drain-seconds 1 "$@"
+            --peer-address "127.0.0.1:$((base + 100 + n))" --admin-address "127.0.0.1:$((base + 200 + n))" \
+            --entry-address "127.0.0.1:$((base + n))" --seeds "$seed_list" --drain-seconds 1 "$@"
         start "entry-$n" "$bin/notch-entry" --vm "vm-$n" --domain "$domain" \
-            --listen "127.0.0.1:$((17000 + n))" --stewards "127.0.0.1:$((17100 + n)),$seed_list" \
+            --listen "127.0.0.1:$((base + n))" --stewards "127.0.0.1:$((base + 100 + n)),$seed_list" \
             --drain-seconds 1
     done
     for n in $(seq 1 "$count"); do
-        wait_for $((17100 + n)) && wait_for $((17200 + n)) && wait_for $((17000 + n))
+        wait_for $((base + 100 + n)) && wait_for $((base + 200 + n)) && wait_for $((base + n))
     done
 }
 
 # start_engines DOMAIN_COUNT PER_DOMAIN [engine flags]; sets audits
 start_engines() {
-    local domains=$1 per_domain=$2 port=17300 d i
+    local domains=$1 per_domain=$2 port=$first_target d i
     shift 2
     audits=()
     for d in $(seq 1 "$domains"); do
@@ -72,7 +75,7 @@
 
 # write_table DOMAIN_COUNT PER_DOMAIN MEMORY COLD WARM "TEAM:WEIGHT:CEILING ..."
 write_table() {
-    local domains=$1 per_domain=$2 memory=$3 cold=$4 warm=$5 teams=$6 port=17300 d i letter team name weight ceiling
+    local domains=$1 per_domain=$2 memory=$3 cold=$4 warm=$5 teams=$6 port=$first_target d i letter team name weight ceiling
     echo "kind,name,target,domain,owner,model,address,memory_tokens,cold_limit,warm_limit,fencing,weight,ceiling_tokens,key,state"
     for d in $(seq 1 "$domains"); do
         letter=$(printf "\\x$(printf %x $((96 + d)))")
--- a/src/entry/grants.rs
+++ b/src/entry/grants.rs
@@ -294,7 +294,7 @@
                     note_grant(context, &guard, &pools, pool);
                     return Ok(guard);
                 }
-                answer => round.note(answer),
+                answer => round.note(&answer),
             }
         }
         if !round.unsettled || shared.now() >= give_up {
@@ -314,13 +314,17 @@
 }
 
 impl PoolRound {
-    fn note(&mut self, answer: PoolAnswer) {
+    fn note(&mut self, answer: &PoolAnswer) {
         match answer {
+            PoolAnswer::Refused {
+                refusal: PoolRefusal::Unreachable,
+                ..
+            }
+            | PoolAnswer::Unsettled => self.unsettled = true,
             PoolAnswer::Refused {
                 refusal,
                 retry_after,
-            } => self.refusals.push((refusal, retry_after)),
-            PoolAnswer::Unsettled => self.unsettled = true,
+            } => self.refusals.push((*refusal, *retry_after)),
             PoolAnswer::Granted(_) => {}
         }
     }
--- a/src/ledger/pool.rs
+++ b/src/ledger/pool.rs
@@ -83,6 +83,8 @@
     Deadline,
     /// Nothing is idle, and the request asked not to be queued.
     Busy,
+    /// None of the targets can be reached at present.
+    Unreachable,
 }
 
 /// A pool's answer.
@@ -451,8 +453,8 @@
         now: Instant,
     ) -> Option<PoolRefusal> {
         let candidates = candidates(&self.targets, &request.team, approved);
-        if candidates.is_empty() {
-            return Some(PoolRefusal::NoTarget);
+        if let Some(refusal) = no_way_in(&candidates, now) {
+            return Some(refusal);
         }
         let memory = candidates.iter().map(|target| target.ledger.memory).min();
         if gang_size(request.amount(), memory.unwrap_or(0)) > candidates.len() {
@@ -579,8 +581,7 @@
         if now + self.service_time(request) > request.deadline {
             return Some(PoolRefusal::Deadline);
         }
-        let none = candidates(&self.targets, &request.team, approved).is_empty();
-        none.then_some(PoolRefusal::NoTarget)
+        no_way_in(&candidates(&self.targets, &request.team, approved), now)
     }
 
     /// Grants the long request with the least slack if waiting longer would make it late.
@@ -733,6 +734,15 @@
     }
 }
 
+/// Why none of the candidates can take anything, if so.
+fn no_way_in(candidates: &[PlacementCandidate<'_>], now: Instant) -> Option<PoolRefusal> {
+    if candidates.is_empty() {
+        return Some(PoolRefusal::NoTarget);
+    }
+    let reachable = candidates.iter().any(|target| target.ledger.reachable(now));
+    (!reachable).then_some(PoolRefusal::Unreachable)
+}
+
 /// How many more targets may begin a long prefill.
 fn long_room(cap: usize, candidates: &[PlacementCandidate<'_>]) -> usize {
     let busy = candidates
--- a/src/steward/actor.rs
+++ b/src/steward/actor.rs
@@ -25,7 +25,7 @@
 use crate::platform::vms::fetch_vms;
 use crate::target::control::{cancel_stream, list_streams};
 use crate::view::checkpoint;
-use crate::view::ownership::{OwnedKey, PoolKey, owner_of};
+use crate::view::ownership::{OwnedKey, PoolKey, owner_of, ranks_among};
 use crate::view::record::{LogRecord, MemberJoin, RecordBody};
 use crate::view::table::TargetKind;
 use crate::wire::message::target_names;
@@ -33,6 +33,12 @@
 
 const READ_EVERY: Duration = Duration::from_millis(400);
 const READS_IN_FLIGHT: usize = 6;
+
+/// Members that read the log whatever their peers tell them.
+const LOG_READERS: usize = 16;
+
+/// A view that peers keep newer than this needs no read of its own.
+const RELAYED_AGE: Duration = Duration::from_millis(900);
 const READ_LATE: Duration = Duration::from_millis(1000);
 const TICK_EVERY: Duration = Duration::from_millis(50);
 const LIST_TARGETS_EVERY: Duration = Duration::from_millis(500);
@@ -105,6 +111,18 @@
         client.clone()
     }
 
+    /// Beyond a few members, most learn of the log's end from the peers that read it, and
+    /// read it themselves only when that takes too long.
+    fn read_in_turn(&mut self, ctx: &mut Context<Self>) {
+        let now = self.clock.now();
+        let members = self.core.view().members();
+        let reader = ranks_among(members, OwnedKey::LogReading, self.core.vm(), LOG_READERS);
+        let age = self.core.fresh_age(now);
+        if reader || age.is_none_or(|age| age > RELAYED_AGE) {
+            self.start_read(ctx);
+        }
+    }
+
     fn start_read(&mut self, ctx: &mut Context<Self>) {
         let now = self.clock.now();
         let late = self
@@ -531,7 +549,7 @@
         ctx.set_mailbox_capacity(4096);
         self.start_read(ctx);
         self.list_vms(ctx);
-        ctx.run_interval(READ_EVERY, Self::start_read);
+        ctx.run_interval(READ_EVERY, Self::read_in_turn);
         ctx.run_interval(TICK_EVERY * CLAIM_TICKS, Self::tick);
         ctx.run_interval(BEAT_EVERY, Self::send_beats);
         ctx.run_interval(LIST_TARGETS_EVERY, Self::list_targets);
--- a/src/view/ownership.rs
+++ b/src/view/ownership.rs
@@ -32,6 +32,8 @@
     Team(&'a TeamName),
     /// The appends of claims whose key hashes to this slot.
     ClaimSlot(u64),
+    /// Reading the log for others.
+    LogReading,
 }
 
 impl OwnedKey<'_> {
@@ -39,6 +41,7 @@
         let text = match self {
             Self::Pool(pool) => format!("pool\n{pool}\n{vm}"),
             Self::Team(team) => format!("team\n{team}\n{vm}"),
+            Self::LogReading => format!("log\n{vm}"),
             Self::ClaimSlot(slot) => format!("claim\n{slot}\n{vm}"),
         };
         xxh3_64(text.as_bytes())
@@ -59,3 +62,17 @@
         .max_by_key(|(vm, _)| (key.score(vm), *vm))
         .map(|(_, member)| member)
 }
+
+/// Whether `vm` is among the `count` members that rank first for `key`.
+///
+/// ```
+/// use plantainnotch::ids::VmName;
+/// use plantainnotch::view::{View, ownership::{OwnedKey, ranks_among}};
+/// let view = View::default();
+/// assert!(ranks_among(view.members(), OwnedKey::LogReading, &VmName::new("vm-1"), 16));
+/// ```
+pub fn ranks_among(members: &MemberTable, key: OwnedKey<'_>, vm: &VmName, count: usize) -> bool {
+    let own = key.score(vm);
+    let ahead = members.iter().filter(|(name, _)| key.score(name) > own);
+    ahead.count() < count
+}
