Order versions with fencing numbers, and take changes only from operators who sign them

Orders carry the offset of the row that asks for them. Targets that check numbers get them at once; the others once the row is in force, when no steward acts on an older one. From the first operator row on, every change of the table must carry the signature of an operator that it names; only an operator changes its own key.

Ruled out for the number: the owner's epoch, which two changes by one owner share. The process test of orders is not run yet.

--- a/src/cmd/ctl/change.rs
+++ b/src/cmd/ctl/change.rs
@@ -1,8 +1,9 @@
 //! Appends a change of the table, and learns its verdict by reading it back.
 
+use std::path::Path;
 use std::time::{Duration, Instant};
 
-use eyre::{Result, bail, eyre};
+use eyre::{Result, WrapErr, bail, eyre};
 use tokio::time::sleep;
 
 use super::fleet::FleetClient;
@@ -10,6 +11,7 @@
 use crate::platform::log::LogRead;
 use crate::view::record::{LogRecord, RecordBody, RowChange, TableChange};
 use crate::view::sheet::SheetRow;
+use crate::view::signature::SecretKey;
 use crate::view::table::{RowEntry, RowKey};
 use crate::view::{Verdict, View};
 
@@ -19,15 +21,46 @@
 const READ_EVERY: Duration = Duration::from_millis(100);
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(30);
 
-/// The author, who must be named.
+/// Who makes changes, and the key that proves it.
+pub struct ChangeAuthor {
+    /// The name.
+    pub name: AuthorName,
+    /// The key, if one was given.
+    pub key: Option<SecretKey>,
+}
+
+impl ChangeAuthor {
+    /// The author from the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no author is named or the key cannot be read.
+    pub fn from_settings(name: Option<&str>, key_file: Option<&Path>) -> Result<Self> {
+        let name = name
+            .map(AuthorName::new)
+            .ok_or_else(|| eyre!("a change needs its author; set --author or NOTCH_AUTHOR"))?;
+        let key = key_file.map(read_key).transpose()?;
+        Ok(Self { name, key })
+    }
+
+    fn change(&self, rows: &[RowChange]) -> TableChange {
+        TableChange {
+            author: self.name.clone(),
+            rows: rows.to_vec(),
+            signature: self.key.as_ref().map(|key| key.sign(&self.name, rows)),
+        }
+    }
+}
+
+/// Reads a secret key from a file.
 ///
 /// # Errors
 ///
-/// Fails when no author is named.
-pub fn need_author(author: Option<&str>) -> Result<AuthorName> {
-    author
-        .map(AuthorName::new)
-        .ok_or_else(|| eyre!("a change needs its author; set --author or NOTCH_AUTHOR"))
+/// Fails when the file is not a secret key.
+pub fn read_key(file: &Path) -> Result<SecretKey> {
+    let text = std::fs::read_to_string(file)
+        .wrap_err_with(|| format!("cannot read the key file {}", file.display()))?;
+    Ok(SecretKey::parse(&text)?)
 }
 
 /// Makes changes of the rows that differ from the view.
@@ -57,7 +90,7 @@
 pub async fn submit(
     fleet: &FleetClient,
     view: &mut View,
-    author: &AuthorName,
+    author: &ChangeAuthor,
     changes: Vec<RowChange>,
     wait: bool,
 ) -> Result<()> {
@@ -67,10 +100,7 @@
     }
     let mut last = Offset(0);
     for rows in changes.chunks(ROWS_PER_RECORD) {
-        let body = RecordBody::Table(TableChange {
-            author: author.clone(),
-            rows: rows.to_vec(),
-        });
+        let body = RecordBody::Table(author.change(rows));
         let record = LogRecord::new(body);
         last = submit_record(fleet, view, &record).await?;
         println!("accepted at offset {last}: {} row(s)", rows.len());
--- a/src/cmd/ctl/mod.rs
+++ b/src/cmd/ctl/mod.rs
@@ -3,14 +3,17 @@
 pub mod change;
 pub mod explain;
 pub mod fleet;
+pub mod key;
 pub mod options;
 pub mod service;
 pub mod status;
 pub mod table;
 
-use eyre::Result;
+use eyre::{Result, ensure};
 
-pub use options::{CtlCommand, CtlOptions, TableCommand, options};
+use change::ChangeAuthor;
+use fleet::FleetClient;
+pub use options::{CtlCommand, CtlOptions, KeyCommand, TableCommand, options};
 
 /// Runs a command.
 ///
@@ -18,25 +21,39 @@
 ///
 /// Fails when the log cannot be read, the input is faulty, or a change was not accepted.
 pub fn run(options: CtlOptions) -> Result<()> {
-    actix::System::new().block_on(async move {
-        let fleet = fleet::FleetClient::new(&options.platform);
-        let author = options.author.as_deref();
-        match &options.command {
-            CtlCommand::Table(TableCommand::Export { file }) => {
-                table::export(&fleet, file.as_deref()).await
-            }
-            CtlCommand::Table(TableCommand::Import { file }) => {
-                table::import(&fleet, file, author, options.wait).await
-            }
-            CtlCommand::Table(TableCommand::Set { kind, name, cells }) => {
-                table::set(&fleet, kind, name, cells, author, options.wait).await
-            }
-            CtlCommand::Table(TableCommand::History { name }) => {
-                table::history(&fleet, name.as_deref()).await
-            }
-            CtlCommand::Service(change) => service::run(&fleet, change, author, options.wait).await,
-            CtlCommand::Status => status::run(&fleet).await,
-            CtlCommand::Explain { request } => explain::run(&fleet, request).await,
+    match &options.command {
+        CtlCommand::Key(KeyCommand::New { file }) => key::new(file),
+        CtlCommand::Key(KeyCommand::Show { file }) => key::show(file),
+        _ => actix::System::new().block_on(run_with_fleet(options)),
+    }
+}
+
+async fn run_with_fleet(options: CtlOptions) -> Result<()> {
+    ensure!(
+        !options.platform.is_empty(),
+        "the platform is not named; set --platform or NOTCH_PLATFORM to its URL"
+    );
+    let fleet = FleetClient::new(&options.platform);
+    let author = || {
+        let key_file = options.key_file.as_deref();
+        ChangeAuthor::from_settings(options.author.as_deref(), key_file)
+    };
+    match &options.command {
+        CtlCommand::Table(TableCommand::Export { file }) => {
+            table::export(&fleet, file.as_deref()).await
+        }
+        CtlCommand::Table(TableCommand::Import { file }) => {
+            table::import(&fleet, file, &author()?, options.wait).await
+        }
+        CtlCommand::Table(TableCommand::Set { kind, name, cells }) => {
+            table::set(&fleet, kind, name, cells, &author()?, options.wait).await
+        }
+        CtlCommand::Table(TableCommand::History { name }) => {
+            table::history(&fleet, name.as_deref()).await
         }
-    })
+        CtlCommand::Service(change) => service::run(&fleet, change, &author()?, options.wait).await,
+        CtlCommand::Key(_) => Ok(()),
+        CtlCommand::Status => status::run(&fleet).await,
+        CtlCommand::Explain { request } => explain::run(&fleet, request).await,
+    }
 }
--- a/src/cmd/ctl/options.rs
+++ b/src/cmd/ctl/options.rs
@@ -13,6 +13,8 @@
     pub platform: String,
     /// Who makes changes.
     pub author: Option<String>,
+    /// File with the author's secret key.
+    pub key_file: Option<PathBuf>,
     /// Whether to wait until a change is in force.
     pub wait: bool,
     /// What to do.
@@ -26,6 +28,8 @@
     Table(TableCommand),
     /// Taking a failure domain or target out of service or back.
     Service(ServiceChange),
+    /// Something with an operator's key.
+    Key(KeyCommand),
     /// How the fleet stands.
     Status,
     /// Why a request went where it went.
@@ -35,6 +39,21 @@
     },
 }
 
+/// Something with an operator's key.
+#[derive(Debug, Clone)]
+pub enum KeyCommand {
+    /// Makes a new secret key.
+    New {
+        /// The file to write.
+        file: PathBuf,
+    },
+    /// Prints the public key of a secret one.
+    Show {
+        /// The file to read.
+        file: PathBuf,
+    },
+}
+
 /// Something with the table.
 #[derive(Debug, Clone)]
 pub enum TableCommand {
@@ -106,6 +125,24 @@
         .command("table")
 }
 
+fn key_command() -> impl Parser<CtlCommand> {
+    let file = positional::<PathBuf>("FILE");
+    let new = construct!(KeyCommand::New { file })
+        .to_options()
+        .descr("Make a secret key in a new file, and print the public one")
+        .command("new");
+    let file = positional::<PathBuf>("FILE");
+    let show = construct!(KeyCommand::Show { file })
+        .to_options()
+        .descr("Print the public key of a secret one")
+        .command("show");
+    construct!([new, show])
+        .map(CtlCommand::Key)
+        .to_options()
+        .descr("Operators' keys")
+        .command("key")
+}
+
 fn state_command(
     is_domain: bool,
     verb: &'static str,
@@ -139,18 +176,25 @@
     let platform = long("platform")
         .env("NOTCH_PLATFORM")
         .help("URL of the platform, such as http://10.0.0.1:7000")
-        .argument::<String>("URL");
+        .argument::<String>("URL")
+        .fallback(String::new());
     let author = long("author")
         .env("NOTCH_AUTHOR")
         .help("Who makes the change")
         .argument::<String>("NAME")
         .optional();
+    let key_file = long("key-file")
+        .env("NOTCH_KEY_FILE")
+        .help("File with the author's secret key")
+        .argument::<PathBuf>("FILE")
+        .optional();
     let wait = long("wait")
         .help("Wait until the change is in force, and say where")
         .switch();
     let table = table_command();
     let domain = service_command(true, "domain");
     let target = service_command(false, "target");
+    let key = key_command();
     let status = pure(CtlCommand::Status)
         .to_options()
         .descr("How the fleet stands")
@@ -160,10 +204,11 @@
         .to_options()
         .descr("Why a request went where it went")
         .command("explain");
-    let command = construct!([table, domain, target, status, explain]);
+    let command = construct!([table, domain, target, key, status, explain]);
     construct!(CtlOptions {
         platform,
         author,
+        key_file,
         wait,
         command
     })
--- a/src/cmd/ctl/service.rs
+++ b/src/cmd/ctl/service.rs
@@ -2,7 +2,7 @@
 
 use eyre::{Result, eyre};
 
-use super::change::{need_author, submit};
+use super::change::{ChangeAuthor, submit};
 use super::fleet::FleetClient;
 use super::options::ServiceChange;
 use crate::ids::{DomainName, TargetName};
@@ -17,10 +17,9 @@
 pub async fn run(
     fleet: &FleetClient,
     change: &ServiceChange,
-    author: Option<&str>,
+    author: &ChangeAuthor,
     wait: bool,
 ) -> Result<()> {
-    let author = need_author(author)?;
     let (mut view, _) = fleet.read_view().await?;
     let key = if change.is_domain {
         RowKey::Domain(DomainName::new(change.name.as_str()))
@@ -34,7 +33,7 @@
     match &mut row {
         TableRow::Domain(domain) => domain.state = change.state,
         TableRow::Target(target) => target.state = change.state,
-        TableRow::Team(_) | TableRow::Approval(_) => {}
+        TableRow::Team(_) | TableRow::Approval(_) | TableRow::Operator(_) => {}
     }
     let same = view.rows().get(&key).and_then(|entry| entry.row.as_ref()) == Some(&row);
     let changes = if same {
@@ -46,5 +45,5 @@
             row: Some(row),
         }]
     };
-    submit(fleet, &mut view, &author, changes, wait).await
+    submit(fleet, &mut view, author, changes, wait).await
 }
--- a/src/cmd/ctl/table.rs
+++ b/src/cmd/ctl/table.rs
@@ -4,7 +4,7 @@
 
 use eyre::{Result, WrapErr, bail, eyre};
 
-use super::change::{differing, need_author, submit};
+use super::change::{ChangeAuthor, differing, submit};
 use super::fleet::FleetClient;
 use crate::view::record::RecordBody;
 use crate::view::sheet::{self, COLUMNS};
@@ -36,16 +36,15 @@
 pub async fn import(
     fleet: &FleetClient,
     file: &Path,
-    author: Option<&str>,
+    author: &ChangeAuthor,
     wait: bool,
 ) -> Result<()> {
-    let author = need_author(author)?;
     let text = std::fs::read_to_string(file)
         .wrap_err_with(|| format!("cannot read {}; save it as CSV in UTF-8", file.display()))?;
     let rows = sheet::read(&file.display().to_string(), &text)?;
     let (mut view, _) = fleet.read_view().await?;
     let changes = differing(&view, rows);
-    submit(fleet, &mut view, &author, changes, wait).await
+    submit(fleet, &mut view, author, changes, wait).await
 }
 
 /// Changes cells of one row.
@@ -58,15 +57,14 @@
     kind: &str,
     name: &str,
     cells: &[String],
-    author: Option<&str>,
+    author: &ChangeAuthor,
     wait: bool,
 ) -> Result<()> {
-    let author = need_author(author)?;
     let (mut view, _) = fleet.read_view().await?;
     let text = edited_sheet(&view, kind, name, cells)?;
     let rows = sheet::read("table set", &text)?;
     let changes = differing(&view, rows);
-    submit(fleet, &mut view, &author, changes, wait).await
+    submit(fleet, &mut view, author, changes, wait).await
 }
 
 /// A sheet with just the row, its cells changed.
--- a/src/cmd/fake_target.rs
+++ b/src/cmd/fake_target.rs
@@ -20,6 +20,7 @@
     decode_ms: f64,
     work_ms: u64,
     start_warm: bool,
+    checks_fencing: bool,
 }
 
 /// The command line of `notch-fake target`.
@@ -44,6 +45,9 @@
         .argument::<u64>("MS")
         .fallback(20);
     let start_warm = long("start-warm").switch();
+    let checks_fencing = long("checks-fencing")
+        .help("Refuse orders with an old number")
+        .switch();
     construct!(TargetOptions {
         listen,
         service,
@@ -53,7 +57,8 @@
         prefill_per_s,
         decode_ms,
         work_ms,
-        start_warm
+        start_warm,
+        checks_fencing,
     })
 }
 
@@ -76,6 +81,7 @@
                 prefill_per_s: options.prefill_per_s,
                 decode_interval: Duration::from_secs_f64(options.decode_ms / 1000.0),
                 start_warm: options.start_warm,
+                checks_fencing: options.checks_fencing,
             })
         };
         server
--- a/src/fake/engine.rs
+++ b/src/fake/engine.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::entry::chat::{ChatBody, prompt_tokens};
+use crate::target::control::OrderBody;
 use crate::target::stream::{
     GANG_SIZE_HEADER, PRIORITY_HEADER, REQUEST_HEADER, StreamChunk, encode_chunk,
 };
@@ -41,6 +42,8 @@
     pub decode_interval: Duration,
     /// Starts warm, for measurements without cold start.
     pub start_warm: bool,
+    /// Refuses orders that carry an old fencing number.
+    pub checks_fencing: bool,
 }
 
 /// Faults that the stand-in plays.
@@ -76,6 +79,12 @@
     pub cancelled: u64,
     /// Largest number of requests at once.
     pub most_running: u64,
+    /// Orders taken.
+    pub orders_taken: u64,
+    /// Orders taken after one with a higher number.
+    pub orders_reverted: u64,
+    /// The version it runs.
+    pub version: String,
 }
 
 #[derive(Debug)]
@@ -106,6 +115,7 @@
     next_arrival: u64,
     prefixes: VecDeque<u64>,
     faults: EngineFaults,
+    last_order: u64,
     audit: EngineAudit,
 }
 
@@ -172,6 +182,7 @@
             next_arrival: 0,
             prefixes: VecDeque::new(),
             faults: EngineFaults::default(),
+            last_order: 0,
             audit: EngineAudit::default(),
         }),
         work: Notify::new(),
@@ -188,6 +199,7 @@
             .route("/v1/streams/{request}", web::get().to(resume))
             .route("/v1/streams/{request}", web::put().to(hold))
             .route("/v1/streams/{request}", web::delete().to(cancel))
+            .route("/v1/orders", web::post().to(order))
             .route("/v1/fake/faults", web::post().to(set_faults))
             .route("/v1/fake/restart", web::post().to(restart))
             .route("/v1/fake/audit", web::get().to(audit))
@@ -594,9 +606,23 @@
     HttpResponse::Ok().json(serde_json::json!({
         "instance": state.instance,
         "streams": streams,
+        "version": state.audit.version,
     }))
 }
 
+async fn order(cell: SharedEngine, body: web::Json<OrderBody>) -> HttpResponse {
+    let mut state = cell.lock();
+    let old = body.number < state.last_order;
+    if old && state.settings.checks_fencing {
+        return refusal(409, "old_order");
+    }
+    state.audit.orders_taken += 1;
+    state.audit.orders_reverted += u64::from(old);
+    state.last_order = state.last_order.max(body.number);
+    state.audit.version.clone_from(&body.version);
+    HttpResponse::NoContent().finish()
+}
+
 async fn set_faults(cell: SharedEngine, faults: web::Json<EngineFaults>) -> HttpResponse {
     cell.lock().faults = faults.into_inner();
     HttpResponse::NoContent().finish()
--- a/src/steward/actor.rs
+++ b/src/steward/actor.rs
@@ -23,7 +23,7 @@
 use crate::ledger::pool::TicketId;
 use crate::platform::log::LogClient;
 use crate::platform::vms::fetch_vms;
-use crate::target::control::{cancel_stream, list_streams};
+use crate::target::control::{cancel_stream, list_streams, send_order};
 use crate::view::checkpoint;
 use crate::view::ownership::{OwnedKey, PoolKey, owner_of, ranks_among};
 use crate::view::record::{LogRecord, MemberJoin, RecordBody};
@@ -483,6 +483,24 @@
         }
     }
 
+    fn send_orders(&mut self, _: &mut Context<Self>) {
+        let now = self.clock.now();
+        for order in self.core.due_orders(now) {
+            let http = self.http.clone();
+            actix_rt::spawn(async move {
+                let status = send_order(&http, &order).await;
+                tracing::info!(
+                    decision = "order",
+                    target = %order.target,
+                    version = %order.version,
+                    number = order.number.0,
+                    ?status,
+                    reason = "the target runs another version than the table says",
+                );
+            });
+        }
+    }
+
     fn list_vms(&mut self, ctx: &mut Context<Self>) {
         let (http, addr) = (self.http.clone(), ctx.address());
         let platform = self.settings.platform.clone();
@@ -553,6 +571,7 @@
         ctx.run_interval(TICK_EVERY * CLAIM_TICKS, Self::tick);
         ctx.run_interval(BEAT_EVERY, Self::send_beats);
         ctx.run_interval(LIST_TARGETS_EVERY, Self::list_targets);
+        ctx.run_interval(LIST_TARGETS_EVERY, Self::send_orders);
         ctx.run_interval(LIST_VMS_EVERY, Self::list_vms);
     }
 }
@@ -683,6 +702,9 @@
             });
             return;
         };
+        if let Some(version) = &listing.version {
+            self.core.version_reported(&listed.target, version);
+        }
         let instance: &InstanceId = &listing.instance;
         let cancels = self.core.target_listed(
             &listed.pool,
--- a/src/steward/core.rs
+++ b/src/steward/core.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
+use super::orders::{OrderBook, TargetOrder};
 use crate::chart::{self, StateChart};
 use crate::ids::{
     DomainName, GrantId, InstanceId, ModelName, Offset, RequestId, TargetName, TeamName, VmName,
@@ -18,6 +19,7 @@
 use crate::view::membership::KEPT_CHANGES;
 use crate::view::ownership::{OwnedKey, PoolKey, owner_of};
 use crate::view::record::LogEntry;
+use crate::view::table::RowKey;
 use crate::view::{Verdict, View};
 use crate::wire::hot::{BeatMessage, PoolAsk};
 use crate::wire::message::{HeldTarget, HeldTeam, PeerReply, PoolStatus, StewardRefusal};
@@ -49,6 +51,7 @@
     pools: BTreeMap<PoolKey, PoolLedger>,
     teams: BTreeMap<TeamName, TeamLedger>,
     next_team_serial: u64,
+    orders: OrderBook,
     peer_loads: BTreeMap<VmName, Vec<PoolStatus>>,
 }
 
@@ -72,6 +75,7 @@
             pools: BTreeMap::new(),
             teams: BTreeMap::new(),
             next_team_serial: 0,
+            orders: OrderBook::default(),
             peer_loads: BTreeMap::new(),
         })
     }
@@ -219,6 +223,7 @@
         for tracker in &mut self.pending {
             tracker.acknowledge(vm, offset, now);
         }
+        self.orders.acknowledge(vm, offset, now);
         self.pending.retain(|tracker| !tracker.in_force(now));
     }
 
@@ -361,12 +366,7 @@
 
     /// Grants what fits in all settled pools, and returns the answers made.
     pub fn dispatch(&mut self, now: Instant) -> Vec<(TicketId, PeerReply)> {
-        let settled: Vec<PoolKey> = self
-            .pools
-            .keys()
-            .filter(|key| self.check_owner(OwnedKey::Pool(key), now).is_ok())
-            .cloned()
-            .collect();
+        let settled = self.settled_pools(now);
         let view = &self.view;
         let approved = |team: &TeamName, target: &TargetName| approved_at(view, team, target);
         for key in &settled {
@@ -491,6 +491,43 @@
         }
     }
 
+    /// Notes which version a target says it runs.
+    pub fn version_reported(&mut self, target: &TargetName, version: &str) {
+        self.orders.report(target, version);
+    }
+
+    /// The orders that are due to targets of owned and settled pools.
+    pub fn due_orders(&mut self, now: Instant) -> Vec<TargetOrder> {
+        self.acknowledge_self(now);
+        let settled = self.settled_pools(now);
+        let view = &self.view;
+        let mut due = Vec::new();
+        for target in view.targets() {
+            let key = pool_key(&target.row.model, &target.row.domain);
+            if !settled.contains(&key) {
+                continue;
+            }
+            let row_key = RowKey::Target(target.name.clone());
+            let Some(entry) = view.rows().get(&row_key) else {
+                continue;
+            };
+            let order =
+                self.orders
+                    .due(target.name, target.row, entry.version, view.members(), now);
+            due.extend(order);
+        }
+        due
+    }
+
+    /// The owned pools about which this steward may decide at present.
+    fn settled_pools(&self, now: Instant) -> Vec<PoolKey> {
+        self.pools
+            .keys()
+            .filter(|key| self.check_owner(OwnedKey::Pool(key), now).is_ok())
+            .cloned()
+            .collect()
+    }
+
     /// What this steward says of itself.
     pub fn beat(&self, now: Instant) -> BeatMessage {
         BeatMessage {
--- a/src/steward/mod.rs
+++ b/src/steward/mod.rs
@@ -7,6 +7,7 @@
 mod describe;
 pub mod messages;
 pub mod metrics;
+pub mod orders;
 pub mod peers;
 mod rebuild;
 pub mod writer;
--- a/src/target/control.rs
+++ b/src/target/control.rs
@@ -6,6 +6,7 @@
 
 use crate::ids::{InstanceId, RequestId};
 use crate::ledger::target_ledger::StreamReport;
+use crate::steward::orders::TargetOrder;
 
 const CONTROL_WITHIN: Duration = Duration::from_secs(1);
 
@@ -16,6 +17,9 @@
     pub instance: InstanceId,
     /// Streams that hold memory.
     pub streams: Vec<ListedStream>,
+    /// The version that the target runs, if it says so.
+    #[serde(default)]
+    pub version: Option<String>,
 }
 
 /// A stream that holds memory at a target.
@@ -27,6 +31,15 @@
     pub tokens: u64,
 }
 
+/// An order as a target receives it.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct OrderBody {
+    /// Fencing number.
+    pub number: u64,
+    /// The version to run.
+    pub version: String,
+}
+
 impl StreamListing {
     /// The streams whose ids are ours.
     pub fn reports(&self) -> Vec<StreamReport> {
@@ -58,3 +71,14 @@
         Err(_) => false,
     }
 }
+
+/// Orders a target to run a version. Returns the status of its answer, if it gave one.
+pub async fn send_order(http: &awc::Client, order: &TargetOrder) -> Option<u16> {
+    let url = format!("http://{}/v1/orders", order.address);
+    let body = OrderBody {
+        number: order.number.0,
+        version: order.version.clone(),
+    };
+    let sending = http.post(url).timeout(CONTROL_WITHIN).send_json(&body);
+    Some(sending.await.ok()?.status().as_u16())
+}
--- a/src/view/fold.rs
+++ b/src/view/fold.rs
@@ -7,7 +7,7 @@
 use super::membership::MemberTable;
 use super::record::{LogEntry, LogRecord, RecordBody, TableChange};
 use super::table::{
-    DomainRow, KeyDigest, RowEntry, RowKey, ServiceState, TableRow, TargetRow, TeamRow,
+    DomainRow, KeyDigest, OperatorRow, RowEntry, RowKey, ServiceState, TableRow, TargetRow, TeamRow,
 };
 use crate::claim::ClaimBook;
 use crate::ids::{AuthorName, DomainName, ModelName, Offset, TargetName, TeamName};
@@ -121,6 +121,10 @@
     }
 
     fn apply_change(&mut self, change: &TableChange) -> Verdict {
+        if let Some(reason) = self.unproven_author(change) {
+            let key = RowKey::Operator(change.author.clone());
+            return Verdict::Refused { key, reason };
+        }
         for row in &change.rows {
             let current = self.rows.get(&row.key);
             if current.map_or(Offset(0), |entry| entry.version) != row.base {
@@ -160,6 +164,46 @@
         }
     }
 
+    /// Says why the author is not proven, if so. A table that names no operator takes
+    /// any author's word.
+    fn unproven_author(&self, change: &TableChange) -> Option<String> {
+        let author = &change.author;
+        let Some(operator) = self.operator(author) else {
+            let strict = self.operators().next().is_some();
+            return strict.then(|| {
+                format!(
+                    "{author} is not an operator; ask one to add a row with {author}'s public key"
+                )
+            });
+        };
+        let signature = change.signature.as_deref().unwrap_or_default();
+        let verified = operator.key.verifies(author, &change.rows, signature);
+        (!verified).then(|| {
+            format!(
+                "the signature is not {author}'s; set --key-file to the key of the author named"
+            )
+        })
+    }
+
+    /// The operators that the table names.
+    pub fn operators(&self) -> impl Iterator<Item = (&AuthorName, &OperatorRow)> {
+        let first = RowKey::Operator(AuthorName::new(""));
+        self.rows
+            .range(first..)
+            .filter_map(|(key, entry)| match (key, &entry.row) {
+                (RowKey::Operator(name), Some(TableRow::Operator(row))) => Some((name, row)),
+                _ => None,
+            })
+    }
+
+    /// An operator's row.
+    pub fn operator(&self, name: &AuthorName) -> Option<&OperatorRow> {
+        match &self.rows.get(&RowKey::Operator(name.clone()))?.row {
+            Some(TableRow::Operator(row)) => Some(row),
+            _ => None,
+        }
+    }
+
     /// Names the rule that a change breaks, if any.
     fn broken_rule(
         &self,
@@ -196,6 +240,12 @@
                     None => None,
                 }
             }
+            RowKey::Operator(name) => {
+                let foreign = self.operator(name).is_some() && change.author != *name;
+                foreign.then(|| {
+                    format!("only {name} may change or delete {name}'s key; ask {name} to")
+                })
+            }
             RowKey::Target(name) => {
                 let stands = self.target(name)?;
                 let new_owner = match row {
--- a/src/view/mod.rs
+++ b/src/view/mod.rs
@@ -8,6 +8,7 @@
 pub mod ownership;
 pub mod record;
 pub mod sheet;
+pub mod signature;
 pub mod table;
 
 pub use fold::{Verdict, View};
--- a/src/view/record.rs
+++ b/src/view/record.rs
@@ -95,6 +95,9 @@
     pub author: AuthorName,
     /// The rows.
     pub rows: Vec<RowChange>,
+    /// The author's signature, in hexadecimal.
+    #[serde(default)]
+    pub signature: Option<String>,
 }
 
 /// A change of one row.
--- a/src/view/sheet.rs
+++ b/src/view/sheet.rs
@@ -5,15 +5,16 @@
 use csv::{ReaderBuilder, StringRecord, WriterBuilder};
 
 use super::fold::View;
+use super::signature::{PublicKey, SecretKey};
 use super::table::{
-    ApprovalRow, DomainRow, KeyDigest, RowKey, ServiceState, TableRow, TargetKind, TargetPattern,
-    TargetRow, TeamRow,
+    ApprovalRow, DomainRow, KeyDigest, OperatorRow, RowKey, ServiceState, TableRow, TargetKind,
+    TargetPattern, TargetRow, TeamRow,
 };
 use crate::error::ErrorList;
 use crate::ids::{AuthorName, DomainName, ModelName, TargetName, TeamName};
 
 /// Columns of the sheet.
-pub const COLUMNS: [&str; 15] = [
+pub const COLUMNS: [&str; 16] = [
     "kind",
     "name",
     "target",
@@ -25,6 +26,7 @@
     "cold_limit",
     "warm_limit",
     "fencing",
+    "version",
     "weight",
     "ceiling_tokens",
     "key",
@@ -157,6 +159,7 @@
             set("cold_limit", &row.cold_limit);
             set("warm_limit", &row.warm_limit);
             set("fencing", &if row.checks_fencing { "yes" } else { "no" });
+            set("version", &row.version.as_deref().unwrap_or_default());
             set("state", &state_text(row.state));
         }
         (RowKey::Team(name), TableRow::Team(row)) => {
@@ -172,6 +175,11 @@
             set("target", &pattern.as_str());
             set("state", &if row.approved { "approved" } else { "refused" });
         }
+        (RowKey::Operator(name), TableRow::Operator(row)) => {
+            set("kind", &"operator");
+            set("name", name);
+            set("key", &row.key);
+        }
         _ => {}
     }
     cells
@@ -290,6 +298,7 @@
             "engine" => Some(self.target(cells, name, TargetKind::Engine)),
             "service" => Some(self.target(cells, name, TargetKind::Service)),
             "team" => Some(self.team(cells, name)),
+            "operator" => Some(self.operator(cells, name)),
             "approval" => Some(SheetRow {
                 key: RowKey::Approval(
                     TeamName::new(name),
@@ -305,7 +314,7 @@
                     cells.line,
                     "kind",
                     &what,
-                    "use domain, engine, service, team or approval",
+                    "use domain, engine, service, team, approval or operator",
                 );
                 None
             }
@@ -334,6 +343,7 @@
             cold_limit,
             warm_limit,
             checks_fencing: self.choice(cells, "fencing", [("no", false), ("yes", true)]),
+            version: Some(self.cell(cells, "version").to_owned()).filter(|text| !text.is_empty()),
             state: self.state(cells),
         };
         SheetRow {
@@ -342,6 +352,18 @@
         }
     }
 
+    fn operator(&mut self, cells: SheetCells<'_>, name: String) -> SheetRow {
+        let text = self.text(cells, "key");
+        let key = PublicKey::parse(&text).unwrap_or_else(|error| {
+            self.mistake(cells.line, "key", &error.to_string(), "mend the cell");
+            SecretKey::random().public()
+        });
+        SheetRow {
+            key: RowKey::Operator(AuthorName::new(name)),
+            row: TableRow::Operator(OperatorRow { key }),
+        }
+    }
+
     fn team(&mut self, cells: SheetCells<'_>, name: String) -> SheetRow {
         let key = self.text(cells, "key");
         let digest = match key.strip_prefix(DIGEST_PREFIX) {
--- a/src/view/table.rs
+++ b/src/view/table.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use super::signature::PublicKey;
 use crate::ids::{AuthorName, DomainName, ModelName, Offset, TargetName, TeamName};
 
 /// Whether a failure domain or target takes new work.
@@ -38,6 +39,8 @@
     Team(TeamName),
     /// A team's approval at the targets that match a pattern.
     Approval(TeamName, TargetPattern),
+    /// An operator or owner who may change the table.
+    Operator(AuthorName),
 }
 
 impl fmt::Display for RowKey {
@@ -46,6 +49,7 @@
             Self::Domain(name) => write!(f, "domain/{name}"),
             Self::Target(name) => write!(f, "target/{name}"),
             Self::Team(name) => write!(f, "team/{name}"),
+            Self::Operator(name) => write!(f, "operator/{name}"),
             Self::Approval(team, pattern) => write!(f, "approval/{team}@{}", pattern.as_str()),
         }
     }
@@ -138,6 +142,9 @@
     pub warm_limit: u32,
     /// Whether it refuses orders that carry an old fencing number.
     pub checks_fencing: bool,
+    /// The version that it is to run; `None` leaves it as it is.
+    #[serde(default)]
+    pub version: Option<String>,
     /// Whether it takes new work.
     pub state: ServiceState,
 }
@@ -160,6 +167,13 @@
     pub approved: bool,
 }
 
+/// An operator or owner who may change the table.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OperatorRow {
+    /// The key with which the operator signs.
+    pub key: PublicKey,
+}
+
 /// One row of the table.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -172,6 +186,8 @@
     Team(TeamRow),
     /// An approval.
     Approval(ApprovalRow),
+    /// An operator.
+    Operator(OperatorRow),
 }
 
 impl TableRow {
@@ -183,6 +199,7 @@
                 | (Self::Target(_), RowKey::Target(_))
                 | (Self::Team(_), RowKey::Team(_))
                 | (Self::Approval(_), RowKey::Approval(..))
+                | (Self::Operator(_), RowKey::Operator(_))
         )
     }
 }
--- a/tests/core/fixtures.rs
+++ b/tests/core/fixtures.rs
@@ -85,6 +85,7 @@
         cold_limit: 1,
         warm_limit: 8,
         checks_fencing: true,
+        version: None,
         state: ServiceState::In,
     })
 }
@@ -105,6 +106,7 @@
             base: Offset(base),
             row,
         }],
+        signature: None,
     })
 }
 
@@ -124,6 +126,10 @@
     RowKey::Approval(TeamName::new(team), TargetPattern::new(pattern))
 }
 
+pub fn operator_key(name: &str) -> RowKey {
+    RowKey::Operator(AuthorName::new(name))
+}
+
 pub fn approval_row(approved: bool) -> TableRow {
     TableRow::Approval(ApprovalRow { approved })
 }
--- a/tests/core/fold.rs
+++ b/tests/core/fold.rs
@@ -4,7 +4,8 @@
 use plantainnotch::view::checkpoint;
 use plantainnotch::view::fold::TargetRef;
 use plantainnotch::view::record::{LogEntry, RecordBody};
-use plantainnotch::view::table::ServiceState;
+use plantainnotch::view::signature::SecretKey;
+use plantainnotch::view::table::{OperatorRow, ServiceState, TableRow};
 use plantainnotch::view::{Verdict, View};
 
 use crate::fixtures::*;
@@ -326,3 +327,90 @@
         Err(checkpoint::RebuildError::HeadCut { head: Offset(5) })
     );
 }
+
+fn operator_row(key: &SecretKey) -> TableRow {
+    TableRow::Operator(OperatorRow { key: key.public() })
+}
+
+fn signed(body: RecordBody, key: &SecretKey) -> RecordBody {
+    let RecordBody::Table(mut change) = body else {
+        unreachable!("the fixture makes a change");
+    };
+    change.signature = Some(key.sign(&change.author, &change.rows));
+    RecordBody::Table(change)
+}
+
+#[test]
+fn once_the_table_names_an_operator_every_change_is_signed_by_one() {
+    // Arrange
+    let (alice, mallory) = (SecretKey::random(), SecretKey::random());
+    let named = change(
+        "alice",
+        operator_key("alice"),
+        0,
+        Some(operator_row(&alice)),
+    );
+    let mut view = view_of(vec![named]);
+    let out = |author: &str| {
+        change(
+            author,
+            domain_key("rw-a"),
+            0,
+            Some(domain_row(ServiceState::Out)),
+        )
+    };
+    let swap = |author: &str| {
+        change(
+            author,
+            operator_key("alice"),
+            1,
+            Some(operator_row(&mallory)),
+        )
+    };
+
+    // Act
+    let unsigned = view.fold(&entry(2, out("alice")));
+    let forged = view.fold(&entry(3, signed(out("alice"), &mallory)));
+    let stranger = view.fold(&entry(4, signed(out("mallory"), &mallory)));
+    let own = view.fold(&entry(5, signed(out("alice"), &alice)));
+    let added = change(
+        "alice",
+        operator_key("mallory"),
+        0,
+        Some(operator_row(&mallory)),
+    );
+    let added = view.fold(&entry(6, signed(added, &alice)));
+    let taken = view.fold(&entry(7, signed(swap("mallory"), &mallory)));
+
+    // Assert
+    for verdict in [unsigned, forged, stranger, taken] {
+        assert!(matches!(verdict, Verdict::Refused { .. }), "{verdict:?}");
+    }
+    assert_eq!((own, added), (Verdict::Accepted, Verdict::Accepted));
+}
+
+#[test]
+fn a_signature_does_not_cover_other_rows() {
+    let alice = SecretKey::random();
+    let mut view = view_of(vec![change(
+        "alice",
+        operator_key("alice"),
+        0,
+        Some(operator_row(&alice)),
+    )]);
+    let body = signed(
+        change(
+            "alice",
+            domain_key("rw-a"),
+            0,
+            Some(domain_row(ServiceState::In)),
+        ),
+        &alice,
+    );
+    let RecordBody::Table(mut change) = body else {
+        unreachable!("the fixture makes a change");
+    };
+    change.rows[0].row = Some(domain_row(ServiceState::Out));
+    let verdict = view.fold(&entry(2, RecordBody::Table(change)));
+    assert!(matches!(verdict, Verdict::Refused { .. }));
+}
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -13,5 +13,6 @@
 mod model_claim;
 mod model_ownership;
 mod model_table;
+mod orders;
 mod queue;
 mod steward;
--- a/tests/processes/operators.rs
+++ b/tests/processes/operators.rs
@@ -147,3 +147,51 @@
         assert_eq!(before, after);
     });
 }
+
+#[test]
+fn orders_reach_targets_and_never_go_back_while_stewards_freeze() {
+    run_test(async || {
+        // Arrange: engines that do not check fencing numbers, and a steward that stands still.
+        let fleet = TestFleet::start().await;
+        for number in 0..fleet.engines.len() {
+            fleet.ctl(
+                "operator",
+                &format!("table set engine app-{number} fencing=no version=v1"),
+            );
+        }
+        let version =
+            |engine: &String| page(engine, "/v1/fake/audit").map(|audit| audit["version"].clone());
+        let all_run = |fleet: &TestFleet, wanted: &str| {
+            fleet
+                .engines
+                .iter()
+                .all(|engine| version(engine) == Some(json!(wanted)))
+        };
+        let within = Duration::from_secs(20);
+        fleet
+            .wait_until(within, "all run v1", |fleet| all_run(fleet, "v1"))
+            .await;
+        let frozen = fleet.stewards[0].as_ref().expect("it runs");
+
+        // Act
+        frozen.signal("STOP");
+        for number in 0..fleet.engines.len() {
+            fleet.ctl(
+                "operator",
+                &format!("table set engine app-{number} version=v2"),
+            );
+        }
+        fleet
+            .wait_until(within, "all run v2", |fleet| all_run(fleet, "v2"))
+            .await;
+        frozen.signal("CONT");
+        sleep(Duration::from_secs(4)).await;
+
+        // Assert
+        assert!(all_run(&fleet, "v2"));
+        for engine in &fleet.engines {
+            let audit = page(engine, "/v1/fake/audit").expect("the stand-in answers");
+            assert_eq!(audit["orders_reverted"], 0);
+        }
+    });
+}
