--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -5,6 +5,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::error::{ApiError, ErrorKind, Result};
+use super::follower::catch_up;
 use super::shared::{EntryShared, RequestContext};
 use crate::claim::ClaimHolder;
 use crate::ids::{ClaimId, VmName};
@@ -162,7 +163,11 @@
     for address in chosen.into_iter().chain(own) {
         let client = shared.client(&address);
         match client.call(&call, APPEND_WITHIN).await {
-            Ok(PeerReply::Done) => return true,
+            Ok(PeerReply::Done) => {
+                // That steward has read the step back; the others may be a read behind.
+                catch_up(shared, &address).await;
+                return true;
+            }
             Err(error) if error.not_sent() => {}
             _ => return false,
         }
--- a/src/entry/follower.rs
+++ b/src/entry/follower.rs
@@ -33,7 +33,7 @@
     loop {
         let stewards = steward_addresses(&shared);
         let address = &stewards[place % stewards.len()];
-        let good = follow_once(&shared, address).await;
+        let good = follow_once(&shared, address, NEWS_WAIT_MS).await;
         tell_new_owners(&shared);
         update_metrics(&shared);
         since_home += 1;
@@ -47,6 +47,11 @@
     }
 }
 
+/// Takes in at once what the steward at `address` has folded.
+pub async fn catch_up(shared: &EntryShared, address: &str) {
+    follow_once(shared, address, 0).await;
+}
+
 /// The stewards from the settings, then the other members.
 fn steward_addresses(shared: &EntryShared) -> Vec<String> {
     let mut addresses = shared.settings.stewards.clone();
@@ -61,14 +66,11 @@
 }
 
 /// Asks one steward for news; returns whether it is worth asking again.
-async fn follow_once(shared: &EntryShared, address: &str) -> bool {
+async fn follow_once(shared: &EntryShared, address: &str, wait_ms: u64) -> bool {
     let client = shared.client(address);
     let asked = shared.now();
     let after = shared.read(|followed| followed.view.offset());
-    let call = PeerCall::Follow {
-        after,
-        wait_ms: NEWS_WAIT_MS,
-    };
+    let call = PeerCall::Follow { after, wait_ms };
     let reply = match client.call(&call, CALL_WITHIN).await {
         Ok(reply) => reply,
         Err(error) => {
--- a/src/entry/grants.rs
+++ b/src/entry/grants.rs
@@ -10,7 +10,7 @@
 use super::route::{RankedPool, RouteNeed, rank_pools};
 use super::shared::{EntryShared, RequestContext};
 use crate::ids::{GrantId, ModelName, Offset, RequestId, TargetName, TeamName};
-use crate::ledger::pool::{GrantEnd, GrantPart, PoolRefusal};
+use crate::ledger::grant::{GrantEnd, GrantPart, PoolRefusal};
 use crate::policy::lane::PromptLane;
 use crate::view::ownership::{OwnedKey, PoolKey, owner_of};
 use crate::wire::hot::PoolAsk;
--- a/src/entry/held.rs
+++ b/src/entry/held.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::ids::{GrantId, Offset, RequestId, TeamName};
-use crate::ledger::pool::GrantPart;
+use crate::ledger::grant::GrantPart;
 use crate::policy::lane::PromptLane;
 use crate::view::View;
 use crate::view::ownership::{OwnedKey, PoolKey, owner_of};
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -13,7 +13,7 @@
 use super::shared::RequestContext;
 use crate::chart::StateChart;
 use crate::ids::RequestId;
-use crate::ledger::pool::{GrantEnd, GrantPart};
+use crate::ledger::grant::{GrantEnd, GrantPart};
 use crate::target::control::cancel_stream;
 use crate::target::stream::{
     ChunkReader, GANG_MEMBERS_HEADER, GANG_SIZE_HEADER, PRIORITY_HEADER, REQUEST_HEADER,
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -15,7 +15,7 @@
 use super::server::{deadline_of, team_of};
 use super::shared::{EntryShared, RequestContext};
 use crate::ids::{ClaimId, ModelName, RequestId};
-use crate::ledger::pool::GrantEnd;
+use crate::ledger::grant::GrantEnd;
 use crate::target::stream::REQUEST_HEADER;
 use crate::view::record::{ClaimKey, ClaimOutcome};
 
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -12,7 +12,7 @@
 use crate::clock::TimeSource;
 use crate::config::EntrySettings;
 use crate::ids::{RequestId, TargetName, TeamName};
-use crate::ledger::pool::PoolLoad;
+use crate::ledger::grant::PoolLoad;
 use crate::policy::retry::RetryBudget;
 use crate::view::View;
 use crate::view::freshness::FRESH_FOR;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod entry;
 pub mod error;
 pub mod fake;
+pub mod hex;
 pub mod ids;
 pub mod ledger;
 pub mod logging;
--- a/src/steward/actor.rs
+++ b/src/steward/actor.rs
@@ -20,7 +20,7 @@
 use crate::clock::TimeSource;
 use crate::config::StewardSettings;
 use crate::ids::{InstanceId, Offset, VmName};
-use crate::ledger::pool::TicketId;
+use crate::ledger::grant::TicketId;
 use crate::platform::log::LogClient;
 use crate::platform::vms::fetch_vms;
 use crate::target::control::{cancel_stream, list_streams, send_order};
@@ -372,7 +372,7 @@
             self.core.with_pool(&key, |pool| {
                 for part in parts {
                     if pool.targets().contains_key(&part.target) {
-                        pool.release(part.grant, crate::ledger::pool::GrantEnd::Withdrawn, now);
+                        pool.release(part.grant, crate::ledger::grant::GrantEnd::Withdrawn, now);
                     }
                 }
             });
--- a/src/steward/calls.rs
+++ b/src/steward/calls.rs
@@ -12,7 +12,7 @@
 use super::actor::{FollowWaiter, StewardActor};
 use super::messages::{SubmitCall, WithdrawCall};
 use super::writer::WriteState;
-use crate::ledger::pool::TicketId;
+use crate::ledger::grant::TicketId;
 use crate::view::record::ClaimEvent;
 use crate::wire::message::StewardRefusal;
 use crate::wire::server::CallHandler;
--- a/src/steward/core.rs
+++ b/src/steward/core.rs
@@ -1,14 +1,16 @@
 //! What a steward knows and decides, without input or output.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use super::orders::{OrderBook, TargetOrder};
+use super::recent::RecentRecords;
 use crate::chart::{self, StateChart};
 use crate::ids::{
     DomainName, GrantId, InstanceId, ModelName, Offset, RequestId, TargetName, TeamName, VmName,
 };
-use crate::ledger::pool::{PoolLedger, PoolReply, PoolRequest, TicketId};
+use crate::ledger::grant::{PoolReply, PoolRequest, TicketId};
+use crate::ledger::pool::PoolLedger;
 use crate::ledger::target_ledger::{StreamReport, TargetGrant};
 use crate::ledger::team_ledger::TeamLedger;
 use crate::platform::log::LogRead;
@@ -24,8 +26,6 @@
 use crate::wire::hot::{BeatMessage, PoolAsk};
 use crate::wire::message::{HeldTarget, HeldTeam, PeerReply, PoolStatus, StewardRefusal};
 
-/// Records kept in memory for peers and entries that are a little behind.
-const RECENT_RECORDS: usize = 4_000;
 const RETRY_UNSETTLED: Duration = Duration::from_millis(250);
 const RETRY_STALE: Duration = Duration::from_secs(1);
 const RETRY_CEILING: Duration = Duration::from_secs(1);
@@ -47,7 +47,7 @@
     view: View,
     freshness: FreshnessTracker,
     pending: Vec<ForceTracker>,
-    recent: VecDeque<LogEntry>,
+    recent: RecentRecords,
     pools: BTreeMap<PoolKey, PoolLedger>,
     teams: BTreeMap<TeamName, TeamLedger>,
     next_team_serial: u64,
@@ -71,7 +71,7 @@
             view: View::default(),
             freshness: FreshnessTracker::default(),
             pending: Vec::new(),
-            recent: VecDeque::new(),
+            recent: RecentRecords::default(),
             pools: BTreeMap::new(),
             teams: BTreeMap::new(),
             next_team_serial: 0,
@@ -185,10 +185,7 @@
                 continue;
             }
             let verdict = self.view.fold(entry);
-            self.recent.push_back(entry.clone());
-            if self.recent.len() > RECENT_RECORDS {
-                self.recent.pop_front();
-            }
+            self.recent.push(entry.clone());
             news.folded.push((entry.clone(), verdict));
         }
         if !news.folded.is_empty() {
@@ -599,12 +596,7 @@
         if after >= self.view.offset() {
             return Some(Vec::new());
         }
-        let first = self.recent.front()?.offset;
-        if first > after.next() {
-            return None;
-        }
-        let newer = self.recent.iter().filter(|entry| entry.offset > after);
-        Some(newer.cloned().collect())
+        self.recent.after(after)
     }
 
     /// The whole view as text.
--- a/src/steward/messages.rs
+++ b/src/steward/messages.rs
@@ -7,7 +7,7 @@
 
 use super::writer::WriteState;
 use crate::ids::{TargetName, VmName};
-use crate::ledger::pool::TicketId;
+use crate::ledger::grant::TicketId;
 use crate::platform::log::{LogRead, Result as LogResult};
 use crate::target::control::StreamListing;
 use crate::view::View;
--- a/src/steward/mod.rs
+++ b/src/steward/mod.rs
@@ -10,4 +10,5 @@
 pub mod orders;
 pub mod peers;
 mod rebuild;
+pub mod recent;
 pub mod writer;
--- a/src/view/fold.rs
+++ b/src/view/fold.rs
@@ -156,11 +156,11 @@
         let RowKey::Team(name) = key else {
             return;
         };
-        if let Some(old) = self.team(name).map(|team| team.key.clone()) {
+        if let Some(old) = self.team(name).map(|team| team.key) {
             self.teams_by_key.remove(&old);
         }
         if let Some(TableRow::Team(team)) = row {
-            self.teams_by_key.insert(team.key.clone(), name.clone());
+            self.teams_by_key.insert(team.key, name.clone());
         }
     }
 
@@ -221,9 +221,10 @@
                 let Some(TableRow::Team(team)) = row else {
                     return None;
                 };
-                let holder = self.teams_by_key.get(&team.key)?;
-                (holder != name)
-                    .then(|| format!("team {holder} has the same key; give {name} another one"))
+                let holder = self.key_holder(name, team.key, change)?;
+                Some(format!(
+                    "team {holder} has the same key; give {name} another one"
+                ))
             }
             RowKey::Approval(_, pattern) => {
                 let owners = self.owners_covered(pattern, change);
@@ -264,6 +265,27 @@
         }
     }
 
+    /// Another team with the same key, in the table or in the change itself.
+    fn key_holder<'a>(
+        &'a self,
+        name: &TeamName,
+        digest: KeyDigest,
+        change: &'a TableChange,
+    ) -> Option<&'a TeamName> {
+        let beside = change
+            .rows
+            .iter()
+            .filter_map(|row| match (&row.key, &row.row) {
+                (RowKey::Team(other), Some(TableRow::Team(team))) => Some((other, team.key)),
+                _ => None,
+            });
+        let stands = self.teams_by_key.get(&digest).map(|other| (other, digest));
+        let mut holders = beside.chain(stands);
+        holders
+            .find(|(other, key)| *other != name && *key == digest)
+            .map(|(other, _)| other)
+    }
+
     /// Owners of the targets that `pattern` covers, counting the change's own rows.
     fn owners_covered(
         &self,
@@ -275,7 +297,9 @@
             .rows
             .iter()
             .filter_map(|row| match (&row.key, &row.row) {
-                (RowKey::Target(name), Some(TableRow::Target(target))) => Some((name, target)),
+                (RowKey::Target(name), Some(TableRow::Target(target))) => {
+                    Some((name, target.as_ref()))
+                }
                 _ => None,
             });
         let mut owners: Vec<AuthorName> = stands
@@ -305,7 +329,7 @@
     /// A target's row.
     pub fn target(&self, name: &TargetName) -> Option<&TargetRow> {
         match &self.rows.get(&RowKey::Target(name.clone()))?.row {
-            Some(TableRow::Target(row)) => Some(row),
+            Some(TableRow::Target(row)) => Some(row.as_ref()),
             _ => None,
         }
     }
--- a/src/view/sheet.rs
+++ b/src/view/sheet.rs
@@ -167,7 +167,7 @@
             set("name", name);
             set("weight", &row.weight);
             set("ceiling_tokens", &row.ceiling_tokens);
-            set("key", &format!("{DIGEST_PREFIX}{}", row.key.as_str()));
+            set("key", &format!("{DIGEST_PREFIX}{}", row.key));
         }
         (RowKey::Approval(team, pattern), TableRow::Approval(row)) => {
             set("kind", &"approval");
@@ -348,7 +348,7 @@
         };
         SheetRow {
             key: RowKey::Target(TargetName::new(name)),
-            row: TableRow::Target(row),
+            row: TableRow::Target(Box::new(row)),
         }
     }
 
@@ -367,19 +367,12 @@
     fn team(&mut self, cells: SheetCells<'_>, name: String) -> SheetRow {
         let key = self.text(cells, "key");
         let digest = match key.strip_prefix(DIGEST_PREFIX) {
-            Some(hex) if hex.len() == 64 && hex.bytes().all(|byte| byte.is_ascii_hexdigit()) => {
-                KeyDigest::from_hex(hex.to_lowercase())
-            }
-            Some(_) => {
+            Some(hex) => KeyDigest::parse_hex(hex).unwrap_or_else(|| {
                 let what = "the digest does not have 64 hexadecimal digits";
-                self.mistake(
-                    cells.line,
-                    "key",
-                    what,
-                    "write the key itself, or its whole digest",
-                );
-                KeyDigest::from_hex("")
-            }
+                let remedy = "write the key itself, or its whole digest";
+                self.mistake(cells.line, "key", what, remedy);
+                KeyDigest::of_key("")
+            }),
             None => KeyDigest::of_key(&key),
         };
         let row = TeamRow {
--- a/src/view/signature.rs
+++ b/src/view/signature.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use super::record::RowChange;
+use crate::hex::{from_hex, to_hex};
 use crate::ids::AuthorName;
 
 const SECRET_BYTES: usize = 32;
@@ -118,17 +119,3 @@
 fn content(author: &AuthorName, rows: &[RowChange]) -> Vec<u8> {
     serde_json::to_vec(&(author, rows)).expect("a change holds only plain data")
 }
-
-fn to_hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn from_hex(text: &str) -> Option<Vec<u8>> {
-    if !text.is_ascii() || !text.len().is_multiple_of(2) {
-        return None;
-    }
-    (0..text.len())
-        .step_by(2)
-        .map(|at| u8::from_str_radix(&text[at..at + 2], 16).ok())
-        .collect()
-}
--- a/src/view/table.rs
+++ b/src/view/table.rs
@@ -2,10 +2,11 @@
 
 use std::fmt;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 use sha2::{Digest, Sha256};
 
 use super::signature::PublicKey;
+use crate::hex::{from_hex, to_hex};
 use crate::ids::{AuthorName, DomainName, ModelName, Offset, TargetName, TeamName};
 
 /// Whether a failure domain or target takes new work.
@@ -86,31 +87,52 @@
     }
 }
 
-/// SHA-256 of a caller's bearer key, in hexadecimal; keys themselves are never stored.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct KeyDigest(String);
+const DIGEST_BYTES: usize = 32;
+
+/// SHA-256 of a caller's bearer key; keys themselves are never stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyDigest([u8; DIGEST_BYTES]);
 
 impl KeyDigest {
     /// Digest of a key in the clear.
     ///
     /// ```
     /// use plantainnotch::view::table::KeyDigest;
-    /// assert_eq!(KeyDigest::of_key("secret").as_str().len(), 64);
+    /// assert_eq!(KeyDigest::of_key("secret").to_string().len(), 64);
     /// ```
     pub fn of_key(key: &str) -> Self {
-        let digest = Sha256::digest(key.as_bytes());
-        Self(digest.iter().map(|byte| format!("{byte:02x}")).collect())
+        Self(Sha256::digest(key.as_bytes()).into())
     }
 
-    /// Wraps a digest that is already in hexadecimal.
-    pub fn from_hex(hex: impl Into<String>) -> Self {
-        Self(hex.into())
+    /// Reads a digest of 64 hexadecimal digits.
+    pub fn parse_hex(hex: &str) -> Option<Self> {
+        from_hex(hex)?.try_into().ok().map(Self)
     }
+}
 
-    /// The digest in hexadecimal.
-    pub fn as_str(&self) -> &str {
-        &self.0
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&to_hex(&self.0))
+    }
+}
+
+impl Serialize for KeyDigest {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        self.0.serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for KeyDigest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if !deserializer.is_human_readable() {
+            return <[u8; DIGEST_BYTES]>::deserialize(deserializer).map(Self);
+        }
+        let hex = String::deserialize(deserializer)?;
+        Self::parse_hex(&hex)
+            .ok_or_else(|| de::Error::custom("not a digest of 64 hexadecimal digits"))
     }
 }
 
@@ -181,7 +203,7 @@
     /// A failure domain.
     Domain(DomainRow),
     /// A target.
-    Target(TargetRow),
+    Target(Box<TargetRow>),
     /// A team.
     Team(TeamRow),
     /// An approval.
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -4,7 +4,7 @@
 
 use super::hot::{BeatMessage, PoolAsk};
 use crate::ids::{GrantId, Offset, RequestId, TargetName, TeamName, VmName};
-use crate::ledger::pool::{GrantEnd, GrantPart, PoolLoad, PoolRefusal};
+use crate::ledger::grant::{GrantEnd, GrantPart, PoolLoad, PoolRefusal};
 use crate::policy::lane::PromptLane;
 use crate::view::ownership::PoolKey;
 use crate::view::record::{ClaimEvent, LogEntry};
--- a/tests/core/fixtures.rs
+++ b/tests/core/fixtures.rs
@@ -6,7 +6,7 @@
 use plantainnotch::ids::{
     AuthorName, DomainName, ModelName, Offset, RecordId, RequestId, TargetName, TeamName, VmName,
 };
-use plantainnotch::ledger::pool::PoolRequest;
+use plantainnotch::ledger::grant::PoolRequest;
 use plantainnotch::view::View;
 use plantainnotch::view::record::{
     LogEntry, LogRecord, MemberJoin, RecordBody, RowChange, TableChange,
@@ -75,7 +75,7 @@
 }
 
 pub fn target_row(domain: &str, owner: &str, memory: u64) -> TableRow {
-    TableRow::Target(TargetRow {
+    TableRow::Target(Box::new(TargetRow {
         kind: TargetKind::Engine,
         domain: DomainName::new(domain),
         owner: AuthorName::new(owner),
@@ -87,7 +87,7 @@
         checks_fencing: true,
         version: None,
         state: ServiceState::In,
-    })
+    }))
 }
 
 pub fn team_row(key: &str, weight: u32, ceiling: u64) -> TableRow {
--- a/tests/core/ledger.rs
+++ b/tests/core/ledger.rs
@@ -5,7 +5,8 @@
 
 use plantainnotch::chart;
 use plantainnotch::ids::{GrantId, InstanceId, Offset, RequestId, TargetName, TeamName};
-use plantainnotch::ledger::pool::{GrantEnd, PoolLedger, PoolRefusal, PoolReply, TicketId};
+use plantainnotch::ledger::grant::{GrantEnd, PoolRefusal, PoolReply, TicketId};
+use plantainnotch::ledger::pool::PoolLedger;
 use plantainnotch::ledger::slow_start::{StartWindow, TargetEvent};
 use plantainnotch::ledger::target_ledger::{REPORT_LAG, StreamReport};
 use plantainnotch::policy::placement::PlacementPolicy;
@@ -100,7 +101,7 @@
     }
 
     /// What was just granted must have fitted memory and the window.
-    fn check_room(&mut self, parts: &[plantainnotch::ledger::pool::GrantPart]) {
+    fn check_room(&mut self, parts: &[plantainnotch::ledger::grant::GrantPart]) {
         for part in parts {
             let ledger = &self.pool.targets()[&part.target];
             self.sound &= ledger.used() <= MEMORY;
--- a/tests/core/orders.rs
+++ b/tests/core/orders.rs
@@ -18,7 +18,7 @@
     TargetRow {
         checks_fencing,
         version: Some("v2".into()),
-        ..row
+        ..*row
     }
 }
 
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -322,31 +322,43 @@
 
 /// A page as JSON, by a client that blocks.
 pub fn page(address: &str, path: &str) -> Option<Value> {
-    let text = exchange(address, "GET", path, "")?;
+    let (_, text) = exchange(address, "GET", path, "", "")?;
     serde_json::from_str(&text).ok()
 }
 
 /// Posts JSON to a stand-in.
 pub fn post(address: &str, path: &str, body: &Value) {
     let address = address.trim_start_matches("http://");
-    exchange(address, "POST", path, &body.to_string()).expect("the stand-in answers");
+    exchange(address, "POST", path, "", &body.to_string()).expect("the stand-in answers");
 }
 
-fn exchange(address: &str, method: &str, path: &str, body: &str) -> Option<String> {
+/// One HTTP exchange on a connection of its own: status and body. `headers` are lines
+/// that each end in `\r\n`.
+pub fn exchange(
+    address: &str,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+) -> Option<(u16, String)> {
     use std::io::{Read, Write};
-    let timeout = Duration::from_secs(2);
+    let timeout = Duration::from_secs(10);
     let address = address.parse().ok()?;
     let mut stream = std::net::TcpStream::connect_timeout(&address, timeout).ok()?;
     stream.set_read_timeout(Some(timeout)).ok()?;
     let head = format!(
-        "{method} {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        "{method} {path} HTTP/1.1\r\nhost: {address}\r\nconnection: close\r\ncontent-type: application/json\r\n{headers}content-length: {}\r\n\r\n",
         body.len()
     );
     stream.write_all(head.as_bytes()).ok()?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).ok()?;
+    // A refused body may not be read to its end.
+    stream.write_all(body.as_bytes()).ok();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).ok();
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    let status = answer.split_whitespace().nth(1)?.parse().ok()?;
     let (_, text) = answer.split_once("\r\n\r\n")?;
-    Some(text.to_owned())
+    Some((status, text.to_owned()))
 }
 
 /// What must be zero whatever fails, as callers saw it and targets counted it.
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -1,5 +1,6 @@
 //! Failures over real processes: kills, freezes, outages, cuts, operator races.
 
+mod callers;
 mod failures;
 mod fleet;
 mod operators;
