Judge a deadline by a team's own wait, and do not take a busy target for a slow one

The wait was estimated from the whole queue, the flood included, and the prefill rate was learned from a prompt alone although the target had others before it: with 16 at once it looked sixteen times slower. Now the wait counts of each other team no more than its share until then, and a sample counts all that the target had to prefill; a lower sample, which may stem from shorter prompts that went ahead, weighs a fifth of a higher one.

--- a/src/ledger/fair_queue.rs
+++ b/src/ledger/fair_queue.rs
@@ -19,6 +19,22 @@
     items: VecDeque<QueuedItem<T>>,
 }
 
+impl<T> TeamQueue<T> {
+    fn cost(&self) -> u64 {
+        self.items.iter().map(|queued| queued.cost).sum()
+    }
+
+    /// Cost of the items that start by the virtual time `until`.
+    fn cost_until(&self, until: f64, virtual_time: f64) -> u64 {
+        let begun = self.finish.max(virtual_time);
+        let Some(head) = self.items.front().filter(|_| begun <= until) else {
+            return 0;
+        };
+        let share = (until - begun) * f64::from(self.weight);
+        self.cost().min(share as u64 + head.cost)
+    }
+}
+
 /// Start-time fair queue: the team with the earliest virtual start goes first.
 ///
 /// A team that was idle starts at the present virtual time, so that its unused share
@@ -95,6 +111,18 @@
         None
     }
 
+    /// Cost of what would be served before a new item of a team: its own items, and of each
+    /// other team no more than its share until then.
+    pub fn cost_ahead(&self, team: &TeamName, weight: u32) -> u64 {
+        let own = self.teams.get(team);
+        let own_cost = own.map_or(0, TeamQueue::cost);
+        let begun = own.map_or(0.0, |queue| queue.finish).max(self.virtual_time);
+        let start = begun + own_cost as f64 / f64::from(weight.max(1));
+        let others = self.teams.iter().filter(|(name, _)| *name != team);
+        let ahead = others.map(|(_, queue)| queue.cost_until(start, self.virtual_time));
+        own_cost + ahead.sum::<u64>()
+    }
+
     /// Takes out all items that `pick` names, in no particular order.
     pub fn remove_where(&mut self, mut pick: impl FnMut(&T) -> bool) -> Vec<T> {
         let mut removed = Vec::new();
@@ -128,14 +156,6 @@
         self.len() == 0
     }
 
-    /// Cost of all that waits.
-    pub fn cost(&self) -> u64 {
-        let queues = self.teams.values();
-        queues
-            .flat_map(|queue| queue.items.iter().map(|queued| queued.cost))
-            .sum()
-    }
-
     /// Forgets teams that have nothing waiting and no debt.
     fn drop_idle_teams(&mut self) {
         let virtual_time = self.virtual_time;
--- a/src/ledger/pool.rs
+++ b/src/ledger/pool.rs
@@ -184,14 +184,14 @@
             let Some(held) = ledger.grants().get(&grant) else {
                 continue;
             };
-            let expected = self.rate.prefill_time(ledger.prefill_backlog());
+            let expected = self.rate.prefill_time(held.backlog);
             let slow = elapsed > expected * SLOW_FIRST_TOKEN + SLOW_FIRST_TOKEN_FLOOR;
-            let prompt = held.prompt;
+            let backlog = held.backlog;
             ledger.mark_prefilled(grant);
             if slow {
                 ledger.window.apply(&self.chart, TargetEvent::Failed);
             } else {
-                self.rate.learn_prefill(prompt, elapsed);
+                self.rate.learn_prefill(backlog, elapsed);
             }
             return;
         }
@@ -334,7 +334,7 @@
         if gang_size(request.amount(), memory.unwrap_or(0)) > candidates.len() {
             return Some(PoolRefusal::TooLong);
         }
-        let done = now + self.estimated_wait(lane) + self.service_time(request);
+        let done = now + self.wait_of(request, lane) + self.service_time(request);
         if done > request.deadline {
             return Some(PoolRefusal::Deadline);
         }
@@ -377,7 +377,21 @@
         self.rate.prefill_time(request.prompt / size) + self.rate.decode_time(request.max_output)
     }
 
-    /// Time until a request that arrives now would start.
+    /// Time until a team's request would start, the others' shares considered.
+    fn wait_of(&self, request: &PoolRequest, lane: PromptLane) -> Duration {
+        let queue = match lane {
+            PromptLane::Short => &self.short_queue,
+            PromptLane::Long => &self.long_queue,
+        };
+        let count = self.serving().count().max(1) as u64;
+        let ahead = queue.cost_ahead(&request.team, request.weight);
+        match self.policy {
+            PlacementPolicy::Lanes => self.rate.prefill_time((ahead + self.backlog()) / count),
+            _ => self.estimated_wait(lane),
+        }
+    }
+
+    /// Time until a request that arrives now would start, whatever its team.
     fn estimated_wait(&self, lane: PromptLane) -> Duration {
         match lane {
             PromptLane::Short => self.short_wait(),
@@ -562,6 +576,7 @@
                 request: request.request,
                 amount: share,
                 prompt: request.prompt / size,
+                backlog: ledger.prefill_backlog() + request.prompt / size,
                 lane: waiting.lane,
                 prefilled: false,
                 use_by,
--- a/src/ledger/target_ledger.rs
+++ b/src/ledger/target_ledger.rs
@@ -26,6 +26,8 @@
     pub amount: u64,
     /// Tokens of the prompt that this target prefills.
     pub prompt: u64,
+    /// Prompt tokens that the target had before it when this was granted, these included.
+    pub backlog: u64,
     /// The request's lane.
     pub lane: PromptLane,
     /// Whether the first token has come.
--- a/src/policy/estimate.rs
+++ b/src/policy/estimate.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 const SAMPLE_WEIGHT: f64 = 0.1;
+const LOWER_SAMPLE_WEIGHT: f64 = 0.02;
 const SHORTEST_SAMPLE_TOKENS: u64 = 2_000; // below, the first token's own overhead dominates
 const INITIAL_PREFILL_PER_S: f64 = 20_000.0;
 const INITIAL_DECODE_INTERVAL_S: f64 = 0.02;
@@ -29,13 +30,20 @@
 }
 
 impl RateEstimate {
-    /// Learns from a prompt of `prompt` tokens whose first token took `elapsed`.
-    pub fn learn_prefill(&mut self, prompt: u64, elapsed: Duration) {
-        if prompt < SHORTEST_SAMPLE_TOKENS || elapsed.is_zero() {
+    /// Learns from a target that had `backlog` prompt tokens to prefill until a first
+    /// token that took `elapsed`. What shorter prompts took in between is not known, so a
+    /// lower sample counts for less than a higher one.
+    pub fn learn_prefill(&mut self, backlog: u64, elapsed: Duration) {
+        if backlog < SHORTEST_SAMPLE_TOKENS || elapsed.is_zero() {
             return;
         }
-        let sample = prompt as f64 / elapsed.as_secs_f64();
-        blend(&mut self.prefill_per_s, sample);
+        let sample = backlog as f64 / elapsed.as_secs_f64();
+        let weight = if sample < self.prefill_per_s {
+            LOWER_SAMPLE_WEIGHT
+        } else {
+            SAMPLE_WEIGHT
+        };
+        blend(&mut self.prefill_per_s, sample, weight);
     }
 
     /// Learns from an answer of `output` tokens, of `max_output` allowed, that took
@@ -47,8 +55,13 @@
         blend(
             &mut self.decode_interval_s,
             elapsed.as_secs_f64() / output as f64,
+            SAMPLE_WEIGHT,
+        );
+        blend(
+            &mut self.output_share,
+            output as f64 / max_output as f64,
+            SAMPLE_WEIGHT,
         );
-        blend(&mut self.output_share, output as f64 / max_output as f64);
     }
 
     /// Time to prefill `prompt` tokens on one idle target.
@@ -68,8 +81,8 @@
     }
 }
 
-fn blend(value: &mut f64, sample: f64) {
-    *value += SAMPLE_WEIGHT * (sample - *value);
+fn blend(value: &mut f64, sample: f64, weight: f64) {
+    *value += weight * (sample - *value);
 }
 
 /// Prompt tokens a second that arrive, with older arrivals counting less.
--- a/src/steward/core.rs
+++ b/src/steward/core.rs
@@ -455,6 +455,7 @@
                 request: held.request,
                 amount: held.part.share,
                 prompt: held.prompt,
+                backlog: held.prompt,
                 lane: held.lane,
                 prefilled: held.prefilled,
                 use_by: now,
--- a/tests/core/ledger.rs
+++ b/tests/core/ledger.rs
@@ -342,3 +342,46 @@
     }
     assert!(matches!(&tried_again[..], [(_, PoolReply::Granted { .. })]));
 }
+
+#[test]
+fn a_busy_target_does_not_look_slow() {
+    // Arrange: eight prompts of 1,000 tokens at once on a target that prefills 20,000 a second.
+    let view = view_of(small_table(1, 1_000_000));
+    let mut pool = pool_of(&view, PlacementPolicy::Lanes);
+    let now = Instant::now();
+    for number in 0..20 {
+        let (_, grant) = grant_one(&mut pool, number, now);
+        let end = GrantEnd::Completed {
+            output: 5,
+            max_output: 10,
+            decode_ms: 50,
+        };
+        pool.release(grant, end, now);
+    }
+    for round in 0..50 {
+        for number in 0..8 {
+            let ticket = TicketId(1_000 + round * 8 + number);
+            let request = pool_request(ticket.0, "kigali", 1_000, now + seconds(300.0));
+            pool.acquire(ticket, request, &all_approved, now);
+        }
+        pool.dispatch(&all_approved, now);
+
+        // Act: their first tokens come one after another.
+        for (place, (_, reply)) in pool.take_replies().into_iter().enumerate() {
+            let PoolReply::Granted { parts, .. } = reply else {
+                panic!("expected a grant, got {reply:?}");
+            };
+            pool.first_token(parts[0].grant, seconds(0.05 * (place + 1) as f64));
+            pool.release(parts[0].grant, GrantEnd::Withdrawn, now);
+        }
+    }
+
+    // Assert: a prompt that needs 0.5 s is still admitted with a deadline of 0.8 s.
+    let request = pool_request(9_999, "kigali", 10_000, now + seconds(0.8));
+    pool.acquire(TicketId(9_999), request, &all_approved, now);
+    pool.dispatch(&all_approved, now);
+    assert!(matches!(
+        &pool.take_replies()[..],
+        [(_, PoolReply::Granted { .. })]
+    ));
+}
--- a/tests/core/queue.rs
+++ b/tests/core/queue.rs
@@ -77,3 +77,19 @@
     assert_eq!(taken, Some("small"));
     assert_eq!(queue.len(), 1);
 }
+
+#[test]
+fn what_is_ahead_of_a_quiet_team_is_not_the_whole_flood() {
+    // Arrange
+    let mut queue = FairQueue::default();
+    for number in 0..100 {
+        queue.push(&TeamName::new("flood"), 1, 10, number);
+    }
+
+    // Act
+    let quiet = queue.cost_ahead(&TeamName::new("quiet"), 1);
+    let flood = queue.cost_ahead(&TeamName::new("flood"), 1);
+
+    // Assert
+    assert_eq!((quiet, flood), (10, 1_000));
+}
