Relay what members heard of others while a change is not in force or the log is out

Cause: with 12 neighbours a member hears at most about 24 others. Beyond that they are no majority, so that no takeover would have come into force and no outage been survived; found when writing down the capacity at 350 members, where heartbeats alone cannot give a majority's word. Heartbeats now carry what their sender heard of others, with ages, while that matters.

--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -27,6 +27,7 @@
 const SHORT_TIMEOUT: Duration = Duration::from_secs(30);
 const LONG_TIMEOUT: Duration = Duration::from_secs(300);
 const SHORT_PROMPT_TOKENS: u64 = 20_000;
+const TIMEOUT_PER_OUTPUT_TOKEN: Duration = Duration::from_millis(60);
 const LONGEST_TIMEOUT_MS: u64 = 3_600_000;
 
 /// Serves callers until told to stop.
@@ -66,16 +67,11 @@
         .workers(workers)
         .client_request_timeout(HEAD_WITHIN)
         .disable_signals()
-        .shutdown_timeout(shared_shutdown_seconds())
+        .shutdown_timeout(LONG_TIMEOUT.as_secs())
         .bind(listen)?;
     Ok(bound.run())
 }
 
-/// Seconds in which connections may finish once the server is told to stop.
-fn shared_shutdown_seconds() -> u64 {
-    LONG_TIMEOUT.as_secs()
-}
-
 /// The team of a caller, by its bearer key.
 ///
 /// # Errors
@@ -140,12 +136,16 @@
     })
 }
 
-fn default_timeout(prompt: u64) -> Duration {
-    if prompt <= SHORT_PROMPT_TOKENS {
+/// The time for a request that names none, by the length of its prompt and answer.
+fn default_timeout(body: &ChatBody, prompt: u64) -> Duration {
+    let base = if prompt <= SHORT_PROMPT_TOKENS {
         SHORT_TIMEOUT
     } else {
         LONG_TIMEOUT
-    }
+    };
+    let output = u32::try_from(body.max_output()).unwrap_or(u32::MAX);
+    let decode = TIMEOUT_PER_OUTPUT_TOKEN.saturating_mul(output);
+    (base + decode).min(Duration::from_millis(LONGEST_TIMEOUT_MS))
 }
 
 /// Maps a body that is too large to an error of ours.
@@ -179,7 +179,7 @@
         request: RequestId::random(),
         team,
         arrived,
-        deadline: arrived + deadline_of(&http, default_timeout(prompt))?,
+        deadline: arrived + deadline_of(&http, default_timeout(&body, prompt))?,
         shared: shared.clone(),
     };
     let need = ReserveNeed {
--- a/src/steward/actor.rs
+++ b/src/steward/actor.rs
@@ -10,8 +10,8 @@
 
 use super::core::{FoldNews, StewardCore};
 use super::messages::{
-    BeatArrived, LeaveFleet, LogArrived, NewsArrived, ProbeEnded, ReadSoon, TargetListed,
-    ViewRebuilt, VmsListed,
+    BeatAnswer, BeatArrived, LeaveFleet, LogArrived, NewsArrived, ProbeEnded, ReadSoon,
+    TargetListed, ViewRebuilt, VmsListed,
 };
 use super::metrics::StewardMetrics;
 use super::peers::{BEAT_EVERY, PeerWatch, SuspicionStep};
@@ -400,6 +400,7 @@
         let call = Arc::new(PeerCall::Beat {
             beat: self.core.beat(now),
             loads: self.core.own_loads(),
+            relayed: self.core.relayed(now),
         });
         for (vm, incarnation, address) in peers {
             let client = self.client(&address);
@@ -408,7 +409,15 @@
             let name = vm.clone();
             actix_rt::spawn(async move {
                 let answer = match client.call(&call, CALL_WITHIN).await {
-                    Ok(PeerReply::Beat { beat, loads }) => Some((beat, loads)),
+                    Ok(PeerReply::Beat {
+                        beat,
+                        loads,
+                        relayed,
+                    }) => Some(BeatAnswer {
+                        beat,
+                        loads,
+                        relayed,
+                    }),
                     _ => None,
                 };
                 addr.do_send(BeatArrived {
@@ -633,12 +642,19 @@
     type Result = ();
 
     fn handle(&mut self, arrived: BeatArrived, ctx: &mut Self::Context) {
-        if let Some((beat, loads)) = arrived.answer
+        if let Some(BeatAnswer {
+            beat,
+            loads,
+            relayed,
+        }) = arrived.answer
             && beat.vm == arrived.vm
         {
             let now = self.clock.now();
             self.watch.heard(&beat.vm, now);
-            if self.core.peer_answered(&beat, loads, arrived.asked, now) {
+            if self
+                .core
+                .peer_answered(&beat, loads, &relayed, arrived.asked, now)
+            {
                 self.pull_from(&beat.vm, ctx);
             }
         }
--- a/src/steward/calls.rs
+++ b/src/steward/calls.rs
@@ -30,14 +30,19 @@
             reply,
         } = submit;
         let answer = match call {
-            PeerCall::Beat { beat, loads } => {
+            PeerCall::Beat {
+                beat,
+                loads,
+                relayed,
+            } => {
                 self.watch.heard(&beat.vm, now);
-                if self.core.peer_told(&beat, loads, now) {
+                if self.core.peer_told(&beat, loads, &relayed, now) {
                     self.pull_from(&beat.vm, ctx);
                 }
                 PeerReply::Beat {
                     beat: self.core.beat(now),
                     loads: self.core.own_loads(),
+                    relayed: self.core.relayed(now),
                 }
             }
             PeerCall::Probe { vm } => PeerReply::Probed {
--- a/src/steward/core.rs
+++ b/src/steward/core.rs
@@ -24,7 +24,9 @@
 use crate::view::table::RowKey;
 use crate::view::{Verdict, View};
 use crate::wire::hot::{BeatMessage, PoolAsk};
-use crate::wire::message::{HeldTarget, HeldTeam, PeerReply, PoolStatus, StewardRefusal};
+use crate::wire::message::{
+    HeldTarget, HeldTeam, PeerReply, PoolStatus, RelayedReport, StewardRefusal,
+};
 
 const RETRY_UNSETTLED: Duration = Duration::from_millis(250);
 const RETRY_STALE: Duration = Duration::from_secs(1);
@@ -537,6 +539,22 @@
         }
     }
 
+    /// What this steward heard of others, as long as a change of members is not in force or
+    /// the log is out: only then do members need the word of more than their neighbours.
+    pub fn relayed(&self, now: Instant) -> Vec<RelayedReport> {
+        if self.pending.is_empty() && !self.freshness.unreachable() {
+            return Vec::new();
+        }
+        let recent = self.freshness.recent_reports(now);
+        let relayed = recent.map(|(vm, report)| RelayedReport {
+            vm: vm.clone(),
+            offset: report.offset,
+            log_unreachable: report.log_unreachable,
+            age_ms: now.saturating_duration_since(report.as_of).as_millis() as u64 + 1,
+        });
+        relayed.collect()
+    }
+
     /// Loads of the pools that this steward owns.
     pub fn own_loads(&self) -> Vec<PoolStatus> {
         self.pools
@@ -558,11 +576,20 @@
     /// Takes in what a peer said of itself unasked. How old that is cannot be known, so
     /// it counts for nothing that depends on time. Returns whether the peer has records
     /// that this steward lacks.
-    pub fn peer_told(&mut self, beat: &BeatMessage, loads: Vec<PoolStatus>, now: Instant) -> bool {
+    pub fn peer_told(
+        &mut self,
+        beat: &BeatMessage,
+        loads: Vec<PoolStatus>,
+        relayed: &[RelayedReport],
+        now: Instant,
+    ) -> bool {
         if self.view.members().get(&beat.vm).is_some() {
             self.peer_loads.insert(beat.vm.clone(), loads);
         }
         self.acknowledge(&beat.vm, beat.offset, now);
+        for report in relayed {
+            self.acknowledge(&report.vm, report.offset, now);
+        }
         beat.offset > self.view.offset()
     }
 
@@ -572,6 +599,7 @@
         &mut self,
         beat: &BeatMessage,
         loads: Vec<PoolStatus>,
+        relayed: &[RelayedReport],
         asked: Instant,
         now: Instant,
     ) -> bool {
@@ -583,13 +611,26 @@
             };
             self.freshness.report(&beat.vm, report);
         }
+        for heard in relayed {
+            let age = Duration::from_millis(heard.age_ms);
+            let known = self.view.members().get(&heard.vm).is_some();
+            let Some(as_of) = asked.checked_sub(age).filter(|_| known) else {
+                continue;
+            };
+            let report = PeerReport {
+                as_of,
+                offset: heard.offset,
+                log_unreachable: heard.log_unreachable,
+            };
+            self.freshness.report(&heard.vm, report);
+        }
         if beat.offset <= self.view.offset() {
             let age = beat.fresh_age_ms.map(Duration::from_millis);
             if let Some(as_of) = age.and_then(|age| asked.checked_sub(age)) {
                 self.freshness.confirm(as_of);
             }
         }
-        self.peer_told(beat, loads, now)
+        self.peer_told(beat, loads, relayed, now)
     }
 
     /// Records after `after`, if they are all still in memory.
--- a/src/steward/messages.rs
+++ b/src/steward/messages.rs
@@ -13,7 +13,7 @@
 use crate::view::View;
 use crate::view::ownership::PoolKey;
 use crate::wire::hot::BeatMessage;
-use crate::wire::message::PoolStatus;
+use crate::wire::message::{PoolStatus, RelayedReport};
 use crate::wire::{PeerCall, PeerReply};
 
 /// A call from the wire and where its answer goes.
@@ -45,7 +45,7 @@
 pub(super) struct BeatArrived {
     pub(super) vm: VmName,
     pub(super) asked: Instant,
-    pub(super) answer: Option<(BeatMessage, Vec<PoolStatus>)>,
+    pub(super) answer: Option<BeatAnswer>,
 }
 
 #[derive(Message)]
@@ -77,6 +77,13 @@
 #[rtype(result = "()")]
 pub(super) struct ViewRebuilt(pub(super) View);
 
+/// What a peer answered to a heartbeat.
+pub(super) struct BeatAnswer {
+    pub(super) beat: BeatMessage,
+    pub(super) loads: Vec<PoolStatus>,
+    pub(super) relayed: Vec<RelayedReport>,
+}
+
 /// Asks the steward how it stands, as JSON for operators.
 #[derive(Message)]
 #[rtype(result = "serde_json::Value")]
--- a/src/view/freshness.rs
+++ b/src/view/freshness.rs
@@ -45,9 +45,20 @@
         self.unreachable
     }
 
-    /// Notes a peer's report.
+    /// Notes a peer's report, unless a newer one is known.
     pub fn report(&mut self, vm: &VmName, report: PeerReport) {
-        self.reports.insert(vm.clone(), report);
+        let known = self.reports.entry(vm.clone()).or_insert(report);
+        if known.as_of < report.as_of {
+            *known = report;
+        }
+    }
+
+    /// The reports that are not too old to matter.
+    pub fn recent_reports(&self, now: Instant) -> impl Iterator<Item = (&VmName, &PeerReport)> {
+        let age = move |report: &PeerReport| now.saturating_duration_since(report.as_of);
+        self.reports
+            .iter()
+            .filter(move |(_, report)| age(report) < FRESH_FOR)
     }
 
     /// Drops the reports of VMs that are not members any more.
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -18,6 +18,8 @@
         beat: BeatMessage,
         /// Loads of the pools that the sender owns.
         loads: Vec<PoolStatus>,
+        /// What the sender heard of others, while that matters.
+        relayed: Vec<RelayedReport>,
     },
     /// Asks whether the steward can reach another one.
     Probe {
@@ -80,6 +82,19 @@
     Append(Vec<ClaimEvent>),
 }
 
+/// What a member heard of another one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RelayedReport {
+    /// The other member.
+    pub vm: VmName,
+    /// The last offset that it had folded.
+    pub offset: Offset,
+    /// Whether it could not reach the log.
+    pub log_unreachable: bool,
+    /// Milliseconds since before it was asked.
+    pub age_ms: u64,
+}
+
 /// How a pool stood when its steward last said so.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PoolStatus {
@@ -147,6 +162,8 @@
         beat: BeatMessage,
         /// Loads of the pools that it owns.
         loads: Vec<PoolStatus>,
+        /// What it heard of others, while that matters.
+        relayed: Vec<RelayedReport>,
     },
     /// The answer to [`PeerCall::Probe`].
     Probed {
--- a/tests/core/steward.rs
+++ b/tests/core/steward.rs
@@ -9,7 +9,7 @@
 use plantainnotch::view::record::LogEntry;
 use plantainnotch::wire::PeerReply;
 use plantainnotch::wire::hot::BeatMessage;
-use plantainnotch::wire::message::StewardRefusal;
+use plantainnotch::wire::message::{RelayedReport, StewardRefusal};
 
 use crate::fixtures::*;
 
@@ -94,7 +94,7 @@
         core.log_answered(&read_of(entries.clone()), at, at)
             .expect("nothing was cut");
         if ack {
-            core.peer_answered(&beat_of(0, 10, None), vec![], at, at);
+            core.peer_answered(&beat_of(0, 10, None), vec![], &[], at, at);
         }
         let replies = (0..8).map(|number| core.acquire_team(&team(number), 10, DEADLINE, at));
         replies.collect::<Vec<_>>()
@@ -145,9 +145,9 @@
     let later = now + seconds(60.0);
 
     // Act: a peer's heartbeat, sent long ago, arrives; then the answer to one of ours.
-    core.peer_told(&beat_of(1, 2, Some(10)), vec![], later);
+    core.peer_told(&beat_of(1, 2, Some(10)), vec![], &[], later);
     let after_heartbeat = core.is_fresh(later);
-    core.peer_answered(&beat_of(1, 2, Some(10)), vec![], later, later);
+    core.peer_answered(&beat_of(1, 2, Some(10)), vec![], &[], later, later);
     let after_answer = core.is_fresh(later);
 
     // Assert
@@ -186,3 +186,64 @@
     assert!(core.log_answered(&read, now, now).is_err());
     assert_eq!(core.view().offset(), Offset(0));
 }
+
+fn relayed(number: usize, offset: u64, age_ms: u64) -> RelayedReport {
+    RelayedReport {
+        vm: vm(number),
+        offset: Offset(offset),
+        log_unreachable: true,
+        age_ms,
+    }
+}
+
+/// A member of five that hears one neighbour only, the log being out.
+fn cut_member(now: Instant) -> StewardCore {
+    let mut core = steward(0);
+    let joins = (0..5)
+        .map(|number| entry(number as u64 + 1, join(number, 1)))
+        .collect();
+    core.log_answered(&read_of(joins), now, now)
+        .expect("nothing was cut");
+    core.set_log_unreachable(true);
+    core
+}
+
+#[test]
+fn relayed_reports_make_a_majority_in_an_outage_as_long_as_they_are_young() {
+    let start = Instant::now();
+    let now = start + seconds(60.0);
+    let beat = BeatMessage {
+        log_unreachable: true,
+        ..beat_of(1, 5, None)
+    };
+    let fresh = |reports: &[RelayedReport]| {
+        let mut core = cut_member(start);
+        core.peer_answered(&beat, vec![], reports, now, now);
+        core.is_fresh(now)
+    };
+    assert!(!fresh(&[]), "two of five are no majority");
+    assert!(fresh(&[relayed(2, 5, 1_500)]));
+    assert!(!fresh(&[relayed(2, 5, 2_100)]), "the report is old");
+    assert!(!fresh(&[relayed(2, 6, 10)]), "the other knows more");
+    assert!(!fresh(&[relayed(9, 5, 10)]), "a stranger does not count");
+}
+
+#[test]
+fn what_was_heard_is_relayed_only_while_it_matters() {
+    // Arrange: a lone member has no change that is not in force.
+    let now = Instant::now();
+    let mut settled = steward(0);
+    settled
+        .log_answered(&read_of(vec![entry(1, join(0, 1))]), now, now)
+        .expect("nothing was cut");
+    let mut cut = cut_member(now);
+    let beat = beat_of(1, 5, None);
+
+    // Act
+    settled.peer_answered(&beat, vec![], &[], now, now);
+    cut.peer_answered(&beat, vec![], &[], now, now);
+
+    // Assert
+    assert!(settled.relayed(now).is_empty());
+    assert_eq!(cut.relayed(now).len(), 1);
+}
