--- a/tests/core/ledger.rs
+++ b/tests/core/ledger.rs
@@ -345,7 +345,7 @@
 
 #[test]
 fn a_busy_target_does_not_look_slow() {
-    // Arrange: eight prompts of 1,000 tokens at once on a target that prefills 20,000 a second.
+    // Arrange: eight prompts of 3,000 tokens at once on a target that prefills 20,000 a second.
     let view = view_of(small_table(1, 1_000_000));
     let mut pool = pool_of(&view, PlacementPolicy::Lanes);
     let now = Instant::now();
@@ -361,7 +361,7 @@
     for round in 0..50 {
         for number in 0..8 {
             let ticket = TicketId(1_000 + round * 8 + number);
-            let request = pool_request(ticket.0, "kigali", 1_000, now + seconds(300.0));
+            let request = pool_request(ticket.0, "kigali", 3_000, now + seconds(300.0));
             pool.acquire(ticket, request, &all_approved, now);
         }
         pool.dispatch(&all_approved, now);
@@ -371,7 +371,7 @@
             let PoolReply::Granted { parts, .. } = reply else {
                 panic!("expected a grant, got {reply:?}");
             };
-            pool.first_token(parts[0].grant, seconds(0.05 * (place + 1) as f64));
+            pool.first_token(parts[0].grant, seconds(0.15 * (place + 1) as f64));
             pool.release(parts[0].grant, GrantEnd::Withdrawn, now);
         }
     }
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -60,7 +60,6 @@
 
 impl Drop for RunningProcess {
     fn drop(&mut self) {
-        self.signal("CONT");
         self.kill();
     }
 }
