Pass over a silent steward, and check before sending in one place

An idle ask waited for a frozen steward until pings ended its connection (3 s), and every request did so anew; it now waits 0.3 s, and pools whose stewards were silent are queued at last. The check right before a send stood twice, in the relay and in the services.

--- a/src/entry/grants.rs
+++ b/src/entry/grants.rs
@@ -23,6 +23,9 @@
 const PAUSE_BETWEEN_ROUNDS: Duration = Duration::from_millis(150);
 const RETRY_NO_CAPACITY: Duration = Duration::from_secs(2);
 
+/// An answer that needs no queueing is due at once; a steward that is silent is passed over.
+const IDLE_ANSWER_WITHIN: Duration = Duration::from_millis(300);
+
 /// With no steward able to decide, a request is refused after this long.
 const UNSETTLED_PATIENCE: Duration = Duration::from_secs(10);
 
@@ -99,6 +102,31 @@
         send_until_done(self.shared.clone(), call, owner);
     }
 
+    /// Checks, right before sending, everything that may have changed since the grant.
+    ///
+    /// # Errors
+    ///
+    /// Fails with what has changed; nothing may be sent then.
+    pub fn check_before_send(&self) -> std::result::Result<(), &'static str> {
+        let now = self.shared.now();
+        if now >= self.use_by {
+            return Err("the reservation lapsed before it was used");
+        }
+        self.shared.read(|followed| {
+            if !followed.is_fresh(now) {
+                return Err("this entry does not know the present state of the fleet");
+            }
+            let in_service = self.parts.iter().all(|part| {
+                let row = followed.view.target(&part.target);
+                row.is_some_and(|row| followed.view.in_service(row))
+            });
+            match in_service {
+                true => Ok(()),
+                false => Err("the target was taken out of service"),
+            }
+        })
+    }
+
     /// Names of the targets.
     pub fn targets(&self) -> Vec<TargetName> {
         self.parts.iter().map(|part| part.target.clone()).collect()
@@ -282,14 +310,24 @@
     loop {
         let pools = ranked(context, need)?;
         let mut round = PoolRound::default();
-        // First whichever pool is idle; then the best one's queue.
-        let idle_pass = pools.iter().map(|pool| (pool, true));
-        let queue_pass = pools.iter().map(|pool| (pool, false));
-        for (pool, idle_only) in idle_pass.chain(queue_pass) {
-            if idle_only && pools.len() == 1 {
-                continue;
+        let mut queues: Vec<&RankedPool> = pools.iter().collect();
+        if pools.len() > 1 {
+            // First whichever pool is idle; then the best queue of those that answered.
+            let mut silent = Vec::new();
+            for pool in &pools {
+                match ask_pool(context, need, stream, &pool.pool, true).await {
+                    PoolAnswer::Granted(guard) => {
+                        note_grant(context, &guard, &pools, pool);
+                        return Ok(guard);
+                    }
+                    PoolAnswer::Unsettled => silent.push(&pool.pool),
+                    PoolAnswer::Refused { .. } => {}
+                }
             }
-            match ask_pool(context, need, stream, &pool.pool, idle_only).await {
+            queues.sort_by_key(|pool| silent.contains(&&pool.pool));
+        }
+        for pool in queues {
+            match ask_pool(context, need, stream, &pool.pool, false).await {
                 PoolAnswer::Granted(guard) => {
                     note_grant(context, &guard, &pools, pool);
                     return Ok(guard);
@@ -432,8 +470,12 @@
         deadline_ms: time_left.as_millis() as u64,
         idle_only,
     });
+    let within = match idle_only {
+        true => IDLE_ANSWER_WITHIN.min(time_left),
+        false => time_left,
+    };
     let asked = shared.now();
-    match shared.client(&address).call(&call, time_left).await {
+    match shared.client(&address).call(&call, within).await {
         Ok(PeerReply::PoolGranted {
             parts,
             use_by_ms,
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -9,7 +9,7 @@
 use super::assembler::{AnswerAssembler, FeedResult};
 use super::chat::ChatBody;
 use super::error::{ApiError, ErrorKind, Result};
-use super::grants::{PoolGuard, ReserveNeed, reserve_targets, stale_view};
+use super::grants::{PoolGuard, ReserveNeed, reserve_targets};
 use super::shared::RequestContext;
 use crate::chart::StateChart;
 use crate::ids::RequestId;
@@ -164,7 +164,7 @@
         loop {
             let mut guard = self.reserve(progress).await?;
             progress.step(self, "grant");
-            let end = match self.check_before_send(&guard) {
+            let end = match guard.check_before_send() {
                 Ok(()) => {
                     progress.step(self, "send");
                     self.attempt(&mut guard, progress).await
@@ -219,28 +219,6 @@
         Ok(())
     }
 
-    /// Checks, right before sending, everything that may have changed since the grant.
-    fn check_before_send(&self, guard: &PoolGuard) -> std::result::Result<(), String> {
-        let now = self.context.shared.now();
-        if now >= guard.use_by {
-            return Err("the reservation lapsed before it was used".into());
-        }
-        self.context.shared.read(|followed| {
-            if !followed.is_fresh(now) {
-                return Err(stale_view().message);
-            }
-            let in_service = guard.parts.iter().all(|part| {
-                let row = followed.view.target(&part.target);
-                row.is_some_and(|row| followed.view.in_service(row))
-            });
-            if in_service {
-                Ok(())
-            } else {
-                Err("the target was taken out of service".into())
-            }
-        })
-    }
-
     async fn attempt(&self, guard: &mut PoolGuard, progress: &mut RelayProgress) -> AttemptEnd {
         let request = progress.stream;
         let _cancel = CancelOnDrop::new(self.clients.fresh.clone(), request, &guard.parts);
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -239,26 +239,21 @@
 
 impl ClaimAttempt {
     fn check_before_send(&self, guard: &PoolGuard) -> Result<()> {
+        let lapsed = |reason: &str| {
+            let message = format!("nothing was sent: {reason}; come back with the same key");
+            ApiError::not_run(ErrorKind::NoCapacity, message).retry_after(Duration::from_secs(1))
+        };
+        guard.check_before_send().map_err(lapsed)?;
         let shared = &self.context.shared;
-        let now = shared.now();
-        let lapsed = now >= guard.use_by || now >= self.context.deadline;
-        let ready = shared.read(|followed| {
-            let may_send = followed
-                .view
-                .claims()
-                .may_send(&self.key, self.claim, self.sent);
-            let in_service = guard.parts.iter().all(|part| {
-                let row = followed.view.target(&part.target);
-                row.is_some_and(|row| followed.view.in_service(row))
-            });
-            followed.is_fresh(now) && may_send && in_service
+        let holds = shared.read(|followed| {
+            let claims = followed.view.claims();
+            claims.may_send(&self.key, self.claim, self.sent)
         });
-        if lapsed || !ready {
-            return Err(ApiError::not_run(
-                ErrorKind::NoCapacity,
-                "the reservation lapsed before the call was sent; come back with the same key",
-            )
-            .retry_after(Duration::from_secs(1)));
+        if !holds {
+            return Err(lapsed("the claim does not hold any more"));
+        }
+        if shared.now() >= self.context.deadline {
+            return Err(lapsed("the deadline has passed"));
         }
         Ok(())
     }
