Count as short demand only what a pool takes in

Cause: a request that asked several pools whether they are idle counted as demand in each, which kept targets from long prompts. Refused asks no longer count.

--- a/src/ledger/pool.rs
+++ b/src/ledger/pool.rs
@@ -124,13 +124,14 @@
         now: Instant,
     ) {
         let lane = lane_of(request.prompt, &self.rate);
-        if lane == PromptLane::Short {
-            self.short_demand.arrive(request.prompt, now);
-        }
         if let Some(refusal) = self.refusal_on_arrival(&request, lane, approved, now) {
             self.refuse(ticket, refusal, lane);
             return;
         }
+        // What was refused is another pool's demand.
+        if lane == PromptLane::Short {
+            self.short_demand.arrive(request.prompt, now);
+        }
         let assigned = self.assign_on_arrival(&request, approved);
         let waiting = WaitingRequest {
             ticket,
