Make the planned stop's test fail when an entry does not go on serving

A stop met no answer under way, as those took 0.3 s; the test now adds answers of 2 s, six a second.

--- a/tests/processes/failures.rs
+++ b/tests/processes/failures.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use plantainnotch::fake::load::{self, LoadPlan, LoadSample, SeenOutcome};
+use plantainnotch::fake::load::{self, LoadClass, LoadPlan, LoadSample, SeenOutcome};
 use serde_json::json;
 use tokio::time::sleep;
 
@@ -219,12 +219,22 @@
 fn a_planned_stop_loses_nothing_though_callers_keep_an_old_list() {
     run_test(async || {
         let mut fleet = TestFleet::start().await;
-        let samples = run_through("planned stop", &mut fleet, 110, 12, async |fleet| {
-            for process in [fleet.stewards[1].as_ref(), fleet.entries[1].as_ref()] {
-                process.expect("it runs").signal("TERM");
-            }
-        })
-        .await;
+        // Answers of two seconds, so that some are under way wherever the stop comes.
+        let mut plan = fleet.plan(Duration::from_secs(12), 110);
+        let slow = LoadClass {
+            name: "slow".into(),
+            output: 400,
+            per_s: 6.0,
+            ..plan.classes[0].clone()
+        };
+        plan.classes.push(slow);
+        let running = actix_rt::spawn(load::run(plan.clone()));
+        sleep(Duration::from_secs(4)).await;
+        for process in [fleet.stewards[1].as_ref(), fleet.entries[1].as_ref()] {
+            process.expect("it runs").signal("TERM");
+        }
+        let samples = running.await.expect("the load ends");
+        check_after_quiet("planned stop", &plan, &samples).await;
         let lost = samples
             .iter()
             .filter(|sample| sample.outcome != SeenOutcome::Finished);
