--- /dev/null
+++ b/src/bin/notch-node.rs
@@ -0,0 +1,8 @@
+//! Node: serves callers, the directory and peers on one VM of the users' platform.
+
+use plantainnotch::cmd::node;
+
+fn main() -> eyre::Result<()> {
+    let flags = node::options().run();
+    node::run(&flags)
+}
--- a/src/cmd/ctl/change.rs
+++ b/src/cmd/ctl/change.rs
@@ -8,7 +8,7 @@
 
 use super::fleet::FleetClient;
 use crate::ids::{AuthorName, Offset, RecordId};
-use crate::platform::log::LogRead;
+use crate::logstore::log::LogRead;
 use crate::view::record::{LogRecord, RecordBody, RowChange, TableChange};
 use crate::view::sheet::SheetRow;
 use crate::view::signature::SecretKey;
--- a/src/cmd/ctl/fleet.rs
+++ b/src/cmd/ctl/fleet.rs
@@ -5,7 +5,7 @@
 use eyre::{Result, WrapErr};
 
 use crate::ids::{Offset, VmName};
-use crate::platform::log::{LogClient, LogRead};
+use crate::logstore::log::{LogClient, LogRead};
 use crate::view::View;
 use crate::view::checkpoint;
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,4 +5,5 @@
 pub mod fake_load;
 pub mod fake_platform;
 pub mod fake_target;
+pub mod node;
 pub mod steward;
--- /dev/null
+++ b/src/cmd/node.rs
@@ -0,0 +1,47 @@
+//! `notch-node`: serves callers, the directory and peers on one VM of the users' platform.
+
+use std::net::{IpAddr, SocketAddr};
+
+use bpaf::{OptionParser, Parser, construct, long};
+use eyre::{Context, Result};
+
+use crate::clock::TimeSource;
+use crate::logging;
+use crate::node::agent;
+use crate::platform::settings::read_settings;
+
+const DEFAULT_METRICS_PORT: u16 = 9464; // where collectors look for such metrics by custom
+
+/// Flags of `notch-node`; all else stands in the platform's settings file.
+#[derive(Debug, Clone)]
+pub struct NodeFlags {
+    /// Port of the metrics.
+    pub metrics_port: u16,
+}
+
+/// The flags' parser.
+pub fn options() -> OptionParser<NodeFlags> {
+    let metrics_port = long("metrics-port")
+        .env("NOTCH_METRICS_PORT")
+        .help("Port on which metrics are served")
+        .argument::<u16>("PORT")
+        .fallback(DEFAULT_METRICS_PORT)
+        .display_fallback();
+    construct!(NodeFlags { metrics_port })
+        .to_options()
+        .descr("Serves callers, the directory and peers on one VM. PLANTAINNOTCH_SETTINGS names the settings file; NOTCH_LOG sets the log level.")
+        .version(env!("CARGO_PKG_VERSION"))
+}
+
+/// Runs the node.
+///
+/// # Errors
+///
+/// Fails when the settings do not hold or an address cannot be bound.
+pub fn run(flags: &NodeFlags) -> Result<()> {
+    let _writer = logging::init_bounded();
+    let settings = read_settings().wrap_err("settings")?;
+    let ip: IpAddr = settings.addresses.callers.ip();
+    let metrics = SocketAddr::new(ip, flags.metrics_port);
+    actix_rt::System::new().block_on(agent::run(settings, metrics, TimeSource::system()))
+}
--- a/src/fake/platform.rs
+++ b/src/fake/platform.rs
@@ -9,8 +9,8 @@
 use tokio::time::sleep;
 
 use crate::ids::VmName;
-use crate::platform::log::{AppendBody, ReadAnswer, StoredRecord};
-use crate::platform::vms::VmList;
+use crate::logstore::log::{AppendBody, ReadAnswer, StoredRecord};
+use crate::logstore::vms::VmList;
 
 const BODY_LIMIT: usize = 64 << 20;
 const DEFAULT_READ_LIMIT: usize = 500;
--- a/src/platform/log.rs
+++ b/src/logstore/log.rs
@@ -62,7 +62,7 @@
     /// Reads the record; text that is not one of ours keeps its place without effect.
     ///
     /// ```
-    /// use plantainnotch::platform::log::StoredRecord;
+    /// use plantainnotch::logstore::log::StoredRecord;
     /// let stored = StoredRecord { offset: 1, at_ms: 0, text: "not ours".into() };
     /// assert!(stored.parse().record.is_none());
     /// ```
--- /dev/null
+++ b/src/node/agent.rs
@@ -0,0 +1,167 @@
+//! Starts and stops a node.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use eyre::{Context, Result};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::doors::{answer_directory, answer_metrics, answer_readiness, is_ready, serve_http};
+use super::state::NodeState;
+use super::{feeds, front, peers, placing};
+use crate::clock::TimeSource;
+use crate::fleet::catalog::RecordDecoder;
+use crate::fleet::members::MemberRecord;
+use crate::fleet::settings::NodeSettings;
+use crate::platform::records::{decode_routes, decode_target, operator_record};
+use crate::platform::store::StoreClient;
+
+const READY_EVERY: Duration = Duration::from_millis(50);
+const STOP_MARGIN: Duration = Duration::from_millis(700); // the process must be gone before the kill
+const SERVE_AFTER_STOP: Duration = Duration::from_millis(3_000); // callers keep the directory's answer for 2 s
+const IDLE_CHECK: Duration = Duration::from_millis(100);
+const JOB_SHIFT: u32 = 24; // low bits of a job's id count requests
+
+/// Runs a node until it is told to stop.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub async fn run(settings: NodeSettings, metrics: SocketAddr, clock: TimeSource) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let node = Rc::new(new_state(settings, clock));
+    let store = StoreClient::new(&node.settings.store);
+    actix_rt::spawn(feeds::follow_operators(node.clone(), store.clone()));
+    actix_rt::spawn(feeds::follow_targets(node.clone(), store.clone()));
+    listen(&node, metrics).await?;
+    actix_rt::spawn(feeds::member_loop(node.clone(), store));
+    actix_rt::spawn(feeds::lapse_loop(node.clone()));
+    actix_rt::spawn(peers::beat_loop(node.clone()));
+    actix_rt::spawn(placing::decide_loop(node.clone()));
+    actix_rt::spawn(placing::events_loop(node.clone()));
+    actix_rt::spawn(ready_loop(node.clone()));
+    tracing::info!(
+        version = env!("CARGO_PKG_VERSION"),
+        settings = ?node.settings,
+        %metrics,
+        "node started"
+    );
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => reread_settings(&node),
+        }
+    }
+    stop(&node).await;
+    Ok(())
+}
+
+fn new_state(settings: NodeSettings, clock: TimeSource) -> NodeState {
+    let started = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let incarnation = started.as_millis() as u64;
+    let own = MemberRecord {
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        peers: settings.addresses.peers,
+        callers: settings.addresses.callers,
+        incarnation,
+        cpu_share: settings.cpu_share,
+        ready: false,
+        leaving: false,
+    };
+    let decoder = RecordDecoder {
+        kind: operator_record,
+        routes: |value| Ok(decode_routes(value)?),
+        target: |key, value| Ok(decode_target(key, value)?),
+    };
+    let seed = format!("{}\n{}", settings.vm, started.as_nanos());
+    let first_job = xxh3_64(seed.as_bytes()) >> JOB_SHIFT << JOB_SHIFT;
+    NodeState::new(settings, own, decoder, clock, first_job)
+}
+
+async fn listen(node: &Rc<NodeState>, metrics: SocketAddr) -> Result<()> {
+    let addresses = node.settings.addresses.clone();
+    let peers = bind(addresses.peers).await?;
+    actix_rt::spawn(peers::serve(node.clone(), peers));
+    let callers = bind(addresses.callers).await?;
+    let state = node.clone();
+    actix_rt::spawn(serve_http(callers, move |request| {
+        front::answer(state.clone(), request)
+    }));
+    let state = node.clone();
+    let directory = bind(addresses.directory).await?;
+    actix_rt::spawn(serve_http(directory, move |request| {
+        std::future::ready(answer_directory(&state, &request))
+    }));
+    let state = node.clone();
+    let readiness = bind(addresses.readiness).await?;
+    actix_rt::spawn(serve_http(readiness, move |request| {
+        std::future::ready(answer_readiness(&state, &request))
+    }));
+    let state = node.clone();
+    let metrics = bind(metrics).await?;
+    actix_rt::spawn(serve_http(metrics, move |request| {
+        std::future::ready(answer_metrics(&state, &request))
+    }));
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {address}; free the port or change the settings"))
+}
+
+/// Tells peers as soon as this node takes callers, or no longer does.
+async fn ready_loop(node: Rc<NodeState>) {
+    loop {
+        let ready = is_ready(&node);
+        let changed = {
+            let mut members = node.members.borrow_mut();
+            let changed = members.own().ready != ready;
+            members.set_own(ready, node.stopping.get());
+            changed
+        };
+        if changed {
+            tracing::info!(ready, "readiness changed");
+            node.beat_now.notify_one();
+        }
+        sleep(READY_EVERY).await;
+    }
+}
+
+fn reread_settings(node: &NodeState) {
+    match crate::platform::settings::read_settings() {
+        Ok(settings) => {
+            let same_place = settings.addresses.callers == node.settings.addresses.callers;
+            tracing::info!(same_place, "settings read again; addresses change with a restart only");
+        }
+        Err(error) => tracing::warn!(%error, "settings not read again; the old ones stay in force"),
+    }
+}
+
+/// Leaves the directory at once, serves what still comes, and ends before the kill.
+async fn stop(node: &Rc<NodeState>) {
+    tracing::info!(in_flight = node.in_flight.get(), "stopping");
+    node.stopping.set(true);
+    node.members.borrow_mut().set_own(false, true);
+    node.beat_now.notify_one();
+    let finish = async {
+        sleep(SERVE_AFTER_STOP).await;
+        while node.in_flight.get() > 0 {
+            sleep(IDLE_CHECK).await;
+        }
+    };
+    let grace = node.settings.bounds.stop_grace.saturating_sub(STOP_MARGIN);
+    let finished = timeout(grace, finish).await.is_ok();
+    tracing::info!(finished, in_flight = node.in_flight.get(), "stopped");
+}
--- /dev/null
+++ b/src/node/doors.rs
@@ -0,0 +1,117 @@
+//! The small listeners: the directory, readiness and metrics.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::{BoxBody, MessageBody};
+use actix_http::{HttpService, Request, Response, StatusCode};
+use actix_service::{Service, ServiceFactory, fn_service};
+use tokio::net::TcpListener;
+
+use super::state::NodeState;
+use crate::platform::directory::{
+    ADDRESS_LIMIT, DIRECTORY_PATH, READINESS_PATH, caller_domain, encode_addresses,
+};
+
+const KEEP_CALLERS: Duration = Duration::from_secs(60); // longer than any caller keeps an idle connection
+const REQUEST_WITHIN: Duration = Duration::from_secs(6); // beyond the bound that callers keep to
+const DIRECTORY_TTL: Duration = Duration::from_secs(2); // a lost VM is named this long after it is noticed
+
+/// Serves HTTP on `listener` with `handler` for as long as it works.
+///
+/// All connections share this thread: nodes have a fraction of a core each.
+pub async fn serve_http<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response<BoxBody>> + 'static,
+{
+    let service = HttpService::build()
+        .keep_alive(KEEP_CALLERS)
+        .client_request_timeout(REQUEST_WITHIN)
+        .client_disconnect_timeout(Duration::from_secs(1))
+        .h1_allow_half_closed(false)
+        .h1(fn_service(move |request: Request| {
+            let answer = handler(request);
+            async move { Ok::<_, Response<BoxBody>>(answer.await) }
+        }))
+        .tcp();
+    let service = match service.new_service(()).await {
+        Ok(service) => Rc::new(service),
+        Err(()) => {
+            tracing::error!("HTTP service could not be built; report this as a fault");
+            return;
+        }
+    };
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                stream.set_nodelay(true).ok();
+                let service = service.clone();
+                actix_rt::spawn(async move {
+                    if let Err(error) = service.call(stream).await {
+                        tracing::debug!(%error, "caller's connection ended");
+                    }
+                });
+            }
+            Err(error) => {
+                tracing::warn!(%error, "connection not accepted; raise the limit of open files");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+/// An answer with a text body.
+pub fn text_answer(status: StatusCode, kind: &'static str, text: String) -> Response<BoxBody> {
+    Response::build(status)
+        .insert_header(("content-type", kind))
+        .message_body(text.boxed())
+        .unwrap_or_else(|_| Response::new(StatusCode::INTERNAL_SERVER_ERROR))
+}
+
+/// Answers callers that ask which addresses to use.
+pub fn answer_directory(node: &NodeState, request: &Request) -> Response<BoxBody> {
+    if request.path() != DIRECTORY_PATH {
+        return text_answer(StatusCode::NOT_FOUND, "text/plain", String::new());
+    }
+    let now = node.now();
+    let members = node.members.borrow();
+    let mut addresses = members.caller_addresses(now);
+    if addresses.is_empty() {
+        let text = "no VM takes callers yet".to_owned();
+        return text_answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", text);
+    }
+    if addresses.len() > ADDRESS_LIMIT {
+        let domain = caller_domain(request.uri().query().unwrap_or_default());
+        addresses = members.nearest_addresses(domain, ADDRESS_LIMIT, now);
+    }
+    let ttl = DIRECTORY_TTL.min(node.settings.bounds.directory_ttl_max);
+    let body = encode_addresses(&addresses, ttl);
+    text_answer(StatusCode::OK, "application/json", body)
+}
+
+/// Answers the platform's readiness check.
+pub fn answer_readiness(node: &NodeState, request: &Request) -> Response<BoxBody> {
+    let ready = is_ready(node);
+    let status = match request.path() {
+        READINESS_PATH if ready => StatusCode::OK,
+        READINESS_PATH => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::NOT_FOUND,
+    };
+    text_answer(status, "text/plain", String::new())
+}
+
+/// Whether this node takes callers: it has a configuration and is not stopping.
+pub fn is_ready(node: &NodeState) -> bool {
+    !node.stopping.get() && node.catalog.borrow().table().is_some()
+}
+
+/// Answers whoever collects metrics.
+pub fn answer_metrics(node: &NodeState, _request: &Request) -> Response<BoxBody> {
+    let text = node.metrics.render();
+    text_answer(
+        StatusCode::OK,
+        "application/openmetrics-text; version=1.0.0; charset=utf-8",
+        text,
+    )
+}
--- /dev/null
+++ b/src/node/feeds.rs
@@ -0,0 +1,232 @@
+//! Reads the store's records, on as many VMs as are needed; the others hear of them from peers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::time::sleep;
+
+use super::state::NodeState;
+use crate::fleet::catalog::KeyedItem;
+use crate::platform::records::{MEMBER_TOPIC, OPERATOR_TOPIC, TARGET_TOPIC};
+use crate::platform::store::{StoreClient, StoreError};
+
+/// How long records that lapsed while the store was away may stay missing after its return.
+pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
+
+const OPERATOR_WAIT: Duration = Duration::from_secs(5); // bounds how long a silent connection goes unnoticed
+const TARGET_WAIT: Duration = Duration::from_secs(5);
+const TARGET_PAUSE: Duration = Duration::from_millis(350); // gathers records; a change must act within 2 s
+const RETRY_FLOOR: Duration = Duration::from_millis(150);
+const RETRY_CEILING: Duration = Duration::from_millis(1_200); // a config must be in force 2 s after its acknowledgement
+const STANDBY_CHECK: Duration = Duration::from_millis(500);
+const MEMBERS_EVERY: Duration = Duration::from_secs(20);
+
+/// VMs that read the store; the rest are told by the coordinators.
+const READERS: usize = 8;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum FeedKind {
+    Operator,
+    Target,
+}
+
+impl FeedKind {
+    fn topic(self) -> &'static str {
+        match self {
+            Self::Operator => OPERATOR_TOPIC,
+            Self::Target => TARGET_TOPIC,
+        }
+    }
+}
+
+/// Follows the operators' records.
+pub async fn follow_operators(node: Rc<NodeState>, store: StoreClient) {
+    follow(node, store, FeedKind::Operator).await;
+}
+
+/// Follows the targets' records.
+pub async fn follow_targets(node: Rc<NodeState>, store: StoreClient) {
+    follow(node, store, FeedKind::Target).await;
+}
+
+async fn follow(node: Rc<NodeState>, store: StoreClient, feed: FeedKind) {
+    let mut next: Option<u64> = None;
+    let mut failures = 0_u32;
+    loop {
+        if !is_reader(&node) {
+            next = None;
+            sleep(STANDBY_CHECK).await;
+            continue;
+        }
+        match read_once(&node, &store, feed, next).await {
+            Ok(from) => {
+                note_store_answer(&node, feed, failures);
+                failures = 0;
+                next = Some(from);
+                if feed == FeedKind::Target {
+                    sleep(TARGET_PAUSE).await;
+                }
+            }
+            Err(StoreError::Expired) => {
+                tracing::info!(topic = feed.topic(), "records expired: reading the newest of each key");
+                next = None;
+            }
+            Err(error) => {
+                note_store_failure(&node, feed, &error, failures);
+                failures += 1;
+                let pause = RETRY_FLOOR * 2_u32.pow(failures.min(4) - 1);
+                let jitter = rand::random_range(0.7..1.3);
+                sleep(pause.min(RETRY_CEILING).mul_f64(jitter)).await;
+            }
+        }
+    }
+}
+
+/// Whether this VM is among those that read the store.
+fn is_reader(node: &NodeState) -> bool {
+    let members = node.members.borrow();
+    let live = members.live(node.now());
+    if live.len() <= READERS {
+        return true;
+    }
+    let coordinators = members.coordinators(node.now());
+    coordinators
+        .iter()
+        .any(|member| member.vm == node.settings.vm)
+}
+
+async fn read_once(
+    node: &Rc<NodeState>,
+    store: &StoreClient,
+    feed: FeedKind,
+    next: Option<u64>,
+) -> Result<u64, StoreError> {
+    let topic = feed.topic();
+    let Some(from) = next else {
+        let snapshot = store.read_newest(topic).await?;
+        let mut items = snapshot.items;
+        items.extend(missing_items(node, feed, &items, snapshot.end));
+        take_items(node, feed, &items);
+        return Ok(snapshot.end);
+    };
+    let wait = match feed {
+        FeedKind::Operator => OPERATOR_WAIT,
+        FeedKind::Target => TARGET_WAIT,
+    };
+    let tail = store.read_tail(topic, from, wait).await?;
+    take_items(node, feed, &tail.items);
+    Ok(tail.next)
+}
+
+fn missing_items(
+    node: &NodeState,
+    feed: FeedKind,
+    items: &[KeyedItem],
+    end: u64,
+) -> Vec<KeyedItem> {
+    let catalog = node.catalog.borrow();
+    match feed {
+        FeedKind::Operator => catalog.operator_feed.missing_from(items, end),
+        FeedKind::Target => catalog.target_feed.missing_from(items, end),
+    }
+}
+
+fn take_items(node: &Rc<NodeState>, feed: FeedKind, items: &[KeyedItem]) {
+    let now = node.now();
+    let changes = {
+        let lapse_until = node.lapse_until(now, LAPSE_GRACE);
+        let mut catalog = node.catalog.borrow_mut();
+        match feed {
+            FeedKind::Operator => catalog.take_operator_items(items),
+            FeedKind::Target => catalog.take_target_items(items, now, lapse_until),
+        }
+    };
+    node.note_changes(&changes, "store");
+}
+
+fn note_store_answer(node: &NodeState, feed: FeedKind, failures: u32) {
+    if failures == 0 && !node.store_away.get() {
+        return;
+    }
+    tracing::info!(topic = feed.topic(), failures, "store answers again");
+    if node.store_away.replace(false) {
+        node.store_back.set(Some(node.now()));
+    }
+}
+
+fn note_store_failure(node: &NodeState, feed: FeedKind, error: &StoreError, failures: u32) {
+    node.metrics.count_failure("store");
+    if failures == 0 {
+        tracing::warn!(topic = feed.topic(), %error, "store lost: last known records stay in force");
+    }
+    node.store_away.set(true);
+}
+
+/// Drops targets whose record lapsed and did not come back.
+pub async fn lapse_loop(node: Rc<NodeState>) {
+    loop {
+        sleep(Duration::from_millis(100)).await;
+        let now = node.now();
+        let changes = node.catalog.borrow_mut().drop_lapsed(now);
+        node.note_changes(&changes, "lapse");
+        node.pool.borrow_mut().prune(now);
+        node.refresh_engines();
+    }
+}
+
+/// Tells other VMs through the store where this one is, and reads where they are.
+pub async fn member_loop(node: Rc<NodeState>, store: StoreClient) {
+    let own = node.settings.addresses.peers.to_string();
+    let key = node.settings.vm.to_string();
+    let mut written = false;
+    let mut read_at: Option<Instant> = None;
+    let mut pause = RETRY_FLOOR;
+    loop {
+        if !written {
+            match store.write_keyed(MEMBER_TOPIC, &key, own.as_bytes()).await {
+                Ok(()) => written = true,
+                Err(error) => {
+                    tracing::info!(%error, "own address not recorded yet");
+                    node.metrics.count_failure("store");
+                }
+            }
+        }
+        let now = node.now();
+        let alone = node.members.borrow().live(now).len() == 1;
+        let due = read_at.is_none_or(|at| alone && now.saturating_duration_since(at) > pause);
+        if due {
+            match store.read_newest(MEMBER_TOPIC).await {
+                Ok(snapshot) => {
+                    read_at = Some(now);
+                    note_addresses(&node, &snapshot.items);
+                }
+                Err(error) => {
+                    tracing::info!(%error, "other VMs' addresses not read yet");
+                    node.metrics.count_failure("store");
+                }
+            }
+        }
+        pause = if written && read_at.is_some() && !alone {
+            MEMBERS_EVERY
+        } else {
+            (pause * 2).min(RETRY_CEILING * 2)
+        };
+        sleep(pause).await;
+    }
+}
+
+fn note_addresses(node: &NodeState, items: &[KeyedItem]) {
+    let mut members = node.members.borrow_mut();
+    for item in items {
+        let address: Option<SocketAddr> = item
+            .value
+            .as_deref()
+            .and_then(|value| std::str::from_utf8(value).ok())
+            .and_then(|text| text.parse().ok());
+        match address {
+            Some(address) => members.note_address(address),
+            None => tracing::warn!(key = item.key, "address of a VM is unreadable"),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/front.rs
@@ -0,0 +1,279 @@
+//! Callers' requests: matched with a route and a team, then served.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::{BoxBody, MessageBody};
+use actix_http::header::{self, HeaderValue};
+use actix_http::{HttpMessage, Request, Response, ResponseHead, StatusCode};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use tokio::time::timeout;
+
+use super::attempt::CallerRequest;
+use super::service::{OwnAnswer, ServedAnswer};
+use super::state::NodeState;
+use super::{generation, service};
+use crate::fleet::routes::{RouteRule, RouteTable};
+use crate::platform::callers::{CallerHeaders, decode_caller, own_answer};
+
+const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
+const RETRY_SPREAD: std::ops::Range<f64> = 0.85..1.25; // callers refused together return apart
+const END_MARGIN: Duration = Duration::from_millis(20); // an answer's way to the caller
+
+struct InFlight(Rc<NodeState>);
+
+impl InFlight {
+    fn new(node: &Rc<NodeState>) -> Self {
+        node.in_flight.set(node.in_flight.get() + 1);
+        node.metrics.in_flight.inc();
+        Self(node.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.0.metrics.in_flight.dec();
+    }
+}
+
+/// Serves one request of a caller.
+pub async fn answer(node: Rc<NodeState>, mut request: Request) -> Response<BoxBody> {
+    let in_flight = InFlight::new(&node);
+    let says = decode_caller(request.headers());
+    let mut response = match read_and_serve(&node, &mut request, says.clone()).await {
+        ServedAnswer::Target(response) => response,
+        ServedAnswer::Own(answer) => {
+            tracing::info!(
+                id = says.id,
+                status = answer.status.as_u16(),
+                outcome = answer.outcome,
+                reason = answer.reason,
+                "answered by this node"
+            );
+            own_response(&says.id, &answer)
+        }
+    };
+    if node.stopping.get() {
+        response
+            .head_mut()
+            .set_connection_type(actix_http::ConnectionType::Close);
+    }
+    response.map_body(|head, body| hold_in_flight(head, body, in_flight))
+}
+
+/// Counts a request as under way until its body is sent.
+fn hold_in_flight(_head: &mut ResponseHead, body: BoxBody, in_flight: InFlight) -> BoxBody {
+    HeldBody {
+        body,
+        _in_flight: in_flight,
+    }
+    .boxed()
+}
+
+struct HeldBody {
+    body: BoxBody,
+    _in_flight: InFlight,
+}
+
+impl MessageBody for HeldBody {
+    type Error = <BoxBody as MessageBody>::Error;
+
+    fn size(&self) -> actix_http::body::BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Bytes, Self::Error>>> {
+        std::pin::Pin::new(&mut self.body).poll_next(cx)
+    }
+}
+
+async fn read_and_serve(
+    node: &Rc<NodeState>,
+    request: &mut Request,
+    says: CallerHeaders,
+) -> ServedAnswer {
+    let arrived = node.now();
+    let table = node.catalog.borrow().table().cloned();
+    let Some(table) = table else {
+        return own(OwnAnswer::not_run(
+            "no_config",
+            "no configuration is known yet",
+            NO_CONFIG_RETRY,
+        ));
+    };
+    let body = match read_body(request, table.limits.body_bytes).await {
+        Ok(body) => body,
+        Err(answer) => return own(answer),
+    };
+    let route = match find_route(request, &table) {
+        Some(route) => route,
+        None => return own(rejected(StatusCode::NOT_FOUND, "no_route", "no such route")),
+    };
+    let team = match find_team(&table, &route, &says) {
+        Ok(team) => team,
+        Err(answer) => return own(answer),
+    };
+    let wait = says.deadline.unwrap_or(route.timeout).min(route.timeout);
+    let service = choose_service(&route);
+    let caller = Rc::new(CallerRequest {
+        method: request.method().clone(),
+        uri: request.uri().clone(),
+        headers: request.headers().clone(),
+        says,
+        body,
+        service,
+        team,
+        config_version: table.version,
+        arrived,
+        ends: arrived + wait.saturating_sub(END_MARGIN),
+        route,
+    });
+    node.count_request(&caller.service);
+    serve_in_time(node, &table, caller).await
+}
+
+async fn serve_in_time(
+    node: &Rc<NodeState>,
+    table: &RouteTable,
+    caller: Rc<CallerRequest>,
+) -> ServedAnswer {
+    let is_engine = table
+        .services
+        .get(&caller.service)
+        .is_some_and(|service| service.engine.is_some());
+    let left = caller.time_left(node.now());
+    let served = async {
+        if is_engine && caller.route.repeat.is_stream() {
+            generation::serve(node, &caller).await
+        } else {
+            service::serve(node, &caller).await
+        }
+    };
+    let answer = timeout(left, served)
+        .await
+        .unwrap_or_else(|_| own(OwnAnswer::timed_out("no answer in the request's time")));
+    let outcome = match &answer {
+        ServedAnswer::Target(response) if response.status().is_success() => "served",
+        ServedAnswer::Target(_) => "failed_by_target",
+        ServedAnswer::Own(answer) => answer.outcome,
+    };
+    let elapsed = node.now().saturating_duration_since(caller.arrived);
+    node.metrics.count_outcome(&caller.route.name, outcome);
+    if !caller.route.repeat.is_stream() {
+        node.metrics
+            .observe_answer(&caller.route.name, elapsed.as_secs_f64());
+    }
+    tracing::info!(
+        id = caller.says.id,
+        route = caller.route.name,
+        service = caller.service,
+        team = caller.team.as_ref().map(|team| team.as_str()),
+        config_version = caller.config_version,
+        outcome,
+        elapsed_ms = elapsed.as_millis() as u64,
+        "request decided"
+    );
+    answer
+}
+
+fn own(answer: OwnAnswer) -> ServedAnswer {
+    ServedAnswer::Own(answer)
+}
+
+fn rejected(status: StatusCode, outcome: &'static str, reason: &str) -> OwnAnswer {
+    OwnAnswer {
+        status,
+        retry_after: None,
+        outcome,
+        reason: reason.to_owned(),
+    }
+}
+
+fn find_route(request: &Request, table: &RouteTable) -> Option<Rc<RouteRule>> {
+    let named = request
+        .headers()
+        .get(header::HOST)
+        .and_then(|value| value.to_str().ok());
+    let host = named.or_else(|| request.uri().host())?;
+    table.find_route(host, request.path())
+}
+
+fn find_team(
+    table: &RouteTable,
+    route: &RouteRule,
+    says: &CallerHeaders,
+) -> Result<Option<crate::ids::TeamName>, OwnAnswer> {
+    let held = says.key.as_ref().and_then(|key| table.keys.get(key));
+    match held {
+        Some(key) => Ok(Some(key.team.clone())),
+        None if !table.keyed || route.public => Ok(None),
+        None => Err(rejected(
+            StatusCode::UNAUTHORIZED,
+            "unknown_key",
+            "the key is not known",
+        )),
+    }
+}
+
+/// Chooses among a route's services by weight.
+fn choose_service(route: &RouteRule) -> String {
+    let total: f64 = route.services.iter().map(|choice| choice.weight).sum();
+    let mut point = rand::random::<f64>() * total;
+    for choice in &route.services {
+        point -= choice.weight;
+        if point < 0.0 {
+            return choice.service.clone();
+        }
+    }
+    route
+        .services
+        .iter()
+        .rev()
+        .find(|choice| choice.weight > 0.0)
+        .or(route.services.last())
+        .map(|choice| choice.service.clone())
+        .unwrap_or_default()
+}
+
+async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, OwnAnswer> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| {
+            rejected(
+                StatusCode::BAD_REQUEST,
+                "unreadable_body",
+                &error.to_string(),
+            )
+        })?;
+        if body.len() + chunk.len() > limit {
+            return Err(rejected(
+                StatusCode::PAYLOAD_TOO_LARGE,
+                "body_too_large",
+                "shorten the body",
+            ));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+fn own_response(id: &str, answer: &OwnAnswer) -> Response<BoxBody> {
+    let text = format!("{}: {}\n", answer.outcome, answer.reason);
+    let mut response = Response::with_body(answer.status, text.boxed());
+    let headers = response.headers_mut();
+    *headers = own_answer(id);
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if let Some(after) = answer.retry_after {
+        let seconds = after.as_secs_f64() * rand::random_range(RETRY_SPREAD);
+        if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.2}")) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/src/node/generation.rs
@@ -0,0 +1,485 @@
+//! Requests to model engines: placed by the owner of placement, streamed to the caller.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use actix_http::{Method, RequestHead, Response};
+use bytes::{Bytes, BytesMut};
+use futures_util::stream::unfold;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout};
+
+use super::attempt::{AttemptOutcome, AttemptPlan, CallerRequest, ServiceGuard, TargetReply, send_once};
+use super::connection::open_connection;
+use super::placing::{JobGuard, place};
+use super::relay::{EventBuffer, StreamRelay, StreamRun};
+use super::service::{OwnAnswer, ServedAnswer};
+use super::state::NodeState;
+use crate::fleet::catalog::TargetRecord;
+use crate::ids::TargetName;
+use crate::platform::callers::{SplitHelper, passed_on};
+use crate::platform::orders::{ORDER_PATH, encode_release, encode_reserve};
+use crate::policy::dispatch::{DispatchAnswer, EnginePlacement, PlacementAsk};
+
+const GIVE_UP_FLOOR: Duration = Duration::from_secs(2); // callers leave after the longest of these three
+const GIVE_UP_OBJECTIVES: u32 = 4;
+const GIVE_UP_PAUSES: u32 = 8;
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(150); // the answer's way to the caller
+const EXTRA_SENDS: u32 = 3; // beyond the route's attempts, when engines did not run the request
+const REUSE_FOR: Duration = Duration::from_secs(4);
+const SILENT_FACTOR: f64 = 2.0;
+const SILENT_SLACK: Duration = Duration::from_millis(700); // a part of another long prompt may go first
+const LEASE: Duration = Duration::from_millis(4_500); // shorter leases end before most long answers do
+const RENEW_EVERY: Duration = Duration::from_millis(2_000);
+const ORDER_WITHIN: Duration = Duration::from_millis(250);
+const PLACE_AGAIN_AFTER: Duration = Duration::from_millis(300);
+const URGENCY_SHORT: u8 = 0;
+const URGENCY_LONG: u8 = 3;
+const SHORT_PROMPT: u64 = 16_000; // tokens; engines read this in under 100 ms
+
+/// Memory set aside at targets, freed when dropped.
+#[derive(Default)]
+pub struct Reservations {
+    node: Option<Rc<NodeState>>,
+    held: Vec<(TargetRecord, String)>,
+    renewal: Option<JoinHandle<()>>,
+}
+
+impl Drop for Reservations {
+    fn drop(&mut self) {
+        if let Some(renewal) = self.renewal.take() {
+            renewal.abort();
+        }
+        let Some(node) = self.node.take() else {
+            return;
+        };
+        for (target, id) in self.held.drain(..) {
+            let node = node.clone();
+            actix_rt::spawn(async move {
+                let body = encode_release(&id);
+                if let Err(reason) = send_order(&node, &target, body).await {
+                    tracing::info!(target = %target.name, id, reason, "release not confirmed: the lease ends it");
+                }
+            });
+        }
+    }
+}
+
+/// Serves a request to a model engine.
+pub async fn serve(node: &Rc<NodeState>, caller: &Rc<CallerRequest>) -> ServedAnswer {
+    let mut ask = first_ask(node, caller);
+    let mut runs = 0;
+    let mut sends = 0;
+    let mut last: Option<OwnAnswer> = None;
+    loop {
+        let now = node.now();
+        ask.objective = caller.objective_left(now);
+        ask.give_up = give_up_left(caller, now);
+        ask.job = node.new_job();
+        let outcome = place(node, &ask).await;
+        let waited = node.now().saturating_duration_since(now);
+        node.metrics.placing_seconds.observe(waited.as_secs_f64());
+        let placement = match outcome.answer {
+            DispatchAnswer::Placed(placement) => placement,
+            DispatchAnswer::Refused {
+                reason,
+                retry_after,
+            } => {
+                tracing::info!(
+                    id = caller.says.id,
+                    prompt = ask.prompt,
+                    reason = reason.as_str(),
+                    retry_after_ms = retry_after.as_millis() as u64,
+                    waited_ms = waited.as_millis() as u64,
+                    decided_by = outcome.decided_by,
+                    "placement refused"
+                );
+                return ServedAnswer::Own(match last {
+                    Some(answer) if runs > 0 => answer,
+                    _ => OwnAnswer::not_run(reason.as_str(), "refused by placement", retry_after),
+                });
+            }
+        };
+        let job = JobGuard::new(node.clone(), ask.job);
+        if sends > 0 && !node.take_retry(&caller.service) {
+            tracing::info!(id = caller.says.id, "retry withheld by the budget");
+            break;
+        }
+        sends += 1;
+        tracing::info!(
+            id = caller.says.id,
+            prompt = ask.prompt,
+            target = %placement.lead,
+            helpers = placement.helpers.len(),
+            predicted_ms = placement.predicted.as_millis() as u64,
+            waited_ms = waited.as_millis() as u64,
+            decided_by = outcome.decided_by,
+            send = sends,
+            "placed"
+        );
+        let another = caller.route.repeat.may_repeat() && runs + 1 < caller.route.max_attempts;
+        let limit = first_event_limit(caller, &placement, another, node.now());
+        let begun = begin_stream(node, caller, &placement, job, limit).await;
+        match begun {
+            BegunStream::Running {
+                reply_head,
+                run,
+                events,
+            } => {
+                let elapsed = node.now().saturating_duration_since(caller.arrived);
+                tracing::info!(
+                    id = caller.says.id,
+                    target = %placement.lead,
+                    first_event_ms = elapsed.as_millis() as u64,
+                    predicted_ms = placement.predicted.as_millis() as u64,
+                    objective_ms = caller.route.objective.as_millis() as u64,
+                    "first event"
+                );
+                let route = &caller.route.name;
+                node.metrics.observe_answer(route, elapsed.as_secs_f64());
+                let relay = StreamRelay::new(
+                    node.clone(),
+                    caller.clone(),
+                    ask,
+                    run,
+                    events,
+                    runs + 1,
+                );
+                return ServedAnswer::Target(stream_answer(reply_head, relay));
+            }
+            BegunStream::Failed(response) => {
+                runs += 1;
+                tracing::info!(id = caller.says.id, target = %placement.lead, "engine failed the request");
+                if !another || runs >= caller.route.max_attempts {
+                    return ServedAnswer::Target(response);
+                }
+                last = Some(OwnAnswer::unknown("engine failed the request"));
+            }
+            BegunStream::NotRun { reason, avoid } => {
+                tracing::info!(id = caller.says.id, target = %placement.lead, reason, "send not run");
+                ask.avoid.extend(avoid);
+                if runs == 0 {
+                    last = Some(OwnAnswer::not_run("busy", reason, PLACE_AGAIN_AFTER));
+                }
+            }
+            BegunStream::Unknown { reason } => {
+                runs += 1;
+                tracing::info!(id = caller.says.id, target = %placement.lead, reason, "send without an answer");
+                last = Some(OwnAnswer::unknown(reason));
+                if !caller.route.repeat.may_repeat() {
+                    break;
+                }
+            }
+        }
+        ask.avoid.push(placement.lead.clone());
+        let exhausted =
+            runs >= caller.route.max_attempts || sends >= caller.route.max_attempts + EXTRA_SENDS;
+        if exhausted || caller.time_left(node.now()).is_zero() {
+            break;
+        }
+    }
+    ServedAnswer::Own(last.unwrap_or_else(|| {
+        OwnAnswer::not_run("busy", "no engine took the request", PLACE_AGAIN_AFTER)
+    }))
+}
+
+fn first_ask(node: &NodeState, caller: &CallerRequest) -> PlacementAsk {
+    let now = node.now();
+    PlacementAsk {
+        job: node.new_job(),
+        vm: node.settings.vm.clone(),
+        domain: node.settings.domain.clone(),
+        service: caller.service.clone(),
+        team: caller.team.clone(),
+        prompt: caller.says.prompt_tokens,
+        output: caller.says.output_tokens,
+        objective: caller.objective_left(now),
+        give_up: give_up_left(caller, now),
+        avoid: Vec::new(),
+    }
+}
+
+/// Until when the caller waits for a first event.
+fn give_up_left(caller: &CallerRequest, now: Instant) -> Duration {
+    let route = &caller.route;
+    let patience = GIVE_UP_FLOOR
+        .max(route.objective * GIVE_UP_OBJECTIVES)
+        .max(route.pause * GIVE_UP_PAUSES);
+    let waited = now.saturating_duration_since(caller.arrived);
+    patience
+        .saturating_sub(waited + GIVE_UP_MARGIN)
+        .min(caller.time_left(now))
+}
+
+/// How long a first event may take before the request is tried elsewhere.
+fn first_event_limit(
+    caller: &CallerRequest,
+    placement: &EnginePlacement,
+    another: bool,
+    now: Instant,
+) -> Duration {
+    let left = caller.time_left(now);
+    if !another {
+        return left;
+    }
+    let silent = placement.predicted.mul_f64(SILENT_FACTOR) + SILENT_SLACK;
+    silent.min(left)
+}
+
+enum BegunStream {
+    Running {
+        reply_head: actix_http::ResponseHead,
+        run: StreamRun,
+        events: EventBuffer,
+    },
+    Failed(Response<BoxBody>),
+    NotRun {
+        reason: String,
+        avoid: Option<TargetName>,
+    },
+    Unknown {
+        reason: String,
+    },
+}
+
+/// Sends a placed request and waits for its first event.
+async fn begin_stream(
+    node: &Rc<NodeState>,
+    caller: &Rc<CallerRequest>,
+    placement: &EnginePlacement,
+    job: JobGuard,
+    limit: Duration,
+) -> BegunStream {
+    let service = ServiceGuard::new(node, &placement.lead);
+    let begin = async {
+        let (outcome, reservations) = send_placed(node, caller, placement, None).await;
+        match outcome {
+            AttemptOutcome::Answered(reply) => {
+                read_first_event(node, placement, *reply, job, service, reservations).await
+            }
+            AttemptOutcome::NotRun { reason, faulty, .. } => BegunStream::NotRun {
+                reason,
+                avoid: faulty.map(TargetName::new),
+            },
+            AttemptOutcome::Unknown { reason } => BegunStream::Unknown { reason },
+        }
+    };
+    match timeout(limit, begin).await {
+        Ok(begun) => begun,
+        Err(_) => {
+            node.note_target_failure(&placement.lead, "no first event in time");
+            BegunStream::Unknown {
+                reason: format!("no first event within {} ms", limit.as_millis()),
+            }
+        }
+    }
+}
+
+async fn read_first_event(
+    node: &Rc<NodeState>,
+    placement: &EnginePlacement,
+    reply: TargetReply,
+    job: JobGuard,
+    service: ServiceGuard,
+    reservations: Reservations,
+) -> BegunStream {
+    let mut connection = reply.connection;
+    if !reply.head.status.is_success() {
+        let mut body = BytesMut::new();
+        while let Ok(Some(chunk)) = connection.next_chunk().await {
+            body.extend_from_slice(&chunk);
+        }
+        node.pool.borrow_mut().put(connection, node.now());
+        let mut response = Response::with_body(reply.head.status, body.freeze().boxed());
+        *response.headers_mut() = passed_on(&reply.head.headers);
+        return BegunStream::Failed(response);
+    }
+    let mut events = EventBuffer::default();
+    match connection.next_chunk().await {
+        Ok(Some(chunk)) => events.push(&chunk),
+        Ok(None) => {}
+        Err(error) => {
+            node.note_target_failure(&placement.lead, &error.to_string());
+            return BegunStream::Unknown {
+                reason: error.to_string(),
+            };
+        }
+    }
+    job.first_event();
+    BegunStream::Running {
+        reply_head: reply.head,
+        run: StreamRun {
+            connection,
+            target: placement.lead.clone(),
+            job,
+            service,
+            reservations,
+        },
+        events,
+    }
+}
+
+fn stream_answer(head: actix_http::ResponseHead, relay: StreamRelay) -> Response<BoxBody> {
+    let events = unfold(Some(relay), |relay| async move {
+        let mut relay = relay?;
+        match relay.next().await? {
+            Ok(bytes) => Some((Ok(bytes), Some(relay))),
+            Err(broken) => Some((Err::<Bytes, _>(broken), None)),
+        }
+    });
+    let body = BodyStream::new(Box::pin(events)).boxed();
+    let mut response = Response::with_body(head.status, body);
+    *response.headers_mut() = passed_on(&head.headers);
+    response
+}
+
+/// Sends a request where its placement says, with memory reserved at its helpers.
+pub async fn send_placed(
+    node: &Rc<NodeState>,
+    caller: &CallerRequest,
+    placement: &EnginePlacement,
+    last_event: Option<u64>,
+) -> (AttemptOutcome, Reservations) {
+    let gone = |name: &TargetName| AttemptOutcome::NotRun {
+        reason: format!("target {name} is gone"),
+        faulty: Some(name.to_string()),
+        busy: false,
+    };
+    let record = |name: &TargetName| {
+        let catalog = node.catalog.borrow();
+        catalog.target(name).map(|target| target.record.clone())
+    };
+    let Some(lead) = record(&placement.lead) else {
+        return (gone(&placement.lead), Reservations::default());
+    };
+    let mut reservations = Reservations::default();
+    reservations.node = Some(node.clone());
+    let mut helpers = Vec::new();
+    for part in &placement.helpers {
+        let Some(target) = record(&part.target) else {
+            return (gone(&part.target), Reservations::default());
+        };
+        let mut helper = SplitHelper {
+            address: target.address,
+            reservation: None,
+        };
+        if part.reserve > 0 {
+            let id = format!("{}-{}", caller.says.id, helpers.len());
+            // Noted before the order: one without an answer may take effect all the same.
+            reservations.held.push((target.clone(), id.clone()));
+            let order = encode_reserve(&id, part.reserve, LEASE);
+            if let Err(reason) = send_order(node, &target, order).await {
+                let outcome = AttemptOutcome::NotRun {
+                    reason: format!("memory not reserved: {reason}"),
+                    faulty: Some(part.target.to_string()),
+                    busy: true,
+                };
+                return (outcome, reservations);
+            }
+            helper.reservation = Some(id);
+        }
+        helpers.push(helper);
+    }
+    // Reservations are filled in turn, so helpers that hold memory go first.
+    helpers.sort_by_key(|helper| helper.reservation.is_none());
+    if !reservations.held.is_empty() {
+        reservations.renewal = Some(spawn_renewal(node, placement, &reservations.held));
+    }
+    let urgency = if caller.says.prompt_tokens <= SHORT_PROMPT {
+        URGENCY_SHORT
+    } else {
+        URGENCY_LONG
+    };
+    let plan = AttemptPlan {
+        target: &lead,
+        urgency: Some(urgency),
+        helpers: &helpers,
+        last_event,
+        max_idle: REUSE_FOR,
+    };
+    let outcome = send_once(node, caller, &plan).await;
+    (outcome, reservations)
+}
+
+fn spawn_renewal(
+    node: &Rc<NodeState>,
+    placement: &EnginePlacement,
+    held: &[(TargetRecord, String)],
+) -> JoinHandle<()> {
+    let node = node.clone();
+    let leases: Vec<(TargetRecord, String, u64)> = held
+        .iter()
+        .filter_map(|(target, id)| {
+            let part = placement
+                .helpers
+                .iter()
+                .find(|part| part.target == target.name)?;
+            Some((target.clone(), id.clone(), part.reserve))
+        })
+        .collect();
+    actix_rt::spawn(async move {
+        loop {
+            sleep(RENEW_EVERY).await;
+            for (target, id, tokens) in &leases {
+                let order = encode_reserve(id, *tokens, LEASE);
+                if let Err(reason) = send_order(&node, target, order).await {
+                    tracing::info!(target = %target.name, id, reason, "reservation not renewed");
+                }
+            }
+        }
+    })
+}
+
+/// Sends an order to a target.
+async fn send_order(
+    node: &Rc<NodeState>,
+    target: &TargetRecord,
+    body: String,
+) -> Result<(), String> {
+    let send = async {
+        let now = node.now();
+        let kept = node.pool.borrow_mut().take(target.address, REUSE_FOR, now);
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => {
+                node.metrics.connections_opened.inc();
+                let opened = open_connection(target.address, now).await;
+                opened.map_err(|error| error.to_string())?
+            }
+        };
+        let head = order_head(target);
+        let body = Bytes::from(body);
+        let answer = connection.exchange(head, &body).await;
+        let answer = answer.map_err(|error| error.to_string())?;
+        while let Some(_chunk) = connection
+            .next_chunk()
+            .await
+            .map_err(|error| error.to_string())?
+        {}
+        node.pool.borrow_mut().put(connection, node.now());
+        if answer.status.is_success() {
+            Ok(())
+        } else {
+            Err(format!("target answered {}", answer.status.as_u16()))
+        }
+    };
+    timeout(ORDER_WITHIN, send)
+        .await
+        .unwrap_or_else(|_| Err("no answer in time".to_owned()))
+}
+
+fn order_head(target: &TargetRecord) -> RequestHead {
+    use actix_http::header::{self, HeaderValue};
+    let mut head = RequestHead::default();
+    head.method = Method::POST;
+    head.uri = actix_http::Uri::from_static(ORDER_PATH);
+    head.headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    if let Ok(host) = HeaderValue::from_str(&target.address.to_string()) {
+        head.headers.insert(header::HOST, host);
+    }
+    head
+}
--- /dev/null
+++ b/src/node/messages.rs
@@ -0,0 +1,66 @@
+//! Messages between nodes.
+
+use serde::{Deserialize, Serialize};
+
+use crate::fleet::catalog::KeyedItem;
+use crate::fleet::members::{MemberRecord, MemberRoster};
+use crate::policy::dispatch::{DispatchAnswer, JobId, JobReport, PlacementAsk};
+
+/// A heartbeat to a coordinator.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct BeatMessage {
+    /// The sender.
+    pub from: MemberRecord,
+    /// The version of the receiver's roster that the sender has.
+    pub roster_seen: u64,
+    /// Offset after the sender's last operator record.
+    pub operator_end: u64,
+    /// Offset after the sender's last target record.
+    pub target_end: u64,
+    /// The sender's requests at engines.
+    pub jobs: Vec<JobReport>,
+}
+
+/// The answer to a heartbeat.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct BeatReply {
+    /// The receiver.
+    pub member: MemberRecord,
+    /// Its roster, if the sender does not have it.
+    pub roster: Option<MemberRoster>,
+    /// Operator records that the sender lacks.
+    pub operator_items: Vec<KeyedItem>,
+    /// Target records that the sender lacks.
+    pub target_items: Vec<KeyedItem>,
+}
+
+/// What became of a placed request.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub enum JobEvent {
+    /// Its prompt is read.
+    FirstEvent(JobId),
+    /// It ended.
+    End(JobId),
+}
+
+/// A call from one node to another.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum NodeCall {
+    /// A heartbeat.
+    Beat(BeatMessage),
+    /// Asks where a request goes; taking the call back ends the wait.
+    Place(PlacementAsk),
+    /// What became of placed requests.
+    Events(Vec<JobEvent>),
+}
+
+/// The answer to a call.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum NodeReply {
+    /// To a heartbeat.
+    Beat(BeatReply),
+    /// To a question where a request goes.
+    Placed(DispatchAnswer),
+    /// To events.
+    Noted,
+}
--- /dev/null
+++ b/src/node/relay.rs
@@ -0,0 +1,322 @@
+//! Passes a stream's events on, and goes on at another target when one fails midway.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use thiserror::Error;
+use tokio::time::timeout;
+
+use super::attempt::{AttemptOutcome, CallerRequest, ServiceGuard};
+use super::connection::TargetConnection;
+use super::generation::{Reservations, send_placed};
+use super::placing::{JobGuard, place};
+use super::state::NodeState;
+use crate::fleet::routes::RepeatRule;
+use crate::ids::TargetName;
+use crate::policy::dispatch::{DispatchAnswer, PlacementAsk};
+
+const SILENT_PAUSES: u32 = 3; // pauses within the objective that a stream may stay silent
+const SILENT_FLOOR: Duration = Duration::from_millis(900); // a pass that reads a long part takes half of this
+const EVENT_LIMIT: usize = 1 << 20;
+
+/// A stream that was broken off.
+#[derive(Debug, Error)]
+#[error("stream broken off: {0}; send it again with the last event's id")]
+pub struct BrokenStream(pub String);
+
+/// Splits bytes into whole events.
+#[derive(Debug, Default)]
+pub struct EventBuffer {
+    bytes: BytesMut,
+}
+
+/// One whole event.
+#[derive(Debug, PartialEq)]
+pub struct StreamEvent {
+    /// Its id, if it has one.
+    pub id: Option<u64>,
+    /// Its bytes, the empty line included.
+    pub bytes: Bytes,
+}
+
+impl EventBuffer {
+    /// Adds bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Whether a part of an event is left.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// Takes the next whole event.
+    ///
+    /// ```
+    /// use plantainnotch::node::relay::EventBuffer;
+    /// let mut buffer = EventBuffer::default();
+    /// buffer.push(b"id: 4\ndata: x\n\nid: 5");
+    /// assert_eq!(buffer.next_event().unwrap().id, Some(4));
+    /// assert!(buffer.next_event().is_none());
+    /// ```
+    pub fn next_event(&mut self) -> Option<StreamEvent> {
+        let end = event_end(&self.bytes)?;
+        let bytes = self.bytes.split_to(end).freeze();
+        let id = bytes
+            .split(|byte| *byte == b'\n')
+            .filter_map(|line| line.strip_prefix(b"id:"))
+            .filter_map(|value| std::str::from_utf8(value).ok())
+            .find_map(|value| value.trim().parse().ok());
+        Some(StreamEvent { id, bytes })
+    }
+}
+
+/// Where the first event ends: after an empty line.
+fn event_end(bytes: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    for (index, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &bytes[line_start..index];
+        if line_start > 0 && (line.is_empty() || line == b"\r") {
+            return Some(index + 1);
+        }
+        line_start = index + 1;
+    }
+    None
+}
+
+/// What a running stream holds.
+pub struct StreamRun {
+    /// The connection.
+    pub connection: TargetConnection,
+    /// The target.
+    pub target: TargetName,
+    /// Ends the claim on engines when dropped.
+    pub job: JobGuard,
+    /// Counts the request at its target.
+    pub service: ServiceGuard,
+    /// Frees reserved memory when dropped.
+    pub reservations: Reservations,
+}
+
+/// A stream on its way to its caller.
+pub struct StreamRelay {
+    node: Rc<NodeState>,
+    caller: Rc<CallerRequest>,
+    ask: PlacementAsk,
+    run: Option<StreamRun>,
+    events: EventBuffer,
+    last_event: Option<u64>,
+    resumed: bool,
+    runs: u32,
+    sent: u64,
+    first_at: Instant,
+}
+
+impl StreamRelay {
+    /// A relay that goes on from what `events` holds.
+    pub fn new(
+        node: Rc<NodeState>,
+        caller: Rc<CallerRequest>,
+        ask: PlacementAsk,
+        run: StreamRun,
+        events: EventBuffer,
+        runs: u32,
+    ) -> Self {
+        let last_event = caller.says.last_event;
+        let first_at = node.now();
+        Self {
+            node,
+            caller,
+            ask,
+            run: Some(run),
+            events,
+            last_event,
+            resumed: false,
+            runs,
+            sent: 0,
+            first_at,
+        }
+    }
+
+    /// The next bytes for the caller; none at the stream's end.
+    pub async fn next(&mut self) -> Option<Result<Bytes, BrokenStream>> {
+        loop {
+            if let Some(event) = self.events.next_event() {
+                match self.accept(event) {
+                    Ok(Some(bytes)) => return Some(Ok(bytes)),
+                    Ok(None) => continue,
+                    Err(reason) => return Some(Err(self.break_off(reason))),
+                }
+            }
+            let failure = match self.read().await {
+                Ok(true) => continue,
+                Ok(false) => {
+                    self.finish();
+                    return None;
+                }
+                Err(reason) => reason,
+            };
+            if let Err(reason) = self.resume(failure).await {
+                return Some(Err(self.break_off(reason)));
+            }
+        }
+    }
+
+    /// Checks an event's place in the stream; an event that the caller has is left out.
+    fn accept(&mut self, event: StreamEvent) -> Result<Option<Bytes>, String> {
+        let Some(id) = event.id else {
+            return Ok(Some(event.bytes));
+        };
+        if let Some(last) = self.last_event {
+            if id <= last && self.resumed {
+                return Ok(None);
+            }
+            if id > last + 1 && self.resumed {
+                return Err(format!("event {id} follows {last}"));
+            }
+        }
+        self.last_event = Some(id);
+        self.sent += 1;
+        Ok(Some(event.bytes))
+    }
+
+    /// Reads more bytes; false at the answer's end.
+    async fn read(&mut self) -> Result<bool, String> {
+        let now = self.node.now();
+        let left = self.caller.time_left(now);
+        let silent = (self.caller.route.pause * SILENT_PAUSES).max(SILENT_FLOOR);
+        let Some(run) = &mut self.run else {
+            return Err("no target".to_owned());
+        };
+        let chunk = timeout(silent.min(left), run.connection.next_chunk()).await;
+        match chunk {
+            Ok(Ok(Some(chunk))) => {
+                self.events.push(&chunk);
+                if self.events.bytes.len() > EVENT_LIMIT {
+                    return Err("an event without end".to_owned());
+                }
+                Ok(true)
+            }
+            Ok(Ok(None)) if self.events.is_empty() => Ok(false),
+            Ok(Ok(None)) => Err("ended inside an event".to_owned()),
+            Ok(Err(error)) => Err(error.to_string()),
+            Err(_) => Err(format!("silent for {} ms", silent.min(left).as_millis())),
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(run) = self.run.take() {
+            self.node.note_target_success(&run.target);
+            self.node
+                .pool
+                .borrow_mut()
+                .put(run.connection, self.node.now());
+            tracing::info!(
+                id = self.caller.says.id,
+                target = %run.target,
+                events = self.sent,
+                runs = self.runs,
+                stream_ms = self.node.now().saturating_duration_since(self.first_at).as_millis() as u64,
+                "stream finished"
+            );
+        }
+        let route = &self.caller.route.name;
+        self.node.metrics.count_outcome(route, "finished");
+    }
+
+    fn break_off(&mut self, reason: String) -> BrokenStream {
+        self.run = None;
+        tracing::warn!(
+            id = self.caller.says.id,
+            reason,
+            last_event = self.last_event,
+            events = self.sent,
+            runs = self.runs,
+            "stream broken off"
+        );
+        let route = &self.caller.route.name;
+        self.node.metrics.count_outcome(route, "broken_off");
+        BrokenStream(reason)
+    }
+
+    /// Goes on at another target after the last event, where that is allowed.
+    async fn resume(&mut self, failure: String) -> Result<(), String> {
+        let failed = self.run.take().map(|run| run.target.clone());
+        if let Some(target) = &failed {
+            self.node.note_target_failure(target, &failure);
+            self.ask.avoid.push(target.clone());
+        }
+        let now = self.node.now();
+        let route = &self.caller.route;
+        let allowed = route.repeat == RepeatRule::ResumableStream
+            && self.runs < route.max_attempts
+            && !self.caller.time_left(now).is_zero();
+        if !allowed || !self.node.take_retry(&self.caller.service) {
+            return Err(failure);
+        }
+        self.events = EventBuffer::default();
+        self.ask.job = self.node.new_job();
+        // The next pause is late already; what counts is that the stream goes on.
+        self.ask.objective = route.pause;
+        let placed = timeout(self.caller.time_left(now), place(&self.node, &self.ask)).await;
+        let placement = match placed.map(|outcome| outcome.answer) {
+            Ok(DispatchAnswer::Placed(placement)) => placement,
+            Ok(DispatchAnswer::Refused { reason, .. }) => {
+                return Err(format!("{failure}; not resumed: {}", reason.as_str()));
+            }
+            Err(_) => return Err(format!("{failure}; not resumed in time")),
+        };
+        let job = JobGuard::new(self.node.clone(), self.ask.job);
+        tracing::info!(
+            id = self.caller.says.id,
+            failure,
+            last_event = self.last_event,
+            target = %placement.lead,
+            "stream resumed elsewhere"
+        );
+        self.runs += 1;
+        let left = self.caller.time_left(self.node.now());
+        let sent = send_placed(&self.node, &self.caller, &placement, self.last_event);
+        let sent = timeout(left, sent).await;
+        let (outcome, reservations) = sent.map_err(|_| format!("{failure}; no answer in time"))?;
+        match outcome {
+            AttemptOutcome::Answered(reply) if reply.head.status.is_success() => {
+                job.first_event();
+                self.resumed = true;
+                self.run = Some(StreamRun {
+                    connection: reply.connection,
+                    service: ServiceGuard::new(&self.node, &placement.lead),
+                    target: placement.lead,
+                    job,
+                    reservations,
+                });
+                Ok(())
+            }
+            AttemptOutcome::Answered(reply) => {
+                Err(format!("{failure}; resumed at status {}", reply.head.status))
+            }
+            AttemptOutcome::NotRun { reason, .. } | AttemptOutcome::Unknown { reason } => {
+                Err(format!("{failure}; {reason}"))
+            }
+        }
+    }
+}
+
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        if let Some(run) = &self.run {
+            tracing::info!(
+                id = self.caller.says.id,
+                target = %run.target,
+                events = self.sent,
+                "caller left its stream"
+            );
+            let route = &self.caller.route.name;
+            self.node.metrics.count_outcome(route, "caller_left");
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/directory.rs
@@ -0,0 +1,52 @@
+//! What callers ask before they connect, and what the platform asks of a node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Serialize;
+
+/// Path at which callers ask for addresses.
+pub const DIRECTORY_PATH: &str = "/api/resolve";
+/// Path of the platform's readiness check.
+pub const READINESS_PATH: &str = "/api/ready";
+/// Addresses in one answer at most.
+pub const ADDRESS_LIMIT: usize = 64;
+
+#[derive(Debug, Serialize)]
+struct DirectoryBody {
+    addresses: Vec<String>,
+    ttl_s: f64,
+}
+
+/// The caller's failure domain, as the query names it.
+///
+/// ```
+/// use plantainnotch::platform::directory::caller_domain;
+/// assert_eq!(caller_domain("name=a&region=r&zone=kgl-a"), Some("kgl-a"));
+/// ```
+pub fn caller_domain(query: &str) -> Option<&str> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find_map(|(name, value)| (name == "zone").then_some(value))
+}
+
+/// Encodes the directory's answer.
+///
+/// ```
+/// use std::time::Duration;
+/// use plantainnotch::platform::directory::encode_addresses;
+/// let body = encode_addresses(&["10.0.0.1:80".parse().unwrap()], Duration::from_secs(2));
+/// assert!(body.contains("10.0.0.1:80"));
+/// ```
+pub fn encode_addresses(addresses: &[SocketAddr], ttl: Duration) -> String {
+    let body = DirectoryBody {
+        addresses: addresses
+            .iter()
+            .take(ADDRESS_LIMIT)
+            .map(SocketAddr::to_string)
+            .collect(),
+        ttl_s: ttl.as_secs_f64(),
+    };
+    serde_json::to_string(&body).expect("addresses and a number have an encoding")
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,4 +1,11 @@
-//! Clients of the platform's services.
+//! Adapter to the users' platform: the only place that knows its names.
+//!
+//! Each submodule decodes one kind of message into the project's own types, or encodes
+//! one from them. `docs/design/platform.md` lists every wire name.
 
-pub mod log;
-pub mod vms;
+pub mod callers;
+pub mod directory;
+pub mod orders;
+pub mod records;
+pub mod settings;
+pub mod store;
--- /dev/null
+++ b/src/platform/records.rs
@@ -0,0 +1,315 @@
+//! The store's records: configuration, failure domains out of service, targets.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+use crate::fleet::catalog::{RecordKind, TargetRecord};
+use crate::fleet::routes::{
+    CallerLimits, EngineSpec, RepeatRule, RouteRule, RouteTable, ServiceChoice, ServiceSpec,
+    TeamKey,
+};
+use crate::ids::{DomainName, TargetName, TeamName};
+
+/// Topic that operators write.
+pub const OPERATOR_TOPIC: &str = "keyed.op";
+/// Topic that targets write.
+pub const TARGET_TOPIC: &str = "keyed.servers";
+/// Topic in which nodes find each other; the system's own.
+pub const MEMBER_TOPIC: &str = "keyed.notch-members";
+
+const CONFIG_KEY: &str = "config";
+const EVACUATION_PREFIX: &str = "evacuate/";
+const DEFAULT_PAUSE: Duration = Duration::from_secs(1); // for streams whose route names none
+const MS_PER_S: f64 = 1000.0;
+
+/// Result of decoding a record.
+pub type Result<T> = std::result::Result<T, RecordError>;
+
+/// A record that cannot be decoded.
+#[derive(Debug, Error)]
+pub enum RecordError {
+    /// Not JSON of the right shape.
+    #[error("record {key}: {source}; its last good version stays in force")]
+    Malformed {
+        /// The record's key.
+        key: String,
+        /// What the decoder met.
+        source: serde_json::Error,
+    },
+    /// A field holds something that is not known.
+    #[error("record {key}: {field} = {value:?} is not known; its last good version stays in force")]
+    Unknown {
+        /// The record's key.
+        key: String,
+        /// The field.
+        field: &'static str,
+        /// What it holds.
+        value: String,
+    },
+}
+
+#[derive(Debug, Deserialize)]
+struct ConfigBody {
+    version: u64,
+    routes: Vec<RouteBody>,
+    services: Vec<ServiceBody>,
+    limits: LimitsBody,
+    tenants: Option<Vec<TenantBody>>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RouteBody {
+    name: String,
+    host: String,
+    path_prefix: String,
+    route_type: String,
+    timeout_ms: f64,
+    latency_target_ms: f64,
+    #[serde(default)]
+    priority: i64,
+    service: Option<String>,
+    backends: Option<Vec<BackendBody>>,
+    max_attempts: u32,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    stream_resume: bool,
+    gap_aim_ms: Option<f64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct BackendBody {
+    service: String,
+    weight: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct ServiceBody {
+    name: String,
+    #[serde(default)]
+    health_path: String,
+    max_conns: usize,
+    #[serde(default)]
+    warmup_per_s: f64,
+    engine: Option<EngineBody>,
+}
+
+#[derive(Debug, Deserialize)]
+struct EngineBody {
+    slots: usize,
+    kv_capacity_tokens: u64,
+    stride: f64,
+    step_ms: f64,
+    per_seq_ms: f64,
+    context_per_k: f64,
+    read_per_s: f64,
+    pairs_per_m: f64,
+    #[serde(default)]
+    hop_ms: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct LimitsBody {
+    max_body_bytes: usize,
+    idle_timeout_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct TenantBody {
+    name: String,
+    api_keys: Vec<String>,
+    priority: Option<i64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ServerBody {
+    service: String,
+    address: String,
+    zone: String,
+    slots: usize,
+    state: String,
+    #[serde(default)]
+    warmup_left_ms: f64,
+    #[serde(default)]
+    born: u64,
+}
+
+/// What an operator's record is about.
+///
+/// ```
+/// use plantainnotch::fleet::catalog::RecordKind;
+/// use plantainnotch::platform::records::operator_record;
+/// assert!(matches!(operator_record("config"), RecordKind::Routes));
+/// ```
+pub fn operator_record(key: &str) -> RecordKind {
+    if key == CONFIG_KEY {
+        return RecordKind::Routes;
+    }
+    match key.strip_prefix(EVACUATION_PREFIX) {
+        Some(domain) => RecordKind::OutOfService(DomainName::new(domain)),
+        None => RecordKind::Other,
+    }
+}
+
+/// Decodes the configuration.
+///
+/// # Errors
+///
+/// Fails when the text is not a configuration of this shape.
+pub fn decode_routes(value: &[u8]) -> Result<RouteTable> {
+    let body: ConfigBody = decode(CONFIG_KEY, value)?;
+    let mut hosts: BTreeMap<String, Vec<Rc<RouteRule>>> = BTreeMap::new();
+    for route in body.routes {
+        let rule = decode_route(route)?;
+        hosts
+            .entry(rule.host.clone())
+            .or_default()
+            .push(Rc::new(rule));
+    }
+    for rules in hosts.values_mut() {
+        rules.sort_by_key(|rule| std::cmp::Reverse(rule.prefix.len()));
+    }
+    let services = body
+        .services
+        .into_iter()
+        .map(|service| (service.name.clone(), Rc::new(decode_service(service))))
+        .collect();
+    let keyed = body.tenants.is_some();
+    let mut keys = BTreeMap::new();
+    for tenant in body.tenants.unwrap_or_default() {
+        for key in tenant.api_keys {
+            let team = TeamKey {
+                team: TeamName::new(tenant.name.clone()),
+                priority: tenant.priority,
+            };
+            keys.insert(key, team);
+        }
+    }
+    Ok(RouteTable {
+        version: body.version,
+        hosts,
+        services,
+        keys,
+        keyed,
+        limits: CallerLimits {
+            body_bytes: body.limits.max_body_bytes,
+            idle: Duration::from_millis(body.limits.idle_timeout_ms),
+        },
+    })
+}
+
+fn decode_route(route: RouteBody) -> Result<RouteRule> {
+    let repeat = match (route.route_type.as_str(), route.stream_resume) {
+        ("safe", _) => RepeatRule::Idempotent,
+        ("unsafe", _) => RepeatRule::Once,
+        ("stream", true) => RepeatRule::ResumableStream,
+        ("stream", false) => RepeatRule::OnceStream,
+        // A kind that is not known runs at most once.
+        _ => RepeatRule::Once,
+    };
+    let services = match (route.backends, route.service) {
+        (Some(backends), _) if !backends.is_empty() => backends
+            .into_iter()
+            .map(|backend| ServiceChoice {
+                service: backend.service,
+                weight: backend.weight.max(0.0),
+            })
+            .collect(),
+        (_, Some(service)) => vec![ServiceChoice {
+            service,
+            weight: 1.0,
+        }],
+        _ => {
+            return Err(RecordError::Unknown {
+                key: CONFIG_KEY.to_owned(),
+                field: "service",
+                value: route.name,
+            });
+        }
+    };
+    Ok(RouteRule {
+        name: route.name,
+        host: route.host.to_ascii_lowercase(),
+        prefix: route.path_prefix,
+        repeat,
+        timeout: millis(route.timeout_ms),
+        objective: millis(route.latency_target_ms),
+        pause: route.gap_aim_ms.map_or(DEFAULT_PAUSE, millis),
+        priority: route.priority,
+        services,
+        max_attempts: route.max_attempts.max(1),
+        public: route.public,
+    })
+}
+
+fn decode_service(service: ServiceBody) -> ServiceSpec {
+    ServiceSpec {
+        name: service.name,
+        health_path: service.health_path,
+        max_connections: service.max_conns,
+        cold_per_s: service.warmup_per_s,
+        engine: service.engine.map(|engine| EngineSpec {
+            slots: engine.slots,
+            memory_tokens: engine.kv_capacity_tokens,
+            stride: engine.stride,
+            step_ms: engine.step_ms,
+            step_ms_per_request: engine.per_seq_ms,
+            step_ms_per_thousand: engine.context_per_k,
+            read_per_ms: engine.read_per_s / MS_PER_S,
+            ms_per_million_pairs: engine.pairs_per_m,
+            split_step_ms: engine.hop_ms,
+        }),
+    }
+}
+
+/// Decodes a target's record.
+///
+/// # Errors
+///
+/// Fails when fields are missing or hold something that is not known; such a record names
+/// no target to use.
+pub fn decode_target(key: &str, value: &[u8]) -> Result<TargetRecord> {
+    let body: ServerBody = decode(key, value)?;
+    let draining = match body.state.as_str() {
+        "ready" => false,
+        "draining" => true,
+        _ => {
+            return Err(RecordError::Unknown {
+                key: key.to_owned(),
+                field: "state",
+                value: body.state,
+            });
+        }
+    };
+    let address: SocketAddr = body.address.parse().map_err(|_| RecordError::Unknown {
+        key: key.to_owned(),
+        field: "address",
+        value: body.address.clone(),
+    })?;
+    Ok(TargetRecord {
+        name: TargetName::new(key),
+        service: body.service,
+        address,
+        domain: DomainName::new(body.zone),
+        slots: body.slots,
+        draining,
+        cold_for: millis(body.warmup_left_ms),
+        started_ms: body.born,
+    })
+}
+
+fn decode<T: for<'de> Deserialize<'de>>(key: &str, value: &[u8]) -> Result<T> {
+    serde_json::from_slice(value).map_err(|source| RecordError::Malformed {
+        key: key.to_owned(),
+        source,
+    })
+}
+
+fn millis(value: f64) -> Duration {
+    Duration::from_secs_f64((value / MS_PER_S).clamp(0.0, 86_400.0))
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,6 +1,10 @@
 //! Decisions: lanes, estimates and placement.
 
+pub mod dispatch;
+pub mod engine_model;
 pub mod estimate;
 pub mod lane;
 pub mod placement;
 pub mod retry;
+pub mod retry_share;
+pub mod target_choice;
--- a/src/steward/core.rs
+++ b/src/steward/core.rs
@@ -13,7 +13,7 @@
 use crate::ledger::pool::PoolLedger;
 use crate::ledger::target_ledger::{StreamReport, TargetGrant};
 use crate::ledger::team_ledger::TeamLedger;
-use crate::platform::log::LogRead;
+use crate::logstore::log::LogRead;
 use crate::policy::placement::PlacementPolicy;
 use crate::view::checkpoint::{self, RebuildError};
 use crate::view::freshness::{FreshnessTracker, PeerReport};
--- a/src/steward/messages.rs
+++ b/src/steward/messages.rs
@@ -8,7 +8,7 @@
 use super::writer::WriteState;
 use crate::ids::{TargetName, VmName};
 use crate::ledger::grant::TicketId;
-use crate::platform::log::{LogRead, Result as LogResult};
+use crate::logstore::log::{LogRead, Result as LogResult};
 use crate::target::control::StreamListing;
 use crate::view::View;
 use crate::view::ownership::PoolKey;
--- a/src/steward/rebuild.rs
+++ b/src/steward/rebuild.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::ids::Offset;
-use crate::platform::log::LogClient;
+use crate::logstore::log::LogClient;
 use crate::view::View;
 use crate::view::checkpoint;
 use crate::wire::{PeerCall, PeerClient, PeerReply};
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -6,6 +6,8 @@
 use h2::RecvStream;
 use h2::client::SendRequest;
 use http::{Method, Request, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
@@ -83,21 +85,42 @@
     ///
     /// Fails when the connection fails, or no answer comes in time.
     pub async fn call(&self, call: &PeerCall, within: Duration) -> Result<PeerReply> {
-        let body = Bytes::from(codec::encode(call)?);
-        let result = timeout(within, self.exchange(body)).await;
-        match result {
-            Ok(Ok(reply)) => Ok(reply),
-            Ok(Err(error)) => {
-                if matches!(error, CallError::Broken(_)) {
-                    self.connection.lock().await.take();
-                }
-                Err(error)
-            }
+        match timeout(within, self.exchange(call)).await {
+            Ok(result) => result,
             Err(_) => Err(CallError::Timeout(within)),
         }
     }
 
-    async fn exchange(&self, body: Bytes) -> Result<PeerReply> {
+    /// Calls a process that speaks other messages, and waits `within` at most until it has
+    /// taken the call up. The connection is not used again after a failure.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection fails, or the call is not taken up in time.
+    pub async fn start<C: Serialize>(&self, call: &C, within: Duration) -> Result<PendingReply> {
+        match timeout(within, self.send(call)).await {
+            Ok(result) => result,
+            Err(_) => {
+                self.connection.lock().await.take();
+                Err(CallError::Timeout(within))
+            }
+        }
+    }
+
+    async fn exchange(&self, call: &PeerCall) -> Result<PeerReply> {
+        self.send(call).await?.read().await
+    }
+
+    async fn send<C: Serialize>(&self, call: &C) -> Result<PendingReply> {
+        let body = Bytes::from(codec::encode(call)?);
+        let sent = self.send_bytes(body).await;
+        if matches!(sent, Err(CallError::Broken(_))) {
+            self.connection.lock().await.take();
+        }
+        sent
+    }
+
+    async fn send_bytes(&self, body: Bytes) -> Result<PendingReply> {
         let mut sender = self.ready_sender().await?;
         let request = Request::builder()
             .method(Method::POST)
@@ -110,8 +133,9 @@
         if response.status() != StatusCode::OK {
             return Err(CallError::Status(response.status()));
         }
-        let bytes = read_body(response.into_body()).await?;
-        Ok(codec::decode(&bytes)?)
+        Ok(PendingReply {
+            stream: response.into_body(),
+        })
     }
 
     async fn ready_sender(&self) -> Result<SendRequest<Bytes>> {
@@ -155,6 +179,24 @@
     }
 }
 
+/// A call that was taken up and is not answered yet; dropping it takes the call back.
+#[derive(Debug)]
+pub struct PendingReply {
+    stream: RecvStream,
+}
+
+impl PendingReply {
+    /// Waits for the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection fails.
+    pub async fn read<R: DeserializeOwned>(self) -> Result<R> {
+        let bytes = read_body(self.stream).await?;
+        Ok(codec::decode(&bytes)?)
+    }
+}
+
 /// Sends all of `body` as the peer's window allows.
 pub(super) async fn send_body(
     stream: &mut h2::SendStream<Bytes>,
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -7,6 +7,8 @@
 use h2::RecvStream;
 use h2::server::SendResponse;
 use http::{Request, Response, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::client::{CallError, read_body, send_body};
@@ -18,10 +20,14 @@
 const MAX_CALLS_PER_CONNECTION: u32 = 10_000;
 
 /// Answers a call. The future is dropped when the caller gives up.
-pub type CallHandler = Rc<dyn Fn(PeerCall) -> LocalBoxFuture<'static, PeerReply>>;
+pub type CallHandler<C = PeerCall, R = PeerReply> = Rc<dyn Fn(C) -> LocalBoxFuture<'static, R>>;
 
 /// Accepts connections for as long as the listener works.
-pub async fn serve(listener: TcpListener, handler: CallHandler) {
+pub async fn serve<C, R>(listener: TcpListener, handler: CallHandler<C, R>)
+where
+    C: DeserializeOwned + 'static,
+    R: Serialize + 'static,
+{
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
@@ -40,7 +46,14 @@
     }
 }
 
-async fn serve_connection(stream: TcpStream, handler: CallHandler) -> Result<(), h2::Error> {
+async fn serve_connection<C, R>(
+    stream: TcpStream,
+    handler: CallHandler<C, R>,
+) -> Result<(), h2::Error>
+where
+    C: DeserializeOwned + 'static,
+    R: Serialize + 'static,
+{
     stream.set_nodelay(true).ok();
     let mut connection = h2::server::Builder::new()
         .initial_window_size(WINDOW_BYTES)
@@ -74,13 +87,13 @@
     }
 }
 
-async fn answer_call(
+async fn answer_call<C: DeserializeOwned, R: Serialize>(
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
-    handler: CallHandler,
+    handler: CallHandler<C, R>,
 ) -> Result<(), CallError> {
     let bytes = read_body(request.into_body()).await?;
-    let call: PeerCall = match codec::decode(&bytes) {
+    let call: C = match codec::decode(&bytes) {
         Ok(call) => call,
         Err(error) => {
             tracing::warn!(%error, "peer sent a call that is not one of ours");
@@ -89,12 +102,18 @@
             return Ok(());
         }
     };
-    let reply = tokio::select! {
-        reply = handler(call) => reply,
-        _ = std::future::poll_fn(|cx| respond.poll_reset(cx)) => return Ok(()),
+    let mut answer = handler(call);
+    let ready = futures_util::poll!(&mut answer);
+    // The head alone tells the caller that the call was taken up.
+    let mut stream = respond.send_response(status_response(StatusCode::OK), false)?;
+    let reply = match ready {
+        std::task::Poll::Ready(reply) => reply,
+        std::task::Poll::Pending => tokio::select! {
+            reply = answer => reply,
+            _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => return Ok(()),
+        },
     };
     let body = Bytes::from(codec::encode(&reply)?);
-    let mut stream = respond.send_response(status_response(StatusCode::OK), false)?;
     send_body(&mut stream, body).await?;
     Ok(())
 }
--- a/tests/core/doors.rs
+++ b/tests/core/doors.rs
@@ -2,7 +2,7 @@
 
 use plantainnotch::entry::chat::ChatBody;
 use plantainnotch::ids::{ModelName, RequestId, TeamName};
-use plantainnotch::platform::log::{ReadAnswer, StoredRecord};
+use plantainnotch::logstore::log::{ReadAnswer, StoredRecord};
 use plantainnotch::target::control::StreamListing;
 use plantainnotch::target::stream::ChunkReader;
 use plantainnotch::view::checkpoint;
--- a/tests/core/steward.rs
+++ b/tests/core/steward.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use plantainnotch::ids::{Offset, TeamName};
-use plantainnotch::platform::log::LogRead;
+use plantainnotch::logstore::log::LogRead;
 use plantainnotch::policy::placement::PlacementPolicy;
 use plantainnotch::steward::core::StewardCore;
 use plantainnotch::view::record::LogEntry;
