--- a/src/node/agent.rs
+++ b/src/node/agent.rs
@@ -116,9 +116,9 @@
 }
 
 async fn bind(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("cannot listen on {address}; free the port or change the settings"))
+    TcpListener::bind(address).await.wrap_err_with(|| {
+        format!("cannot listen on {address}; free the port or change the settings")
+    })
 }
 
 /// Tells peers as soon as this node takes callers, or no longer does.
@@ -143,7 +143,10 @@
     match crate::platform::settings::read_settings() {
         Ok(settings) => {
             let same_place = settings.addresses.callers == node.settings.addresses.callers;
-            tracing::info!(same_place, "settings read again; addresses change with a restart only");
+            tracing::info!(
+                same_place,
+                "settings read again; addresses change with a restart only"
+            );
         }
         Err(error) => tracing::warn!(%error, "settings not read again; the old ones stay in force"),
     }
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -51,9 +51,9 @@
 impl CallerRequest {
     /// Time that the caller spent on earlier attempts, as far as its deadline tells.
     pub fn spent_before(&self) -> Duration {
-        self.says
-            .deadline
-            .map_or(Duration::ZERO, |left| self.route.timeout.saturating_sub(left))
+        self.says.deadline.map_or(Duration::ZERO, |left| {
+            self.route.timeout.saturating_sub(left)
+        })
     }
 
     /// What is left of the objective at `now`.
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -117,12 +117,19 @@
         let mut codec = ClientCodec::default();
         let mut out = BytesMut::with_capacity(1024 + body.len());
         let size = match body.len() {
-            0 if matches!(head.method, actix_http::Method::GET | actix_http::Method::HEAD) => {
+            0 if matches!(
+                head.method,
+                actix_http::Method::GET | actix_http::Method::HEAD
+            ) =>
+            {
                 BodySize::None
             }
             length => BodySize::Sized(length as u64),
         };
-        codec.encode(Message::Item((RequestHeadType::Owned(head), size)), &mut out)?;
+        codec.encode(
+            Message::Item((RequestHeadType::Owned(head), size)),
+            &mut out,
+        )?;
         out.extend_from_slice(body);
         self.state = AnswerState::Head;
         self.until_close = false;
--- a/src/node/feeds.rs
+++ b/src/node/feeds.rs
@@ -69,7 +69,10 @@
                 }
             }
             Err(StoreError::Expired) => {
-                tracing::info!(topic = feed.topic(), "records expired: reading the newest of each key");
+                tracing::info!(
+                    topic = feed.topic(),
+                    "records expired: reading the newest of each key"
+                );
                 next = None;
             }
             Err(error) => {
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -10,7 +10,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use super::attempt::{AttemptOutcome, AttemptPlan, CallerRequest, ServiceGuard, TargetReply, send_once};
+use super::attempt::{
+    AttemptOutcome, AttemptPlan, CallerRequest, ServiceGuard, TargetReply, send_once,
+};
 use super::connection::open_connection;
 use super::placing::{JobGuard, place};
 use super::relay::{EventBuffer, StreamRelay, StreamRun};
@@ -138,14 +140,8 @@
                 );
                 let route = &caller.route.name;
                 node.metrics.observe_answer(route, elapsed.as_secs_f64());
-                let relay = StreamRelay::new(
-                    node.clone(),
-                    caller.clone(),
-                    ask,
-                    run,
-                    events,
-                    runs + 1,
-                );
+                let relay =
+                    StreamRelay::new(node.clone(), caller.clone(), ask, run, events, runs + 1);
                 return ServedAnswer::Target(stream_answer(reply_head, relay));
             }
             BegunStream::Failed(response) => {
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -125,7 +125,11 @@
             "Configuration in force",
             self.config_version.clone(),
         );
-        registry.register("members_live", "VMs taken as alive", self.members_live.clone());
+        registry.register(
+            "members_live",
+            "VMs taken as alive",
+            self.members_live.clone(),
+        );
         registry.register(
             "dependency_failures",
             "Failed calls by dependency",
--- a/src/node/placing.rs
+++ b/src/node/placing.rs
@@ -110,9 +110,10 @@
             checks.tick().await;
             let now = node.now();
             let members = node.members.borrow();
-            let alive = members.live(now).iter().any(|member| {
-                member.vm == owner.vm && member.incarnation == owner.incarnation
-            });
+            let alive = members
+                .live(now)
+                .iter()
+                .any(|member| member.vm == owner.vm && member.incarnation == owner.incarnation);
             if !alive || members.is_suspect(&owner.vm, now) {
                 return;
             }
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -296,9 +296,10 @@
                 });
                 Ok(())
             }
-            AttemptOutcome::Answered(reply) => {
-                Err(format!("{failure}; resumed at status {}", reply.head.status))
-            }
+            AttemptOutcome::Answered(reply) => Err(format!(
+                "{failure}; resumed at status {}",
+                reply.head.status
+            )),
             AttemptOutcome::NotRun { reason, .. } | AttemptOutcome::Unknown { reason } => {
                 Err(format!("{failure}; {reason}"))
             }
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -152,8 +152,8 @@
                 };
             }
         }
-        let exhausted = runs >= caller.route.max_attempts
-            || sends >= caller.route.max_attempts + EXTRA_SENDS;
+        let exhausted =
+            runs >= caller.route.max_attempts || sends >= caller.route.max_attempts + EXTRA_SENDS;
         if exhausted || (runs > 0 && !repeat.may_repeat()) {
             break;
         }
@@ -182,7 +182,11 @@
         urgency: None,
         helpers: &[],
         last_event: None,
-        max_idle: if once { REUSE_FOR_ONCE } else { REUSE_IDEMPOTENT },
+        max_idle: if once {
+            REUSE_FOR_ONCE
+        } else {
+            REUSE_IDEMPOTENT
+        },
     };
     match send_once(node, caller, &plan).await {
         AttemptOutcome::NotRun { reason, .. } => SendOutcome::NotRun(reason),
@@ -191,7 +195,11 @@
     }
 }
 
-async fn read_whole(node: &Rc<NodeState>, target: &TargetRecord, reply: TargetReply) -> SendOutcome {
+async fn read_whole(
+    node: &Rc<NodeState>,
+    target: &TargetRecord,
+    reply: TargetReply,
+) -> SendOutcome {
     let mut connection = reply.connection;
     let mut body = BytesMut::new();
     loop {
@@ -219,11 +227,7 @@
     })
 }
 
-fn choose(
-    node: &NodeState,
-    caller: &CallerRequest,
-    avoid: &[TargetName],
-) -> Option<TargetRecord> {
+fn choose(node: &NodeState, caller: &CallerRequest, avoid: &[TargetName]) -> Option<TargetRecord> {
     let now = node.now();
     let catalog = node.catalog.borrow();
     let health = node.health.borrow();
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -356,7 +356,8 @@
         if late_already && backlog <= bearable.max(MIN_RETRY_AFTER) {
             return None;
         }
-        (waiting.since == now || !late_already).then(|| refuse(RefusalReason::Overload, retry_after))
+        (waiting.since == now || !late_already)
+            .then(|| refuse(RefusalReason::Overload, retry_after))
     }
 
     fn usable_count(&self) -> usize {
@@ -578,7 +579,11 @@
                 job: ask.job,
                 vm: ask.vm.clone(),
                 target: target.clone(),
-                context: if helper { memory } else { ask.prompt / parts as u64 },
+                context: if helper {
+                    memory
+                } else {
+                    ask.prompt / parts as u64
+                },
                 memory,
                 reading: read,
                 short,
@@ -586,7 +591,9 @@
             };
             if let Some(engine) = self.engines.get_mut(target) {
                 let begins = now + engine.reading_left(now);
-                engine.sends.retain(|at| now.saturating_duration_since(*at) < Duration::from_secs(1));
+                engine
+                    .sends
+                    .retain(|at| now.saturating_duration_since(*at) < Duration::from_secs(1));
                 engine.sends.push(now);
                 engine.jobs.push(EngineJob {
                     report,
@@ -606,9 +613,9 @@
     /// Notes that a request generates: its parts are read.
     pub fn first_event(&mut self, job: JobId) {
         for engine in self.engines.values_mut() {
-            engine
-                .jobs
-                .retain(|held| held.report.job != job || !held.report.helper || held.report.memory > 0);
+            engine.jobs.retain(|held| {
+                held.report.job != job || !held.report.helper || held.report.memory > 0
+            });
             for held in &mut engine.jobs {
                 if held.report.job == job {
                     held.read_until = None;
--- a/src/policy/engine_model.rs
+++ b/src/policy/engine_model.rs
@@ -17,7 +17,8 @@
 pub fn read_time(spec: &EngineSpec, prompt: u64, parts: usize) -> Duration {
     let prompt = prompt as f64;
     let pairs = prompt * prompt / 2.0 / PAIRS_PER_MILLION;
-    let whole = prompt / spec.read_per_ms.max(f64::MIN_POSITIVE) + pairs * spec.ms_per_million_pairs;
+    let whole =
+        prompt / spec.read_per_ms.max(f64::MIN_POSITIVE) + pairs * spec.ms_per_million_pairs;
     from_ms(whole / parts.max(1) as f64)
 }
 
