--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -141,8 +141,8 @@
                 let route = &caller.route.name;
                 node.metrics.observe_answer(route, elapsed.as_secs_f64());
                 let relay =
-                    StreamRelay::new(node.clone(), caller.clone(), ask, run, events, runs + 1);
-                return ServedAnswer::Target(stream_answer(reply_head, relay));
+                    StreamRelay::new(node.clone(), caller.clone(), ask, *run, events, runs + 1);
+                return ServedAnswer::Target(stream_answer(&reply_head, relay));
             }
             BegunStream::Failed(response) => {
                 runs += 1;
@@ -225,8 +225,8 @@
 
 enum BegunStream {
     Running {
-        reply_head: actix_http::ResponseHead,
-        run: StreamRun,
+        reply_head: Box<actix_http::ResponseHead>,
+        run: Box<StreamRun>,
         events: EventBuffer,
     },
     Failed(Response<BoxBody>),
@@ -304,19 +304,19 @@
     }
     job.first_event();
     BegunStream::Running {
-        reply_head: reply.head,
-        run: StreamRun {
+        reply_head: Box::new(reply.head),
+        run: Box::new(StreamRun {
             connection,
             target: placement.lead.clone(),
             job,
             service,
             reservations,
-        },
+        }),
         events,
     }
 }
 
-fn stream_answer(head: actix_http::ResponseHead, relay: StreamRelay) -> Response<BoxBody> {
+fn stream_answer(head: &actix_http::ResponseHead, relay: StreamRelay) -> Response<BoxBody> {
     let events = unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next().await? {
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -245,7 +245,7 @@
 
     /// Goes on at another target after the last event, where that is allowed.
     async fn resume(&mut self, failure: String) -> Result<(), String> {
-        let failed = self.run.take().map(|run| run.target.clone());
+        let failed = self.run.take().map(|run| run.target);
         if let Some(target) = &failed {
             self.node.note_target_failure(target, &failure);
             self.ask.avoid.push(target.clone());
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -5,7 +5,9 @@
 
 mod assembler;
 mod claims;
+mod dispatch;
 mod doors;
+mod engine_play;
 mod fixtures;
 mod fold;
 mod freshness;
