Place long prompts by their value less the harm to streams

Cause: parts of long prompts were read on engines that generate for short ones, whose pauses then passed their bound; and one prompt of 600,000 tokens held up every stream.

--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -56,6 +56,7 @@
 enum AnswerState {
     Head,
     Body(ClientPayloadCodec),
+    UntilClose,
     Done,
 }
 
@@ -137,13 +138,12 @@
         self.keep = None;
         let head = self.send_and_read_head(&out, &mut codec).await?;
         self.keep = keep_time(&head, codec.keep_alive());
-        match codec.message_type() {
-            MessageType::None => self.state = AnswerState::Done,
-            kind => {
-                self.until_close = kind == MessageType::Stream;
-                self.state = AnswerState::Body(codec.into_payload_codec());
-            }
-        }
+        self.until_close = !is_framed(&head);
+        self.state = match codec.message_type() {
+            _ if self.until_close => AnswerState::UntilClose,
+            MessageType::None => AnswerState::Done,
+            _ => AnswerState::Body(codec.into_payload_codec()),
+        };
         Ok(head)
     }
 
@@ -184,8 +184,10 @@
     /// Fails when the answer ends early or its framing is broken.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
         loop {
-            let AnswerState::Body(codec) = &mut self.state else {
-                return Ok(None);
+            let codec = match &mut self.state {
+                AnswerState::Body(codec) => codec,
+                AnswerState::UntilClose => return self.next_unframed().await,
+                AnswerState::Head | AnswerState::Done => return Ok(None),
             };
             match codec.decode(&mut self.read) {
                 Ok(Some(Some(chunk))) if chunk.is_empty() => {}
@@ -196,11 +198,6 @@
                 }
                 Ok(None) => {
                     if self.stream.read_buf(&mut self.read).await? == 0 {
-                        if self.until_close {
-                            self.state = AnswerState::Done;
-                            self.keep = None;
-                            return Ok(None);
-                        }
                         return Err(ExchangeError::Truncated);
                     }
                 }
@@ -209,6 +206,15 @@
         }
     }
 
+    /// The next bytes of a body that ends with its connection; a reset is an error.
+    async fn next_unframed(&mut self) -> Result<Option<Bytes>> {
+        if self.read.is_empty() && self.stream.read_buf(&mut self.read).await? == 0 {
+            self.state = AnswerState::Done;
+            return Ok(None);
+        }
+        Ok(Some(self.read.split().freeze()))
+    }
+
     /// Whether another request may follow on this connection.
     fn is_reusable(&self) -> bool {
         matches!(self.state, AnswerState::Done)
@@ -220,6 +226,17 @@
     }
 }
 
+/// Whether the head tells where the body ends; the codec takes other bodies for empty.
+fn is_framed(head: &ResponseHead) -> bool {
+    let bodiless = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    bodiless
+        || head.headers.contains_key("content-length")
+        || head.headers.contains_key("transfer-encoding")
+}
+
 fn decode_head(codec: &mut ClientCodec, read: &mut BytesMut) -> Result<Option<ResponseHead>> {
     loop {
         let head = codec
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -32,8 +32,8 @@
 const REUSE_FOR: Duration = Duration::from_secs(4);
 const SILENT_FACTOR: f64 = 2.0;
 const SILENT_SLACK: Duration = Duration::from_millis(700); // a part of another long prompt may go first
-const LEASE: Duration = Duration::from_millis(4_500); // shorter leases end before most long answers do
-const RENEW_EVERY: Duration = Duration::from_millis(2_000);
+const LEASE: Duration = Duration::from_millis(3_300); // memory must be free 4 s after its request ended, also if this VM died
+const RENEW_EVERY: Duration = Duration::from_millis(2_200); // leaves a second for an answer; most long requests end before
 const ORDER_WITHIN: Duration = Duration::from_millis(250);
 const PLACE_AGAIN_AFTER: Duration = Duration::from_millis(300);
 const URGENCY_SHORT: u8 = 0;
@@ -191,6 +191,7 @@
         prompt: caller.says.prompt_tokens,
         output: caller.says.output_tokens,
         objective: caller.objective_left(now),
+        pause: caller.route.pause,
         give_up: give_up_left(caller, now),
         avoid: Vec::new(),
     }
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -17,12 +17,24 @@
 /// A prompt that one engine reads within this is short: it fits between two events of
 /// a stream that must pause for 250 ms at most.
 const SHORT_READ: Duration = Duration::from_millis(90);
-/// Reading time that one part of a split prompt aims at.
-const PART_READ: Duration = Duration::from_millis(120);
+/// Share of a request's value that is left when it is late.
+const LATE_VALUE: f64 = 0.25;
+/// Share of a request's value that a first event just within its objective costs: engines
+/// that read longer hold up whatever comes next.
+const SLOWNESS_SHARE: f64 = 0.15;
+/// A long prompt starts at once if this share of its value is left after the harm it does.
+const WORTH_STARTING: f64 = 0.75;
+/// Share of the allowed pause that a pass may take.
+const PAUSE_SHARE: f64 = 0.75;
+/// Share of the allowed pause beyond which a stream counts as late.
+const PAUSE_LIMIT: f64 = 0.92;
+/// Value of a prompt grows with this power of its length: an archive of 130,000 tokens is
+/// worth about twelve checks of 5,000.
+const VALUE_EXPONENT: f64 = 0.75;
 /// Engines that one prompt may be split over: the lead and 16 helpers.
 const MAX_PARTS: usize = 17;
 /// Streams of short prompts on an engine before the next engine is opened.
-const PACK_LIMIT: usize = 10;
+const PACK_LIMIT: usize = 13;
 /// Slots kept free for what other VMs may have sent meanwhile.
 const SPARE_SLOTS: usize = 1;
 /// Share of the objective within which a prediction counts as safe.
@@ -65,6 +77,8 @@
     pub output: u64,
     /// What is left of the objective for the first event.
     pub objective: Duration,
+    /// Longest pause between events that is in time.
+    pub pause: Duration,
     /// When the caller leaves for want of a first event, from now.
     pub give_up: Duration,
     /// Targets that failed this request.
@@ -167,6 +181,10 @@
     pub memory: u64,
     /// What is left of its reading; zero once it generates.
     pub reading: Duration,
+    /// Tokens of the whole prompt.
+    pub prompt: u64,
+    /// Longest pause between its events that is in time.
+    pub pause: Duration,
     /// Whether its whole prompt counts as short.
     pub short: bool,
     /// Whether it only reads a part here.
@@ -410,18 +428,21 @@
         };
         let best = open.min_by_key(|engine| {
             let time = predicted(engine);
-            let safe = time <= left.mul_f64(SAFE_SHARE);
-            let full = engine.running() >= PACK_LIMIT;
+            let pass = self.pass_of(engine, ask.prompt);
+            let next_pause = pass + engine.reading_left(now) + own_read;
+            let safe = time <= left.mul_f64(SAFE_SHARE)
+                && next_pause <= engine.least_pause(ask.pause).mul_f64(PAUSE_SHARE);
+            let full = engine.shorts() >= PACK_LIMIT;
             (
                 !safe,
                 if safe { Duration::ZERO } else { time },
                 full,
-                engine.target.domain != ask.domain,
                 if full {
                     engine.running() as i64
                 } else {
-                    -(engine.running() as i64)
+                    -(engine.shorts() as i64)
                 },
+                engine.target.domain != ask.domain,
                 &engine.target.name,
             )
         })?;
@@ -464,30 +485,13 @@
                     && self.bears_another(engine, now)
             })
             .collect();
-        free.sort_by_key(|engine| (engine.shorts(), engine.memory_used(), &engine.target.name));
-        if free.is_empty() {
-            return None;
-        }
-        let alone = read_time(&self.spec, ask.prompt, 1);
-        let wanted = (alone.as_secs_f64() / PART_READ.as_secs_f64()).ceil() as usize;
-        let wanted = wanted.clamp(1, MAX_PARTS);
-        let clean = free.iter().filter(|engine| engine.shorts() == 0).count();
+        free.sort_by_cached_key(|engine| {
+            let risk = engine.generating_value().round() as u64;
+            (engine.shorts(), risk, engine.target.name.clone())
+        });
         let left = waiting.objective_at().saturating_duration_since(now);
         let needed = self.memory_parts(&free, ask.prompt + ask.output)?;
-        let enough = |parts: usize| {
-            let time = read_time(&self.spec, ask.prompt, parts);
-            time <= left.mul_f64(SAFE_SHARE / 2.0)
-        };
-        // Engines that generate for short prompts join only where parts stay small, or
-        // where the objective would be lost without them.
-        let parts = if clean >= wanted {
-            wanted
-        } else if clean > 0 && enough(clean) {
-            clean
-        } else {
-            wanted.min(free.len())
-        };
-        let parts = parts.max(needed).min(free.len());
+        let parts = self.part_count(&free, needed, ask, left)?;
         let read = read_time(&self.spec, ask.prompt, parts);
         let chosen = &free[..parts];
         let slowest = chosen
@@ -501,6 +505,45 @@
         Some(self.split(chosen, ask, predicted))
     }
 
+    /// Over how many of `free`, in order, a long prompt is split; none if it should wait for
+    /// better engines. `needed` hold its memory, `left` remains of its objective.
+    fn part_count(
+        &self,
+        free: &[&EngineLedger],
+        needed: usize,
+        ask: &PlacementAsk,
+        left: Duration,
+    ) -> Option<usize> {
+        let value = prompt_value(ask.prompt);
+        let most = free.len().min(MAX_PARTS);
+        let gain = |parts: usize| {
+            let read = read_time(&self.spec, ask.prompt, parts);
+            let harm: f64 = free[..parts]
+                .iter()
+                .map(|engine| engine.harm_of(read, self.pass_of(engine, 0)))
+                .sum();
+            let slowest = read + self.pass_of(free[parts - 1], 0);
+            let earned = if slowest <= left.mul_f64(SAFE_SHARE) {
+                1.0 - SLOWNESS_SHARE * slowest.as_secs_f64() / left.as_secs_f64().max(0.001)
+            } else {
+                LATE_VALUE
+            };
+            value * earned - harm
+        };
+        let best = (needed..=most).max_by(|a, b| gain(*a).total_cmp(&gain(*b)))?;
+        if gain(best) >= value * WORTH_STARTING {
+            return Some(best);
+        }
+        // Waiting for engines that are reading pays while the objective can still be met.
+        let all = self.usable_count().min(MAX_PARTS);
+        let least = read_time(&self.spec, ask.prompt, all);
+        let busy = self.usable_count() > free.len();
+        if busy && least.mul_f64(2.0) < left.mul_f64(SAFE_SHARE) {
+            return None;
+        }
+        (gain(best) > 0.0 || !busy).then_some(best)
+    }
+
     /// How many of `free`, in order, hold `memory` tokens; none if all together do not.
     fn memory_parts(&self, free: &[&EngineLedger], memory: u64) -> Option<usize> {
         let mut held = 0;
@@ -586,6 +629,8 @@
                 },
                 memory,
                 reading: read,
+                prompt: ask.prompt,
+                pause: ask.pause,
                 short,
                 helper,
             };
@@ -703,6 +748,36 @@
         self.jobs.iter().filter(|held| held.report.short).count()
     }
 
+    /// Value of the requests that generate here.
+    fn generating_value(&self) -> f64 {
+        self.generating()
+            .map(|held| prompt_value(held.report.prompt))
+            .sum()
+    }
+
+    fn generating(&self) -> impl Iterator<Item = &EngineJob> {
+        self.jobs
+            .iter()
+            .filter(|held| held.read_until.is_none() && !held.report.helper)
+    }
+
+    /// What a part that takes `read` costs the streams here: those that pause too long
+    /// are late.
+    fn harm_of(&self, read: Duration, pass: Duration) -> f64 {
+        self.generating()
+            .filter(|held| read + pass > held.report.pause.mul_f64(PAUSE_LIMIT))
+            .map(|held| prompt_value(held.report.prompt) * (1.0 - LATE_VALUE))
+            .sum()
+    }
+
+    /// The least pause that anything generating here allows.
+    fn least_pause(&self, own: Duration) -> Duration {
+        self.jobs
+            .iter()
+            .map(|held| held.report.pause)
+            .fold(own, Duration::min)
+    }
+
     fn memory_used(&self) -> u64 {
         self.jobs.iter().map(|held| held.report.memory).sum()
     }
@@ -729,6 +804,11 @@
     }
 }
 
+/// What a prompt is worth to its caller, compared with others.
+fn prompt_value(prompt: u64) -> f64 {
+    (prompt as f64).powf(VALUE_EXPONENT)
+}
+
 fn refuse(reason: RefusalReason, retry_after: Duration) -> DispatchAnswer {
     DispatchAnswer::Refused {
         reason,
--- a/tests/core/dispatch.rs
+++ b/tests/core/dispatch.rs
@@ -4,7 +4,9 @@
 
 use plantainnotch::policy::engine_model::example_spec;
 
-use crate::engine_play::{LoadKind, LoadRequest, PlayPolicy, PlayReport, draw_load, kigali_kinds, play};
+use crate::engine_play::{
+    LoadKind, LoadRequest, PlayPolicy, PlayReport, draw_load, kigali_kinds, play,
+};
 
 const HEAVY: [f64; 3] = [0.36, 1.3, 2.8];
 const MANY_SHORT: [f64; 3] = [2.4, 0.5, 0.05];
@@ -15,7 +17,12 @@
     for (index, factors) in phases.iter().enumerate() {
         let from = Duration::from_secs(10 * index as u64);
         let kinds = kigali_kinds(*factors);
-        load.extend(draw_load(&kinds, from, Duration::from_secs(10), seed * 10 + index as u64));
+        load.extend(draw_load(
+            &kinds,
+            from,
+            Duration::from_secs(10),
+            seed * 10 + index as u64,
+        ));
     }
     (kigali_kinds(HEAVY), load)
 }
@@ -26,10 +33,12 @@
         .iter()
         .map(|kind| {
             format!(
-                "asked {} aim {:.2} late {:.2} refused {:.2} left {:.2} largest {}/{}",
+                "asked {} aim {:.2} late {:.2} (pause {:.2} {:?}) refused {:.2} left {:.2} largest {}/{}",
                 kind.asked,
                 kind.in_aim as f64 / kind.asked as f64,
                 kind.late as f64 / kind.asked as f64,
+                kind.late_pause as f64 / kind.asked as f64,
+                kind.by_phase,
                 kind.refused as f64 / kind.asked as f64,
                 kind.left as f64 / kind.asked as f64,
                 kind.largest_served,
@@ -44,14 +53,35 @@
 fn dispatcher_beats_baselines_on_alternating_load() {
     for seed in 1..4 {
         let (kinds, load) = alternating_load(seed);
-        for policy in [PlayPolicy::Dispatcher, PlayPolicy::SharedQueue, PlayPolicy::LeastLoaded, PlayPolicy::RoundRobin] {
+        for policy in [
+            PlayPolicy::Dispatcher,
+            PlayPolicy::SharedQueue,
+            PlayPolicy::LeastLoaded,
+            PlayPolicy::RoundRobin,
+        ] {
             let report = play(policy, &example_spec(), &kinds, &load, 14, &[]);
             println!("{seed} {policy:?} {}", describe(&report));
         }
-        let lost: Vec<(Duration, usize)> = (0..5).map(|engine| (Duration::from_secs(8), engine * 3)).collect();
-        let report = play(PlayPolicy::Dispatcher, &example_spec(), &kinds, &load, 14, &lost);
+        let lost: Vec<(Duration, usize)> = (0..5)
+            .map(|engine| (Duration::from_secs(8), engine * 3))
+            .collect();
+        let report = play(
+            PlayPolicy::Dispatcher,
+            &example_spec(),
+            &kinds,
+            &load,
+            14,
+            &lost,
+        );
         println!("{seed} lost domain {}", describe(&report));
-        let report = play(PlayPolicy::LeastLoaded, &example_spec(), &kinds, &load, 14, &lost);
+        let report = play(
+            PlayPolicy::LeastLoaded,
+            &example_spec(),
+            &kinds,
+            &load,
+            14,
+            &lost,
+        );
         println!("{seed} lost domain least loaded {}", describe(&report));
     }
 }
--- a/tests/core/engine_play.rs
+++ b/tests/core/engine_play.rs
@@ -52,14 +52,49 @@
         worth,
     };
     vec![
-        kind("short", 29.7 * factors[0], 4_960.0, 0.9, 23_800.0, 31.6, 300, 250, 1.3),
-        kind("middle", 1.62 * factors[1], 45_000.0, 0.5, 110_000.0, 19.0, 1_500, 600, 3.9),
-        kind("long", 1.37 * factors[2], 133_000.0, 0.55, 600_000.0, 15.8, 3_000, 1_000, 15.0),
+        kind(
+            "short",
+            29.7 * factors[0],
+            4_960.0,
+            0.9,
+            23_800.0,
+            31.6,
+            300,
+            250,
+            1.3,
+        ),
+        kind(
+            "middle",
+            1.62 * factors[1],
+            45_000.0,
+            0.5,
+            110_000.0,
+            19.0,
+            1_500,
+            600,
+            3.9,
+        ),
+        kind(
+            "long",
+            1.37 * factors[2],
+            133_000.0,
+            0.55,
+            600_000.0,
+            15.8,
+            3_000,
+            1_000,
+            15.0,
+        ),
     ]
 }
 
 /// Draws a load of `length` from `kinds`.
-pub fn draw_load(kinds: &[LoadKind], from: Duration, length: Duration, seed: u64) -> Vec<LoadRequest> {
+pub fn draw_load(
+    kinds: &[LoadKind],
+    from: Duration,
+    length: Duration,
+    seed: u64,
+) -> Vec<LoadRequest> {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut load = Vec::new();
     for (index, kind) in kinds.iter().enumerate() {
@@ -111,6 +146,8 @@
     pub asked: usize,
     pub in_aim: usize,
     pub late: usize,
+    pub late_pause: usize,
+    pub by_phase: [usize; 8],
     pub refused: usize,
     pub left: usize,
     pub earned: f64,
@@ -307,6 +344,7 @@
                     prompt: request.prompt,
                     output: u64::from(request.events) * 43,
                     objective: kind.objective,
+                    pause: kind.pause,
                     give_up: patience,
                     avoid: Vec::new(),
                 };
@@ -389,7 +427,9 @@
             ms_per_token: 1.0 / self.spec.read_per_ms + pairs_ms / prompt,
         };
         for helper in helpers {
-            self.engines[number(&helper.target)].helping.push(part.clone());
+            self.engines[number(&helper.target)]
+                .helping
+                .push(part.clone());
         }
         self.engines[lead].waiting.push(job);
         let memory = (request.prompt + u64::from(request.events) * 43).saturating_sub(reserved);
@@ -455,7 +495,8 @@
                 .map(|held| held.memory)
                 .sum();
             let need = self.jobs[&job].memory;
-            if engine.generating.len() + engine.reading.len() >= slots || used + need > memory_total {
+            if engine.generating.len() + engine.reading.len() >= slots || used + need > memory_total
+            {
                 break;
             }
             engine.waiting.remove(0);
@@ -472,7 +513,11 @@
             return;
         }
         let generating = engine.generating.len();
-        let steps = if generating > 0 { self.spec.stride } else { 1.0 };
+        let steps = if generating > 0 {
+            self.spec.stride
+        } else {
+            1.0
+        };
         let context: u64 = engine
             .generating
             .iter()
@@ -570,6 +615,8 @@
             outcome.earned += owed;
         } else {
             outcome.late += 1;
+            outcome.late_pause += usize::from(first <= kind.objective);
+            outcome.by_phase[(held.request.at.as_secs() / 5).min(7) as usize] += 1;
             outcome.earned += owed * 0.25;
         }
         self.dispatcher.end(JobId(job));
