--- a/src/fleet/routes.rs
+++ b/src/fleet/routes.rs
@@ -6,6 +6,10 @@
 
 use crate::ids::TeamName;
 
+const PATIENCE_FLOOR: Duration = Duration::from_secs(2); // callers leave after the longest of these three
+const PATIENCE_OBJECTIVES: u32 = 4;
+const PATIENCE_PAUSES: u32 = 8;
+
 /// What may be repeated of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RepeatRule {
@@ -67,6 +71,15 @@
     pub public: bool,
 }
 
+impl RouteRule {
+    /// How long a caller waits for the next event before it leaves a stream.
+    pub fn patience(&self) -> Duration {
+        PATIENCE_FLOOR
+            .max(self.objective * PATIENCE_OBJECTIVES)
+            .max(self.pause * PATIENCE_PAUSES)
+    }
+}
+
 /// How a model engine works, for predictions.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineSpec {
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -24,9 +24,6 @@
 use crate::platform::orders::{ORDER_PATH, encode_release, encode_reserve};
 use crate::policy::dispatch::{DispatchAnswer, EnginePlacement, PlacementAsk};
 
-const GIVE_UP_FLOOR: Duration = Duration::from_secs(2); // callers leave after the longest of these three
-const GIVE_UP_OBJECTIVES: u32 = 4;
-const GIVE_UP_PAUSES: u32 = 8;
 const GIVE_UP_MARGIN: Duration = Duration::from_millis(150); // the answer's way to the caller
 const EXTRA_SENDS: u32 = 3; // beyond the route's attempts, when engines did not run the request
 const REUSE_FOR: Duration = Duration::from_secs(4);
@@ -199,12 +196,10 @@
 
 /// Until when the caller waits for a first event.
 fn give_up_left(caller: &CallerRequest, now: Instant) -> Duration {
-    let route = &caller.route;
-    let patience = GIVE_UP_FLOOR
-        .max(route.objective * GIVE_UP_OBJECTIVES)
-        .max(route.pause * GIVE_UP_PAUSES);
     let waited = now.saturating_duration_since(caller.arrived);
-    patience
+    caller
+        .route
+        .patience()
         .saturating_sub(waited + GIVE_UP_MARGIN)
         .min(caller.time_left(now))
 }
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -16,8 +16,7 @@
 use crate::ids::TargetName;
 use crate::policy::dispatch::{DispatchAnswer, PlacementAsk};
 
-const SILENT_PAUSES: u32 = 3; // pauses within the objective that a stream may stay silent
-const SILENT_FLOOR: Duration = Duration::from_millis(900); // a pass that reads a long part takes half of this
+const SILENT_SHARE: f64 = 0.7; // of the caller's patience; leaves time to go on elsewhere
 const EVENT_LIMIT: usize = 1 << 20;
 
 /// A stream that was broken off.
@@ -114,6 +113,8 @@
     runs: u32,
     sent: u64,
     first_at: Instant,
+    last_at: Instant,
+    longest_pause: Duration,
 }
 
 impl StreamRelay {
@@ -139,6 +140,8 @@
             runs,
             sent: 0,
             first_at,
+            last_at: first_at,
+            longest_pause: Duration::ZERO,
         }
     }
 
@@ -181,6 +184,9 @@
         }
         self.last_event = Some(id);
         self.sent += 1;
+        let now = self.node.now();
+        self.longest_pause = self.longest_pause.max(now - self.last_at);
+        self.last_at = now;
         Ok(Some(event.bytes))
     }
 
@@ -188,7 +194,12 @@
     async fn read(&mut self) -> Result<bool, String> {
         let now = self.node.now();
         let left = self.caller.time_left(now);
-        let silent = (self.caller.route.pause * SILENT_PAUSES).max(SILENT_FLOOR);
+        // Silence alone is no reason to end a stream that nobody else may go on with.
+        let silent = if self.may_resume(now) {
+            self.caller.route.patience().mul_f64(SILENT_SHARE)
+        } else {
+            left
+        };
         let Some(run) = &mut self.run else {
             return Err("no target".to_owned());
         };
@@ -220,6 +231,8 @@
                 target = %run.target,
                 events = self.sent,
                 runs = self.runs,
+                longest_pause_ms = self.longest_pause.as_millis() as u64,
+                pause_bound_ms = self.caller.route.pause.as_millis() as u64,
                 stream_ms = self.node.now().saturating_duration_since(self.first_at).as_millis() as u64,
                 "stream finished"
             );
@@ -243,6 +256,14 @@
         BrokenStream(reason)
     }
 
+    /// Whether another target may go on with the stream.
+    fn may_resume(&self, now: Instant) -> bool {
+        let route = &self.caller.route;
+        route.repeat == RepeatRule::ResumableStream
+            && self.runs < route.max_attempts
+            && !self.caller.time_left(now).is_zero()
+    }
+
     /// Goes on at another target after the last event, where that is allowed.
     async fn resume(&mut self, failure: String) -> Result<(), String> {
         let failed = self.run.take().map(|run| run.target);
@@ -251,17 +272,13 @@
             self.ask.avoid.push(target.clone());
         }
         let now = self.node.now();
-        let route = &self.caller.route;
-        let allowed = route.repeat == RepeatRule::ResumableStream
-            && self.runs < route.max_attempts
-            && !self.caller.time_left(now).is_zero();
-        if !allowed || !self.node.take_retry(&self.caller.service) {
+        if !self.may_resume(now) || !self.node.take_retry(&self.caller.service) {
             return Err(failure);
         }
         self.events = EventBuffer::default();
         self.ask.job = self.node.new_job();
         // The next pause is late already; what counts is that the stream goes on.
-        self.ask.objective = route.pause;
+        self.ask.objective = self.caller.route.pause;
         let placed = timeout(self.caller.time_left(now), place(&self.node, &self.ask)).await;
         let placement = match placed.map(|outcome| outcome.answer) {
             Ok(DispatchAnswer::Placed(placement)) => placement,
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -22,8 +22,6 @@
 /// Share of a request's value that a first event just within its objective costs: engines
 /// that read longer hold up whatever comes next.
 const SLOWNESS_SHARE: f64 = 0.15;
-/// A long prompt starts at once if this share of its value is left after the harm it does.
-const WORTH_STARTING: f64 = 0.75;
 /// Share of the allowed pause that a pass may take.
 const PAUSE_SHARE: f64 = 0.75;
 /// Share of the allowed pause beyond which a stream counts as late.
@@ -424,12 +422,12 @@
         });
         let predicted = |engine: &EngineLedger| {
             let pass = self.pass_of(engine, ask.prompt);
-            engine.reading_left(now) + own_read + pass.mul_f64(1.5)
+            engine.unread(now) + own_read + pass.mul_f64(1.5)
         };
         let best = open.min_by_key(|engine| {
             let time = predicted(engine);
             let pass = self.pass_of(engine, ask.prompt);
-            let next_pause = pass + engine.reading_left(now) + own_read;
+            let next_pause = pass + engine.unread(now) + own_read;
             let safe = time <= left.mul_f64(SAFE_SHARE)
                 && next_pause <= engine.least_pause(ask.pause).mul_f64(PAUSE_SHARE);
             let full = engine.shorts() >= PACK_LIMIT;
@@ -491,7 +489,7 @@
         });
         let left = waiting.objective_at().saturating_duration_since(now);
         let needed = self.memory_parts(&free, ask.prompt + ask.output)?;
-        let parts = self.part_count(&free, needed, ask, left)?;
+        let parts = self.part_count(&free, needed, ask, left, now)?;
         let read = read_time(&self.spec, ask.prompt, parts);
         let chosen = &free[..parts];
         let slowest = chosen
@@ -513,6 +511,7 @@
         needed: usize,
         ask: &PlacementAsk,
         left: Duration,
+        now: Instant,
     ) -> Option<usize> {
         let value = prompt_value(ask.prompt);
         let most = free.len().min(MAX_PARTS);
@@ -520,28 +519,38 @@
             let read = read_time(&self.spec, ask.prompt, parts);
             let harm: f64 = free[..parts]
                 .iter()
-                .map(|engine| engine.harm_of(read, self.pass_of(engine, 0)))
+                .map(|engine| engine.harm_of(read, self.pass_of(engine, 0), now))
                 .sum();
             let slowest = read + self.pass_of(free[parts - 1], 0);
-            let earned = if slowest <= left.mul_f64(SAFE_SHARE) {
-                1.0 - SLOWNESS_SHARE * slowest.as_secs_f64() / left.as_secs_f64().max(0.001)
-            } else {
-                LATE_VALUE
-            };
-            value * earned - harm
+            value * earned_share(slowest, left) - harm
         };
         let best = (needed..=most).max_by(|a, b| gain(*a).total_cmp(&gain(*b)))?;
-        if gain(best) >= value * WORTH_STARTING {
+        if gain(best) >= self.gain_of_waiting(ask, left, now) {
             return Some(best);
         }
-        // Waiting for engines that are reading pays while the objective can still be met.
-        let all = self.usable_count().min(MAX_PARTS);
-        let least = read_time(&self.spec, ask.prompt, all);
-        let busy = self.usable_count() > free.len();
-        if busy && least.mul_f64(2.0) < left.mul_f64(SAFE_SHARE) {
-            return None;
+        None
+    }
+
+    /// What is earned by waiting until all engines without streams of short prompts have
+    /// read what they are reading.
+    fn gain_of_waiting(&self, ask: &PlacementAsk, left: Duration, now: Instant) -> f64 {
+        let clean: Vec<&EngineLedger> = self
+            .engines
+            .values()
+            .filter(|engine| engine.usable && engine.shorts() == 0)
+            .collect();
+        let wait = clean
+            .iter()
+            .map(|engine| engine.long_reading_left(now))
+            .max()
+            .unwrap_or(Duration::ZERO);
+        let memory: u64 = clean.iter().map(|engine| self.memory_left(engine)).sum();
+        if wait <= NEARLY_FREE || memory < ask.prompt + ask.output {
+            return 0.0;
         }
-        (gain(best) > 0.0 || !busy).then_some(best)
+        let parts = clean.len().min(MAX_PARTS);
+        let read = read_time(&self.spec, ask.prompt, parts);
+        prompt_value(ask.prompt) * earned_share(wait + read + self.pass_of(clean[0], 0), left)
     }
 
     /// How many of `free`, in order, hold `memory` tokens; none if all together do not.
@@ -763,8 +772,11 @@
 
     /// What a part that takes `read` costs the streams here: those that pause too long
     /// are late.
-    fn harm_of(&self, read: Duration, pass: Duration) -> f64 {
-        self.generating()
+    fn harm_of(&self, read: Duration, pass: Duration, now: Instant) -> f64 {
+        let read = read + self.unread(now);
+        self.jobs
+            .iter()
+            .filter(|held| !held.report.helper && (held.report.short || held.read_until.is_none()))
             .filter(|held| read + pass > held.report.pause.mul_f64(PAUSE_LIMIT))
             .map(|held| prompt_value(held.report.prompt) * (1.0 - LATE_VALUE))
             .sum()
@@ -794,6 +806,21 @@
             .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
+    /// Reading that the next pass here holds: what arrives during a pass waits for its end.
+    fn unread(&self, now: Instant) -> Duration {
+        self.jobs
+            .iter()
+            .filter_map(|held| {
+                let until = held.read_until?;
+                Some(if held.report.short {
+                    held.report.reading
+                } else {
+                    until.saturating_duration_since(now)
+                })
+            })
+            .sum()
+    }
+
     fn long_reading_left(&self, now: Instant) -> Duration {
         self.jobs
             .iter()
@@ -804,6 +831,16 @@
     }
 }
 
+/// The share of a prompt's value that a first event after `time` earns, with `left` of the
+/// objective.
+fn earned_share(time: Duration, left: Duration) -> f64 {
+    if time <= left.mul_f64(SAFE_SHARE) {
+        1.0 - SLOWNESS_SHARE * time.as_secs_f64() / left.as_secs_f64()
+    } else {
+        LATE_VALUE
+    }
+}
+
 /// What a prompt is worth to its caller, compared with others.
 fn prompt_value(prompt: u64) -> f64 {
     (prompt as f64).powf(VALUE_EXPONENT)
--- a/tests/core/engine_play.rs
+++ b/tests/core/engine_play.rs
@@ -204,6 +204,7 @@
     generating: Vec<u64>,
     finishing: Vec<u64>,
     produced: bool,
+    dbg: String,
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -530,9 +531,17 @@
         let mut budget = CHUNK_TOKENS * steps;
         let mut millis = step * steps;
         let mut finished = Vec::new();
+        let mut dbg = Vec::new();
         for part in engine.helping.iter_mut().chain(engine.reading.iter_mut()) {
             let taken = part.tokens_left.min(budget);
             part.tokens_left -= taken;
+            dbg.push((
+                part.job,
+                taken as u64,
+                self.jobs
+                    .get(&part.job)
+                    .map(|h| (h.request.prompt, h.parts)),
+            ));
             budget -= taken;
             millis += taken * part.ms_per_token;
             if part.tokens_left <= 0.5 {
@@ -545,6 +554,7 @@
         engine.helping.retain(|part| part.tokens_left > 0.5);
         engine.reading.retain(|part| part.tokens_left > 0.5);
         engine.finishing = finished;
+        engine.dbg = format!("gen {generating} parts {dbg:?} millis {millis}");
         engine.produced = generating > 0;
         engine.in_pass = true;
         let end = at + Duration::from_secs_f64(millis / 1_000.0);
@@ -568,6 +578,19 @@
                 continue;
             }
             let pause = self.kinds[held.request.kind].pause;
+            if at - held.last_event > pause
+                && held.request.kind == 0
+                && std::env::var("DBG").is_ok()
+            {
+                println!(
+                    "DBG {:?} short {} on {} pause {:?} pass {:?}",
+                    at,
+                    job,
+                    index,
+                    at - held.last_event,
+                    self.engines[index].dbg
+                );
+            }
             held.late_pause |= at - held.last_event > pause;
             held.last_event = at;
             held.events_left = held.events_left.saturating_sub(1);
