--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -53,6 +53,17 @@
     pub started_ms: u64,
 }
 
+impl TargetRecord {
+    /// Whether nothing but the rest of its cold time differs.
+    fn is_same_state(&self, other: &Self) -> bool {
+        let counted_down = Self {
+            cold_for: other.cold_for,
+            ..self.clone()
+        };
+        counted_down == *other && self.cold_for >= other.cold_for
+    }
+}
+
 /// How records are decoded; the platform's adapter supplies the functions.
 #[derive(Debug, Clone, Copy)]
 pub struct RecordDecoder {
@@ -72,21 +83,22 @@
 }
 
 impl FeedLog {
-    /// Offset after the last record seen.
+    /// Offset after the last record that changed anything.
     pub fn end(&self) -> u64 {
         self.end
     }
 
-    /// Takes a record unless a newer one of its key is known; tells whether it was taken.
-    pub fn take_item(&mut self, item: &KeyedItem) -> bool {
+    /// Whether a record is newer than the known one of its key.
+    pub fn is_newer(&self, item: &KeyedItem) -> bool {
+        self.items
+            .get(&item.key)
+            .is_none_or(|known| known.offset < item.offset)
+    }
+
+    /// Keeps a record, to be relayed to peers.
+    pub fn keep_item(&mut self, item: &KeyedItem) {
         self.end = self.end.max(item.offset + 1);
-        match self.items.get(&item.key) {
-            Some(known) if known.offset >= item.offset => false,
-            _ => {
-                self.items.insert(item.key.clone(), item.clone());
-                true
-            }
-        }
+        self.items.insert(item.key.clone(), item.clone());
     }
 
     /// Items that replace the known ones where a snapshot up to `end` no longer has them.
@@ -215,9 +227,10 @@
     pub fn take_operator_items(&mut self, items: &[KeyedItem]) -> Vec<CatalogChange> {
         let mut changes = Vec::new();
         for item in items {
-            if !self.operator_feed.take_item(item) {
+            if !self.operator_feed.is_newer(item) {
                 continue;
             }
+            self.operator_feed.keep_item(item);
             match (self.decoder.kind)(&item.key) {
                 RecordKind::Routes => changes.extend(self.take_routes(item)),
                 RecordKind::OutOfService(domain) => {
@@ -269,13 +282,17 @@
     ) -> Vec<CatalogChange> {
         let mut changes = Vec::new();
         for item in items {
-            if !self.target_feed.take_item(item) {
+            if !self.target_feed.is_newer(item) {
                 continue;
             }
             let change = match &item.value {
                 Some(value) => self.take_target(&item.key, value, now),
                 None => self.drop_target(&item.key, now, lapse_until),
             };
+            // A heartbeat that changes nothing is of no use to peers.
+            if change.is_some() || item.value.is_none() {
+                self.target_feed.keep_item(item);
+            }
             changes.extend(change);
         }
         changes
@@ -295,7 +312,8 @@
         let name = record.name.clone();
         let state = if record.draining { "draining" } else { "ready" };
         let known = self.targets.get(&name);
-        let same = known.is_some_and(|known| known.record == record && known.gone_at.is_none());
+        let same = known
+            .is_some_and(|known| known.gone_at.is_none() && known.record.is_same_state(&record));
         let cold_until = now + record.cold_for;
         self.targets.insert(
             name.clone(),
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -28,9 +28,27 @@
     pub member: MemberRecord,
     /// Its roster, if the sender does not have it.
     pub roster: Option<MemberRoster>,
-    /// Operator records that the sender lacks.
+    /// Offset after the receiver's last operator record.
+    pub operator_end: u64,
+    /// Offset after the receiver's last target record.
+    pub target_end: u64,
+}
+
+/// Asks a node for the records from these offsets on.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct FeedPull {
+    /// Offset in the operators' topic.
+    pub operator_from: u64,
+    /// Offset in the targets' topic.
+    pub target_from: u64,
+}
+
+/// Records that a node lacked.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct FeedItems {
+    /// Operators' records.
     pub operator_items: Vec<KeyedItem>,
-    /// Target records that the sender lacks.
+    /// Targets' records.
     pub target_items: Vec<KeyedItem>,
 }
 
@@ -52,6 +70,8 @@
     Place(PlacementAsk),
     /// What became of placed requests.
     Events(Vec<JobEvent>),
+    /// Asks for records.
+    Pull(FeedPull),
 }
 
 /// The answer to a call.
@@ -63,4 +83,6 @@
     Placed(DispatchAnswer),
     /// To events.
     Noted,
+    /// To a question for records.
+    Items(FeedItems),
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::feeds::LAPSE_GRACE;
-use super::messages::{BeatMessage, BeatReply, NodeCall, NodeReply};
+use super::messages::{BeatMessage, BeatReply, FeedItems, FeedPull, NodeCall, NodeReply};
 use super::placing::{apply_event, decide, place_here};
 use super::state::NodeState;
 use crate::fleet::members::MemberRecord;
@@ -19,6 +19,7 @@
 use crate::wire::server::{self, CallHandler};
 
 const BEAT_WITHIN: Duration = Duration::from_millis(400); // a throttled VM pauses for up to 75 ms
+const PULL_WITHIN: Duration = Duration::from_millis(1_000); // a configuration of 1,600 routes takes 40 ms on the smallest link
 const EXPLORE_SHARE: f64 = 0.25; // of beats also try a seed or a VM not heard of lately
 
 /// Answers peers for as long as the listener works.
@@ -39,25 +40,14 @@
                 decide(&node);
                 NodeReply::Noted
             }
+            NodeCall::Pull(pull) => NodeReply::Items(answer_pull(&node, &pull)),
         }
     })
 }
 
 fn answer_beat(node: &Rc<NodeState>, beat: BeatMessage) -> BeatReply {
     let now = node.now();
-    let behind = {
-        let catalog = node.catalog.borrow();
-        beat.operator_end > catalog.operator_feed.end()
-            || beat.target_end > catalog.target_feed.end()
-    };
-    if behind {
-        let (node, from) = (node.clone(), beat.from.clone());
-        actix_rt::spawn(async move {
-            if let Err(error) = beat_member(&node, &from).await {
-                tracing::debug!(peer = %from.vm, %error, "newer records not fetched");
-            }
-        });
-    }
+    pull_if_behind(node, &beat.from, beat.operator_end, beat.target_end);
     for dispatcher in node.dispatchers.borrow_mut().values_mut() {
         dispatcher.replace_jobs_of(&beat.from.vm, &beat.jobs, now);
     }
@@ -70,11 +60,70 @@
     BeatReply {
         member,
         roster,
-        operator_items: catalog.operator_feed.items_from(beat.operator_end),
-        target_items: catalog.target_feed.items_from(beat.target_end),
+        operator_end: catalog.operator_feed.end(),
+        target_end: catalog.target_feed.end(),
+    }
+}
+
+fn answer_pull(node: &NodeState, pull: &FeedPull) -> FeedItems {
+    let catalog = node.catalog.borrow();
+    FeedItems {
+        operator_items: catalog.operator_feed.items_from(pull.operator_from),
+        target_items: catalog.target_feed.items_from(pull.target_from),
     }
 }
 
+/// Fetches records from a node that has newer ones, one fetch at a time. Whoever answers
+/// first is mostly near, so records cross between domains once for each coordinator.
+fn pull_if_behind(node: &Rc<NodeState>, from: &MemberRecord, operator_end: u64, target_end: u64) {
+    let behind = {
+        let catalog = node.catalog.borrow();
+        operator_end > catalog.operator_feed.end() || target_end > catalog.target_feed.end()
+    };
+    if !behind || node.pulling.replace(true) {
+        return;
+    }
+    let (node, from) = (node.clone(), from.clone());
+    actix_rt::spawn(async move {
+        if let Err(error) = pull_items(&node, &from).await {
+            tracing::info!(peer = %from.vm, %error, "newer records not fetched");
+            node.metrics.count_failure("peer_records");
+        }
+        node.pulling.set(false);
+    });
+}
+
+async fn pull_items(node: &Rc<NodeState>, from: &MemberRecord) -> Result<(), CallError> {
+    let pull = {
+        let catalog = node.catalog.borrow();
+        FeedPull {
+            operator_from: catalog.operator_feed.end(),
+            target_from: catalog.target_feed.end(),
+        }
+    };
+    let peer = node.peer(from.peers);
+    let exchange = async {
+        let pending = peer.start(&NodeCall::Pull(pull), BEAT_WITHIN).await?;
+        pending.read::<NodeReply>().await
+    };
+    let reply = timeout(PULL_WITHIN, exchange)
+        .await
+        .map_err(|_| CallError::Timeout(PULL_WITHIN))??;
+    let NodeReply::Items(items) = reply else {
+        return Err(CallError::Status(http::StatusCode::BAD_GATEWAY));
+    };
+    let now = node.now();
+    let changes = {
+        let lapse_until = node.lapse_until(now, LAPSE_GRACE);
+        let mut catalog = node.catalog.borrow_mut();
+        let mut changes = catalog.take_operator_items(&items.operator_items);
+        changes.extend(catalog.take_target_items(&items.target_items, now, lapse_until));
+        changes
+    };
+    node.note_changes(&changes, "peer");
+    Ok(())
+}
+
 /// Sends heartbeats to the coordinators for as long as the process runs.
 pub async fn beat_loop(node: Rc<NodeState>) {
     loop {
@@ -195,17 +244,11 @@
 
 fn take_reply(node: &Rc<NodeState>, reply: BeatReply) {
     let now = node.now();
+    let member = reply.member;
     {
         let mut members = node.members.borrow_mut();
-        members.take_roster(&reply.member, reply.roster, now);
-        members.hear(reply.member, now);
+        members.take_roster(&member, reply.roster, now);
+        members.hear(member.clone(), now);
     }
-    let changes = {
-        let lapse_until = node.lapse_until(now, LAPSE_GRACE);
-        let mut catalog = node.catalog.borrow_mut();
-        let mut changes = catalog.take_operator_items(&reply.operator_items);
-        changes.extend(catalog.take_target_items(&reply.target_items, now, lapse_until));
-        changes
-    };
-    node.note_changes(&changes, "peer");
+    pull_if_behind(node, &member, reply.operator_end, reply.target_end);
 }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -55,6 +55,8 @@
     pub stopping: Cell<bool>,
     /// Requests under way.
     pub in_flight: Cell<usize>,
+    /// Whether records are being fetched from a peer.
+    pub pulling: Cell<bool>,
     /// When the store last answered again after failures.
     pub store_back: Cell<Option<Instant>>,
     /// Whether the store does not answer.
@@ -88,6 +90,7 @@
             metrics: NodeMetrics::new(),
             stopping: Cell::new(false),
             in_flight: Cell::new(0),
+            pulling: Cell::new(false),
             store_back: Cell::new(None),
             store_away: Cell::new(false),
             next_job: Cell::new(first_job),
