--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -29,6 +29,7 @@
 const REUSE_FOR: Duration = Duration::from_secs(4);
 const SILENT_FACTOR: f64 = 2.0;
 const SILENT_SLACK: Duration = Duration::from_millis(700); // a part of another long prompt may go first
+const SILENT_SHARE: f64 = 0.55; // of the caller's patience; a second engine needs the rest
 const LEASE: Duration = Duration::from_millis(3_300); // memory must be free 4 s after its request ended, also if this VM died
 const RENEW_EVERY: Duration = Duration::from_millis(2_200); // leaves a second for an answer; most long requests end before
 const ORDER_WITHIN: Duration = Duration::from_millis(250);
@@ -58,7 +59,7 @@
             actix_rt::spawn(async move {
                 let body = encode_release(&id);
                 if let Err(reason) = send_order(&node, &target, body).await {
-                    tracing::info!(target = %target.name, id, reason, "release not confirmed: the lease ends it");
+                    tracing::info!(replica = %target.name, id, reason, "release not confirmed: the lease ends it");
                 }
             });
         }
@@ -71,11 +72,14 @@
     let mut runs = 0;
     let mut sends = 0;
     let mut last: Option<OwnAnswer> = None;
+    let mut avoid: Vec<TargetName> = Vec::new();
     loop {
         let now = node.now();
         ask.objective = caller.objective_left(now);
         ask.give_up = give_up_left(caller, now);
         ask.job = node.new_job();
+        ask.avoid = node.suspended_targets();
+        ask.avoid.extend(avoid.iter().cloned());
         let outcome = place(node, &ask).await;
         let waited = node.now().saturating_duration_since(now);
         node.metrics.placing_seconds.observe(waited.as_secs_f64());
@@ -109,7 +113,7 @@
         tracing::info!(
             id = caller.says.id,
             prompt = ask.prompt,
-            target = %placement.lead,
+            replica = %placement.lead,
             helpers = placement.helpers.len(),
             predicted_ms = placement.predicted.as_millis() as u64,
             waited_ms = waited.as_millis() as u64,
@@ -129,7 +133,7 @@
                 let elapsed = node.now().saturating_duration_since(caller.arrived);
                 tracing::info!(
                     id = caller.says.id,
-                    target = %placement.lead,
+                    replica = %placement.lead,
                     first_event_ms = elapsed.as_millis() as u64,
                     predicted_ms = placement.predicted.as_millis() as u64,
                     objective_ms = caller.route.objective.as_millis() as u64,
@@ -143,29 +147,29 @@
             }
             BegunStream::Failed(response) => {
                 runs += 1;
-                tracing::info!(id = caller.says.id, target = %placement.lead, "engine failed the request");
+                tracing::info!(id = caller.says.id, replica = %placement.lead, "engine failed the request");
                 if !another || runs >= caller.route.max_attempts {
                     return ServedAnswer::Target(response);
                 }
                 last = Some(OwnAnswer::unknown("engine failed the request"));
             }
-            BegunStream::NotRun { reason, avoid } => {
-                tracing::info!(id = caller.says.id, target = %placement.lead, reason, "send not run");
-                ask.avoid.extend(avoid);
+            BegunStream::NotRun { reason, at_fault } => {
+                tracing::info!(id = caller.says.id, replica = %placement.lead, reason, "send not run");
+                avoid.extend(at_fault);
                 if runs == 0 {
                     last = Some(OwnAnswer::not_run("busy", reason, PLACE_AGAIN_AFTER));
                 }
             }
             BegunStream::Unknown { reason } => {
                 runs += 1;
-                tracing::info!(id = caller.says.id, target = %placement.lead, reason, "send without an answer");
+                tracing::info!(id = caller.says.id, replica = %placement.lead, reason, "send without an answer");
                 last = Some(OwnAnswer::unknown(reason));
                 if !caller.route.repeat.may_repeat() {
                     break;
                 }
             }
         }
-        ask.avoid.push(placement.lead.clone());
+        avoid.push(placement.lead.clone());
         let exhausted =
             runs >= caller.route.max_attempts || sends >= caller.route.max_attempts + EXTRA_SENDS;
         if exhausted || caller.time_left(node.now()).is_zero() {
@@ -216,7 +220,8 @@
         return left;
     }
     let silent = placement.predicted.mul_f64(SILENT_FACTOR) + SILENT_SLACK;
-    silent.min(left)
+    let patience = caller.route.patience().mul_f64(SILENT_SHARE);
+    silent.max(patience).min(left)
 }
 
 enum BegunStream {
@@ -228,7 +233,7 @@
     Failed(Response<BoxBody>),
     NotRun {
         reason: String,
-        avoid: Option<TargetName>,
+        at_fault: Option<TargetName>,
     },
     Unknown {
         reason: String,
@@ -252,7 +257,7 @@
             }
             AttemptOutcome::NotRun { reason, faulty, .. } => BegunStream::NotRun {
                 reason,
-                avoid: faulty.map(TargetName::new),
+                at_fault: faulty.map(TargetName::new),
             },
             AttemptOutcome::Unknown { reason } => BegunStream::Unknown { reason },
         }
@@ -416,7 +421,7 @@
             for (target, id, tokens) in &leases {
                 let order = encode_reserve(id, *tokens, LEASE);
                 if let Err(reason) = send_order(&node, target, order).await {
-                    tracing::info!(target = %target.name, id, reason, "reservation not renewed");
+                    tracing::info!(replica = %target.name, id, reason, "reservation not renewed");
                 }
             }
         }
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -4,6 +4,7 @@
 
 use crate::fleet::catalog::KeyedItem;
 use crate::fleet::members::{MemberRecord, MemberRoster};
+use crate::ids::TargetName;
 use crate::policy::dispatch::{DispatchAnswer, JobId, JobReport, PlacementAsk};
 
 /// A heartbeat to a coordinator.
@@ -53,12 +54,14 @@
 }
 
 /// What became of a placed request.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum JobEvent {
     /// Its prompt is read.
     FirstEvent(JobId),
     /// It ended.
     End(JobId),
+    /// A target did not take or answer a request.
+    TargetFailed(TargetName),
 }
 
 /// A call from one node to another.
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -34,7 +34,7 @@
             NodeCall::Beat(beat) => NodeReply::Beat(answer_beat(&node, beat)),
             NodeCall::Place(ask) => NodeReply::Placed(place_here(&node, ask).await),
             NodeCall::Events(events) => {
-                for event in events {
+                for event in &events {
                     apply_event(&node, event);
                 }
                 decide(&node);
--- a/src/node/placing.rs
+++ b/src/node/placing.rs
@@ -202,20 +202,21 @@
 
 /// Applies what became of a request here, and queues it for the owner of placement.
 pub fn note_event(node: &Rc<NodeState>, event: JobEvent) {
-    apply_event(node, event);
+    apply_event(node, &event);
     node.events.borrow_mut().push(event);
     node.events_ready.notify_one();
 }
 
 /// Applies what became of a request.
-pub fn apply_event(node: &Rc<NodeState>, event: JobEvent) {
+pub fn apply_event(node: &Rc<NodeState>, event: &JobEvent) {
     match event {
         JobEvent::FirstEvent(job) => {
             for dispatcher in node.dispatchers.borrow_mut().values_mut() {
-                dispatcher.first_event(job);
+                dispatcher.first_event(*job);
             }
         }
-        JobEvent::End(job) => end_job(node, job),
+        JobEvent::End(job) => end_job(node, *job),
+        JobEvent::TargetFailed(target) => node.note_reported_failure(target),
     }
 }
 
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -87,6 +87,16 @@
     None
 }
 
+/// What came of reading a stream.
+enum StreamRead {
+    /// Bytes.
+    More,
+    /// The whole answer is read.
+    End,
+    /// Nothing for this long.
+    Silent(Duration),
+}
+
 /// What a running stream holds.
 pub struct StreamRun {
     /// The connection.
@@ -155,15 +165,16 @@
                     Err(reason) => return Some(Err(self.break_off(reason))),
                 }
             }
-            let failure = match self.read().await {
-                Ok(true) => continue,
-                Ok(false) => {
+            let resumed = match self.read().await {
+                Ok(StreamRead::More) => continue,
+                Ok(StreamRead::End) => {
                     self.finish();
                     return None;
                 }
-                Err(reason) => reason,
+                Ok(StreamRead::Silent(silence)) => self.leave_silent_target(silence).await,
+                Err(reason) => self.resume(reason).await,
             };
-            if let Err(reason) = self.resume(failure).await {
+            if let Err(reason) = resumed {
                 return Some(Err(self.break_off(reason)));
             }
         }
@@ -190,32 +201,32 @@
         Ok(Some(event.bytes))
     }
 
-    /// Reads more bytes; false at the answer's end.
-    async fn read(&mut self) -> Result<bool, String> {
+    /// Reads more bytes.
+    async fn read(&mut self) -> Result<StreamRead, String> {
         let now = self.node.now();
         let left = self.caller.time_left(now);
         // Silence alone is no reason to end a stream that nobody else may go on with.
         let silent = if self.may_resume(now) {
-            self.caller.route.patience().mul_f64(SILENT_SHARE)
+            self.caller.route.patience().mul_f64(SILENT_SHARE).min(left)
         } else {
             left
         };
         let Some(run) = &mut self.run else {
             return Err("no target".to_owned());
         };
-        let chunk = timeout(silent.min(left), run.connection.next_chunk()).await;
-        match chunk {
+        match timeout(silent, run.connection.next_chunk()).await {
             Ok(Ok(Some(chunk))) => {
                 self.events.push(&chunk);
                 if self.events.bytes.len() > EVENT_LIMIT {
                     return Err("an event without end".to_owned());
                 }
-                Ok(true)
+                Ok(StreamRead::More)
             }
-            Ok(Ok(None)) if self.events.is_empty() => Ok(false),
+            Ok(Ok(None)) if self.events.is_empty() => Ok(StreamRead::End),
             Ok(Ok(None)) => Err("ended inside an event".to_owned()),
             Ok(Err(error)) => Err(error.to_string()),
-            Err(_) => Err(format!("silent for {} ms", silent.min(left).as_millis())),
+            Err(_) if silent == left => Err("the request's time is over".to_owned()),
+            Err(_) => Ok(StreamRead::Silent(silent)),
         }
     }
 
@@ -228,7 +239,7 @@
                 .put(run.connection, self.node.now());
             tracing::info!(
                 id = self.caller.says.id,
-                target = %run.target,
+                replica = %run.target,
                 events = self.sent,
                 runs = self.runs,
                 longest_pause_ms = self.longest_pause.as_millis() as u64,
@@ -264,18 +275,52 @@
             && !self.caller.time_left(now).is_zero()
     }
 
-    /// Goes on at another target after the last event, where that is allowed.
+    /// Goes on elsewhere; the silent target is kept unless another has taken over.
+    async fn leave_silent_target(&mut self, silence: Duration) -> Result<(), String> {
+        let failure = format!("silent for {} ms", silence.as_millis());
+        let silent = self.run.take();
+        let target = silent.as_ref().map(|run| run.target.clone());
+        match self.start_elsewhere(target.as_ref(), &failure).await {
+            Ok(()) => {
+                if let Some(target) = target {
+                    self.node.note_target_failure(&target, &failure);
+                }
+                self.events = EventBuffer::default();
+            }
+            Err(reason) => {
+                tracing::info!(
+                    id = self.caller.says.id,
+                    reason,
+                    "waiting for the silent target"
+                );
+                self.run = silent;
+                self.runs = self.runs.max(self.caller.route.max_attempts);
+            }
+        }
+        Ok(())
+    }
+
+    /// Goes on at another target after a failure, where that is allowed.
     async fn resume(&mut self, failure: String) -> Result<(), String> {
         let failed = self.run.take().map(|run| run.target);
         if let Some(target) = &failed {
             self.node.note_target_failure(target, &failure);
-            self.ask.avoid.push(target.clone());
         }
+        self.events = EventBuffer::default();
+        self.start_elsewhere(failed.as_ref(), &failure).await
+    }
+
+    async fn start_elsewhere(
+        &mut self,
+        failed: Option<&TargetName>,
+        failure: &str,
+    ) -> Result<(), String> {
         let now = self.node.now();
         if !self.may_resume(now) || !self.node.take_retry(&self.caller.service) {
-            return Err(failure);
+            return Err(failure.to_owned());
         }
-        self.events = EventBuffer::default();
+        self.ask.avoid = self.node.suspended_targets();
+        self.ask.avoid.extend(failed.cloned());
         self.ask.job = self.node.new_job();
         // The next pause is late already; what counts is that the stream goes on.
         self.ask.objective = self.caller.route.pause;
@@ -292,7 +337,7 @@
             id = self.caller.says.id,
             failure,
             last_event = self.last_event,
-            target = %placement.lead,
+            replica = %placement.lead,
             "stream resumed elsewhere"
         );
         self.runs += 1;
@@ -329,7 +374,7 @@
         if let Some(run) = &self.run {
             tracing::info!(
                 id = self.caller.says.id,
-                target = %run.target,
+                replica = %run.target,
                 events = self.sent,
                 "caller left its stream"
             );
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -125,7 +125,7 @@
                 let success = answer.status.is_success();
                 tracing::info!(
                     id = caller.says.id,
-                    target = %target.name,
+                    replica = %target.name,
                     status = answer.status.as_u16(),
                     send = sends,
                     "target answered"
@@ -137,13 +137,13 @@
                 failed = Some(answer);
             }
             SendOutcome::NotRun(reason) => {
-                tracing::info!(id = caller.says.id, target = %target.name, reason, "send not run");
+                tracing::info!(id = caller.says.id, replica = %target.name, reason, "send not run");
                 if runs == 0 {
                     last = OwnAnswer::not_run("busy", reason, BUSY_RETRY_AFTER);
                 }
             }
             SendOutcome::Unknown(reason) => {
-                tracing::info!(id = caller.says.id, target = %target.name, reason, "send without an answer");
+                tracing::info!(id = caller.says.id, replica = %target.name, reason, "send without an answer");
                 runs += 1;
                 last = if caller.time_left(node.now()).is_zero() {
                     OwnAnswer::timed_out(reason)
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -130,7 +130,7 @@
                     tracing::info!(%domain, in_service, source, "failure domain changed");
                 }
                 CatalogChange::Target { target, state } => {
-                    tracing::info!(%target, state, source, "target changed");
+                    tracing::info!(replica = %target, state, source, "target changed");
                 }
                 CatalogChange::Unreadable { key, reason } => {
                     tracing::warn!(key, reason, source, "record passed over");
@@ -175,21 +175,50 @@
             .is_none_or(|health| !health.is_suspended(now))
     }
 
-    /// Notes a failed send to a target.
+    /// Notes a failed send to a target, and tells the owner of placement.
     pub fn note_target_failure(&self, target: &TargetName, reason: &str) {
         let now = self.now();
-        let suspended = {
+        let pause = {
             let mut health = self.health.borrow_mut();
             let health = health.entry(target.clone()).or_default();
             health.note_failure(now)
         };
-        if let Some(pause) = suspended {
+        let pause_ms = pause.as_millis() as u64;
+        tracing::info!(replica = %target, reason, pause_ms, "target passed over");
+        let event = JobEvent::TargetFailed(target.clone());
+        self.events.borrow_mut().push(event);
+        self.events_ready.notify_one();
+        self.refresh_engines();
+    }
+
+    /// Notes that another VM's send to a target failed.
+    pub fn note_reported_failure(&self, target: &TargetName) {
+        let now = self.now();
+        let pause = {
+            let mut health = self.health.borrow_mut();
+            let health = health.entry(target.clone()).or_default();
+            health.note_reported_failure(now)
+        };
+        if let Some(pause) = pause {
             let pause_ms = pause.as_millis() as u64;
-            tracing::info!(%target, reason, pause_ms, "target passed over");
+            tracing::info!(replica = %target, pause_ms, "target passed over after a peer's report");
             self.refresh_engines();
         }
     }
 
+    /// Targets that this node passes over now.
+    pub fn suspended_targets(&self) -> Vec<TargetName> {
+        let now = self.now();
+        let health = self.health.borrow();
+        let mut names: Vec<TargetName> = health
+            .iter()
+            .filter(|(_, health)| health.is_suspended(now))
+            .map(|(name, _)| name.clone())
+            .collect();
+        names.sort();
+        names
+    }
+
     /// Notes an answer of a target.
     pub fn note_target_success(&self, target: &TargetName) {
         if let Some(health) = self.health.borrow_mut().get_mut(target) {
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -29,12 +29,12 @@
 /// Value of a prompt grows with this power of its length: an archive of 130,000 tokens is
 /// worth about twelve checks of 5,000.
 const VALUE_EXPONENT: f64 = 0.75;
+/// Share of an engine full of short prompts that is left for long reading.
+const LEAST_LANE: f64 = 0.3;
 /// Engines that one prompt may be split over: the lead and 16 helpers.
 const MAX_PARTS: usize = 17;
 /// Streams of short prompts on an engine before the next engine is opened.
 const PACK_LIMIT: usize = 13;
-/// Slots kept free for what other VMs may have sent meanwhile.
-const SPARE_SLOTS: usize = 1;
 /// Share of the objective within which a prediction counts as safe.
 const SAFE_SHARE: f64 = 0.75;
 /// Share of an engine's memory that is planned for.
@@ -368,11 +368,7 @@
             return None;
         }
         let bearable = waiting.ask.objective.mul_f64(LATE_WAIT_SHARE);
-        let late_already = waiting.objective_at() <= now + own;
-        if late_already && backlog <= bearable.max(MIN_RETRY_AFTER) {
-            return None;
-        }
-        (waiting.since == now || !late_already)
+        (backlog > bearable.max(MIN_RETRY_AFTER))
             .then(|| refuse(RefusalReason::Overload, retry_after))
     }
 
@@ -384,14 +380,17 @@
         (self.spec.memory_tokens as f64 * MEMORY_SHARE) as u64
     }
 
-    /// Engines that short prompts leave to long ones, at least one.
+    /// Engines' worth of reading that streams of short prompts leave to long ones.
     fn reading_lanes(&self) -> f64 {
-        let lanes = self
-            .engines
+        self.engines
             .values()
-            .filter(|engine| engine.usable && engine.shorts() < PACK_LIMIT / 2)
-            .count();
-        lanes.max(1) as f64
+            .filter(|engine| engine.usable)
+            .map(|engine| {
+                let taken = engine.shorts() as f64 / PACK_LIMIT as f64;
+                (1.0 - taken).max(LEAST_LANE)
+            })
+            .sum::<f64>()
+            .max(LEAST_LANE)
     }
 
     fn reading_left(&self, now: Instant) -> Duration {
@@ -416,7 +415,7 @@
         let open = self.engines.values().filter(|engine| {
             engine.usable
                 && !ask.avoid.contains(&engine.target.name)
-                && engine.running() + SPARE_SLOTS < self.spec.slots
+                && engine.running() < self.spec.slots
                 && engine.memory_used() + memory <= self.planned_memory()
                 && self.bears_another(engine, now)
         });
@@ -478,7 +477,7 @@
             .filter(|engine| {
                 engine.usable
                     && !ask.avoid.contains(&engine.target.name)
-                    && engine.running() + SPARE_SLOTS < self.spec.slots
+                    && engine.running() < self.spec.slots
                     && engine.long_reading_left(now) <= NEARLY_FREE
                     && self.bears_another(engine, now)
             })
--- a/src/policy/target_choice.rs
+++ b/src/policy/target_choice.rs
@@ -5,6 +5,7 @@
 use crate::ids::{DomainName, TargetName};
 
 const FIRST_PAUSE: Duration = Duration::from_millis(400); // a restarted target is back within seconds
+const REPORTED_PAUSE: Duration = Duration::from_millis(700); // by then another VM has failed or succeeded there
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 const FAILURE_WEIGHT: f64 = 0.2;
 const FAILURE_COST: f64 = 10.0; // requests in service that a sure failure weighs as much as
@@ -36,13 +37,23 @@
     }
 
     /// Notes a failed send; returns for how long the target is now passed over.
-    pub fn note_failure(&mut self, now: Instant) -> Option<Duration> {
+    pub fn note_failure(&mut self, now: Instant) -> Duration {
         self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate);
         self.failures_in_row += 1;
         let doubled = FIRST_PAUSE * 2_u32.pow(self.failures_in_row.min(5) - 1);
         let pause = doubled.min(LONGEST_PAUSE);
         self.suspended_until = Some(now + pause);
-        Some(pause)
+        pause
+    }
+
+    /// Notes that another VM's send failed; returns for how long the target is now passed
+    /// over, unless it already is. A single VM's trouble costs others a short pause only.
+    pub fn note_reported_failure(&mut self, now: Instant) -> Option<Duration> {
+        if self.is_suspended(now) {
+            return None;
+        }
+        self.suspended_until = Some(now + REPORTED_PAUSE);
+        Some(REPORTED_PAUSE)
     }
 
     /// Notes a failure that the target answered itself: it works, but not well.
