--- /dev/null
+++ b/tests/platform/answers.rs
@@ -0,0 +1,157 @@
+//! What callers of plain services get, and what targets see.
+
+use crate::support::bed::TestBed;
+use crate::support::caller::{CallerSend, send};
+use crate::support::target::TargetMood;
+
+#[test]
+fn requests_reach_their_service_with_team_and_without_key() {
+    let bed = TestBed::start(1);
+    let mut request = CallerSend::new("r-1", "POST", "/issue/a%2Fb?x=1");
+    request.body = b"certificate".to_vec();
+    request.extra = vec![("X-Plantainnotch-Tenant".into(), "forged".into())];
+
+    let answer = send(bed.places[0].callers, &request).expect("an answer");
+
+    assert_eq!(answer.status, 200);
+    assert!(answer.complete);
+    let run = &bed.runs("r-1")[0];
+    assert_eq!(run.team.as_deref(), Some("team-a"));
+    assert!(!run.key_seen);
+    assert_eq!(run.path, "/issue/a%2Fb?x=1");
+    assert_eq!(run.body, b"certificate");
+    assert_eq!(run.service, "records");
+    assert_eq!(run.asked_target.as_ref(), Some(&run.target));
+    assert!(run.deadline_ms.is_some_and(|left| left <= 5_000));
+}
+
+#[test]
+fn unknown_routes_and_keys_are_told_so() {
+    let bed = TestBed::start(1);
+    let mut keyless = CallerSend::new("r-2", "GET", "/lookup/1");
+    keyless.key = Some("key-z".to_owned());
+
+    let unknown_route = send(
+        bed.places[0].callers,
+        &CallerSend::new("r-1", "GET", "/other/1"),
+    );
+    let unknown_key = send(bed.places[0].callers, &keyless);
+
+    assert_eq!(unknown_route.expect("an answer").status, 404);
+    assert_eq!(unknown_key.expect("an answer").status, 401);
+    assert!(bed.runs("r-1").is_empty() && bed.runs("r-2").is_empty());
+}
+
+#[test]
+fn once_requests_run_once_and_refusals_are_true() {
+    let bed = TestBed::start(2);
+    let moods = [
+        TargetMood::ResetsAfterRun,
+        TargetMood::Hangs,
+        TargetMood::Full,
+        TargetMood::Truncates,
+        TargetMood::UnframedReset,
+        TargetMood::Fails,
+        TargetMood::SaysMore,
+    ];
+    for (turn, mood) in moods.into_iter().enumerate() {
+        bed.set_replicas(mood);
+        for request in 0..3 {
+            let id = format!("once-{turn}-{request}");
+
+            let answer = bed.issue(request % 2, &id);
+
+            let runs = bed.runs(&id).len();
+            assert!(runs <= 1, "{mood:?}: {id} ran {runs} times");
+            let status = answer.as_ref().map_or(0, |answer| answer.status);
+            let refused = [408, 421, 429, 503].contains(&status);
+            assert!(!refused || runs == 0, "{mood:?}: {id} was refused and ran");
+            if mood == TargetMood::Full {
+                assert!(refused, "{mood:?}: {id} got {status}");
+                let after = answer
+                    .as_ref()
+                    .and_then(|answer| answer.header("retry-after"));
+                assert!(after.is_some(), "{mood:?}: no time to come back");
+            }
+        }
+    }
+}
+
+#[test]
+fn idempotent_requests_go_on_at_another_target() {
+    let bed = TestBed::start(1);
+    for (turn, mood) in [
+        TargetMood::ResetsAfterRun,
+        TargetMood::Truncates,
+        TargetMood::UnframedReset,
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        bed.replicas[0].set_mood(mood);
+        for request in 0..6 {
+            let id = format!("safe-{turn}-{request}");
+
+            let answer = bed.lookup(0, &id).expect("an answer");
+
+            assert_eq!(answer.status, 200, "{mood:?}");
+            assert!(answer.complete, "{mood:?}");
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            assert!(
+                text.starts_with(&format!("answer to {id} ")),
+                "{mood:?}: {text}"
+            );
+            assert!(bed.runs(&id).len() <= 2, "{mood:?}");
+        }
+        bed.replicas[0].set_mood(TargetMood::Well);
+    }
+}
+
+#[test]
+fn bodies_that_end_with_their_connection_are_whole() {
+    let bed = TestBed::start(1);
+    bed.set_replicas(TargetMood::Unframed);
+
+    let answer = bed.issue(0, "unframed").expect("an answer");
+
+    assert_eq!(answer.status, 200);
+    assert!(answer.complete);
+    assert!(answer.body.starts_with(b"answer to unframed from replica-"));
+}
+
+#[test]
+fn surplus_answers_reach_nobody() {
+    let bed = TestBed::start(1);
+    bed.set_replicas(TargetMood::SaysMore);
+    for request in 0..12 {
+        let id = format!("more-{request}");
+
+        let answer = bed.lookup(0, &id).expect("an answer");
+
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        assert!(text.starts_with(&format!("answer to {id} ")), "{text}");
+    }
+}
+
+#[test]
+fn a_targets_own_failure_is_passed_on_with_its_mark() {
+    let bed = TestBed::start(1);
+    bed.set_replicas(TargetMood::Fails);
+
+    let answer = bed.issue(0, "fails").expect("an answer");
+
+    assert_eq!(answer.status, 500);
+    assert!(answer.header("x-plantainnotch-replica-seal").is_some());
+}
+
+#[test]
+fn bodies_over_the_limit_are_rejected() {
+    let bed = TestBed::start(1);
+    let mut request = CallerSend::new("large", "POST", "/issue/1");
+    request.body = vec![b'x'; 100_001];
+
+    let answer = send(bed.places[0].callers, &request);
+
+    assert!(answer.is_none_or(|answer| answer.status == 413));
+    assert!(bed.runs("large").is_empty());
+}
--- /dev/null
+++ b/tests/platform/members.rs
@@ -0,0 +1,109 @@
+//! Nodes that die, stop, pause and come back.
+
+use std::thread;
+use std::time::Duration;
+
+use crate::support::bed::{TestBed, wait_for};
+use crate::support::caller::{is_ready, resolve, send};
+use crate::support::node::RunningNode;
+
+const GONE_WITHIN: Duration = Duration::from_secs(3);
+
+#[test]
+fn a_dead_node_leaves_the_directory() {
+    let mut bed = TestBed::start(3);
+    let dead = bed.places[1].callers;
+
+    bed.nodes[1].kill();
+
+    wait_for(
+        GONE_WITHIN,
+        "the directory leaves the dead node out",
+        || {
+            [0, 2].iter().all(|node| {
+                let known = resolve(bed.places[*node].directory);
+                known.is_some_and(|list| !list.contains(&dead) && list.len() == 2)
+            })
+        },
+    );
+}
+
+#[test]
+fn streams_are_placed_after_the_owner_died() {
+    let mut bed = TestBed::start(3);
+    for dead in 0..2 {
+        bed.nodes[dead].kill();
+
+        let id = format!("orphan-{dead}");
+        let answer = send(bed.places[2].callers, &bed.stream(&id, "/single/a"));
+
+        assert_eq!(answer.expect("an answer").status, 200, "after {dead} died");
+    }
+}
+
+#[test]
+fn a_stopping_node_finishes_what_it_took() {
+    let mut bed = TestBed::start(2);
+    bed.engines
+        .iter()
+        .for_each(|engine| engine.set_step(Duration::from_millis(200)));
+    let stream = bed.stream("planned", "/single/a");
+    let (callers, readiness) = (bed.places[0].callers, bed.places[0].readiness);
+    let caller = thread::spawn(move || send(callers, &stream));
+    thread::sleep(Duration::from_millis(400));
+
+    bed.nodes[0].signal("TERM");
+
+    wait_for(Duration::from_secs(1), "the stopping node says so", || {
+        !is_ready(readiness)
+    });
+    wait_for(
+        Duration::from_secs(1),
+        "the directory leaves it out",
+        || resolve(bed.places[1].directory).is_some_and(|list| !list.contains(&callers)),
+    );
+    let answer = caller
+        .join()
+        .expect("the caller's thread ends")
+        .expect("an answer");
+    assert!(answer.complete);
+    assert_eq!(answer.event_ids().len(), 8);
+    assert!(bed.nodes[0].ended_well(Duration::from_secs(8)));
+}
+
+#[test]
+fn all_nodes_come_back_with_nothing_kept() {
+    let mut bed = TestBed::start(3);
+
+    bed.nodes.iter_mut().for_each(RunningNode::kill);
+    bed.nodes.clear();
+    bed.nodes = bed.places.iter().map(RunningNode::start).collect();
+
+    wait_for(Duration::from_secs(4), "all nodes serve again", || {
+        (0..3).all(|node| {
+            let id = format!("again-{node}");
+            let served = bed
+                .lookup(node, &id)
+                .is_some_and(|answer| answer.status == 200);
+            let known = resolve(bed.places[node].directory);
+            served && known.is_some_and(|list| list.len() == 3)
+        })
+    });
+}
+
+#[test]
+fn a_paused_owner_is_passed_over() {
+    let bed = TestBed::start(3);
+    for paused in 0..3 {
+        bed.nodes[paused].signal("STOP");
+        for node in (0..3).filter(|node| *node != paused) {
+            let id = format!("pause-{paused}-{node}");
+
+            let answer = send(bed.places[node].callers, &bed.stream(&id, "/single/a"));
+
+            assert_eq!(answer.expect("an answer").status, 200, "{paused} paused");
+        }
+        bed.nodes[paused].signal("CONT");
+        thread::sleep(Duration::from_millis(1_500));
+    }
+}
--- /dev/null
+++ b/tests/platform/records.rs
@@ -0,0 +1,153 @@
+//! Records of operators and targets: in force in time, never back, also while the store
+//! is away.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::support::bed::{TestBed, config, wait_for};
+use crate::support::caller::{CallerSend, send};
+use crate::support::proxy::ProxyFault;
+use crate::support::store::StoreMood;
+
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(2);
+
+fn with_route(version: u64, path: &str) -> serde_json::Value {
+    let mut changed = config(version);
+    let mut added = changed["routes"][0].clone();
+    added["name"] = json!("added");
+    added["path_prefix"] = json!(path);
+    changed["routes"]
+        .as_array_mut()
+        .expect("routes are a list")
+        .push(added);
+    changed
+}
+
+fn status_of(bed: &TestBed, node: usize, path: &str) -> u16 {
+    let request = CallerSend::new("probe", "GET", path);
+    send(bed.places[node].callers, &request).map_or(0, |answer| answer.status)
+}
+
+#[test]
+fn configurations_come_into_force_and_never_go_back() {
+    let bed = TestBed::start(3);
+    let mut without_key = with_route(5, "/added/");
+    without_key["tenants"] = json!([{"name": "team-b", "api_keys": ["key-b"], "priority": 1}]);
+
+    bed.put_config(&with_route(3, "/added/"));
+    wait_for(IN_FORCE_WITHIN, "the added route is served", || {
+        (0..3).all(|node| status_of(&bed, node, "/added/1") == 200)
+    });
+    bed.put_config(&without_key);
+    wait_for(IN_FORCE_WITHIN, "the key is refused", || {
+        (0..3).all(|node| status_of(&bed, node, "/added/1") == 401)
+    });
+    bed.put_config(&with_route(4, "/added/"));
+    bed.store.compact("keyed.op");
+    std::thread::sleep(Duration::from_millis(800));
+
+    for node in 0..3 {
+        assert_eq!(
+            status_of(&bed, node, "/added/1"),
+            401,
+            "version 4 replaced version 5"
+        );
+    }
+}
+
+#[test]
+fn a_node_that_the_store_turns_away_is_fed_by_its_peers() {
+    let bed = TestBed::start(3);
+    bed.store_proxies[1].set(ProxyFault::Silence);
+    bed.store_proxies[2].set(ProxyFault::Reset);
+
+    bed.put_config(&with_route(3, "/added/"));
+
+    wait_for(IN_FORCE_WITHIN, "cut nodes know the added route", || {
+        (0..3).all(|node| status_of(&bed, node, "/added/1") == 200)
+    });
+}
+
+#[test]
+fn requests_are_served_while_the_store_is_away() {
+    let bed = TestBed::start(2);
+    for mood in [StoreMood::Silent, StoreMood::Busy] {
+        bed.store.set_mood(mood);
+        std::thread::sleep(Duration::from_millis(1_000));
+
+        let answer = bed.issue(0, &format!("away-{mood:?}")).expect("an answer");
+
+        assert_eq!(answer.status, 200, "{mood:?}");
+    }
+}
+
+#[test]
+fn draining_and_gone_targets_get_nothing_new() {
+    let bed = TestBed::start(2);
+    bed.put_target(3, "draining");
+    bed.store.put("keyed.servers", "replica-1", b"");
+    std::thread::sleep(Duration::from_millis(1_200));
+    for request in 0..10 {
+        let id = format!("drained-{request}");
+
+        let answer = bed.lookup(request % 2, &id).expect("an answer");
+
+        assert_eq!(answer.status, 200);
+        let runs = bed.runs(&id);
+        assert!(runs.iter().all(|run| run.target == "replica-2"), "{runs:?}");
+    }
+}
+
+#[test]
+fn domains_out_of_service_get_nothing_new_until_they_are_back() {
+    let bed = TestBed::start(1);
+    bed.store.put("keyed.op", "evacuate/domain-0", b"{}");
+    bed.store.put("keyed.op", "evacuate/domain-1", b"{}");
+    std::thread::sleep(Duration::from_millis(600));
+    for request in 0..6 {
+        let id = format!("out-{request}");
+        let stream = bed.stream(&id, "/single/a");
+
+        send(bed.places[0].callers, &stream).expect("an answer");
+
+        assert_eq!(bed.runs(&id)[0].target, "engine-2");
+    }
+
+    bed.store.put("keyed.op", "evacuate/domain-0", b"");
+    bed.store.put("keyed.op", "evacuate/domain-1", b"");
+
+    wait_for(IN_FORCE_WITHIN, "other engines are used again", || {
+        let id = format!("back-{}", bed.ledger().runs.len());
+        send(bed.places[0].callers, &bed.stream(&id, "/single/a"));
+        bed.runs(&id).iter().any(|run| run.target != "engine-2")
+    });
+}
+
+#[test]
+fn records_that_lapse_with_the_store_come_back() {
+    let bed = TestBed::start(1);
+    bed.store.set_mood(StoreMood::Busy);
+    std::thread::sleep(Duration::from_millis(600));
+    for index in 3..6 {
+        let name = bed.target(index).id.clone();
+        bed.store.put("keyed.servers", &name, b"");
+    }
+    bed.store.set_mood(StoreMood::Well);
+    std::thread::sleep(Duration::from_millis(1_000));
+
+    let answer = bed.lookup(0, "lapsed").expect("an answer");
+
+    assert_eq!(
+        answer.status, 200,
+        "targets were dropped with their lapsed records"
+    );
+    wait_for(
+        Duration::from_secs(5),
+        "targets that stay away are gone",
+        || {
+            bed.lookup(0, "gone")
+                .is_some_and(|answer| answer.status == 503)
+        },
+    );
+}
--- /dev/null
+++ b/tests/support/bed.rs
@@ -0,0 +1,217 @@
+//! A store, targets and nodes, put together.
+
+use std::net::SocketAddr;
+use std::sync::PoisonError;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::StandInRuntime;
+use super::caller::{CallerAnswer, CallerSend, send};
+use super::node::{NodePlace, RunningNode, node_places};
+use super::proxy::FaultProxy;
+use super::store::StandInStore;
+use super::target::{RunRecord, SharedLedger, StandInTarget, TargetLedger, TargetMood};
+
+const ENGINES: usize = 3;
+const REPLICAS: usize = 3;
+const WAIT_STEP: Duration = Duration::from_millis(20);
+
+/// Everything that a test needs.
+pub struct TestBed {
+    pub nodes: Vec<RunningNode>,
+    pub places: Vec<NodePlace>,
+    pub engines: Vec<StandInTarget>,
+    pub replicas: Vec<StandInTarget>,
+    pub store: StandInStore,
+    /// Between each node and the store.
+    pub store_proxies: Vec<FaultProxy>,
+    /// Between the nodes and each target, engines first.
+    pub target_proxies: Vec<FaultProxy>,
+    pub ledger: SharedLedger,
+    pub runtime: StandInRuntime,
+}
+
+/// The configuration that the tests start with.
+pub fn config(version: u64) -> Value {
+    let route = |name: &str, path: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": "callers.example", "path_prefix": path, "route_type": kind,
+            "timeout_ms": 6000, "latency_target_ms": 300, "priority": 1, "service": service,
+            "max_attempts": 2, "public": false, "session_affinity": false,
+            "stream_resume": false, "gap_aim_ms": 250,
+        })
+    };
+    let mut resumable = route("resumable", "/resumable/", "stream", "engines");
+    resumable["stream_resume"] = json!(true);
+    let mut archive = route("archive", "/archive/", "stream", "engines");
+    archive["stream_resume"] = json!(true);
+    archive["latency_target_ms"] = json!(3000);
+    archive["gap_aim_ms"] = json!(1000);
+    json!({
+        "version": version,
+        "routes": [
+            route("lookup", "/lookup/", "safe", "records"),
+            route("issue", "/issue/", "unsafe", "records"),
+            route("single", "/single/", "stream", "engines"),
+            resumable,
+            archive,
+        ],
+        "services": [
+            {"name": "records", "health_path": "/health", "max_conns": 100, "warmup_per_s": 0.0},
+            {"name": "engines", "health_path": "/health", "max_conns": 100, "warmup_per_s": 28.0,
+             "engine": {"slots": 16, "kv_capacity_tokens": 232_000, "stride": 43, "step_ms": 1.02,
+                "per_seq_ms": 0.00226, "context_per_k": 0.00431, "read_per_s": 206_000.0,
+                "pairs_per_m": 0.138, "hop_ms": 0.075}},
+        ],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 100_000,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [
+            {"name": "team-a", "api_keys": ["key-a"], "priority": 1},
+            {"name": "team-b", "api_keys": ["key-b"], "priority": 1},
+        ],
+    })
+}
+
+impl TestBed {
+    /// A bed with `count` ready nodes.
+    pub fn start(count: usize) -> Self {
+        let runtime = StandInRuntime::start();
+        let store = StandInStore::start(&runtime);
+        let ledger = SharedLedger::default();
+        let target = |name: &str, service: &str, index: usize, engine: bool| {
+            let (id, domain) = (format!("{name}-{index}"), format!("domain-{}", index % 3));
+            StandInTarget::start(&runtime, &id, service, &domain, engine, ledger.clone())
+        };
+        let engines: Vec<StandInTarget> = (0..ENGINES)
+            .map(|index| target("engine", "engines", index, true))
+            .collect();
+        let replicas: Vec<StandInTarget> = (0..REPLICAS)
+            .map(|index| target("replica", "records", index, false))
+            .collect();
+        let proxy = |address: SocketAddr| FaultProxy::start(&runtime, address);
+        let target_proxies: Vec<FaultProxy> = engines
+            .iter()
+            .chain(&replicas)
+            .map(|target| proxy(target.address))
+            .collect();
+        let mut places = node_places(count, store.address);
+        let store_proxies: Vec<FaultProxy> = places.iter().map(|_| proxy(store.address)).collect();
+        for (place, proxy) in places.iter_mut().zip(&store_proxies) {
+            place.store = proxy.address;
+        }
+        let bed = Self {
+            nodes: Vec::new(),
+            places,
+            engines,
+            replicas,
+            store,
+            store_proxies,
+            target_proxies,
+            ledger,
+            runtime,
+        };
+        bed.put_config(&config(1));
+        for index in 0..ENGINES + REPLICAS {
+            bed.put_target(index, "ready");
+        }
+        let mut bed = bed;
+        bed.nodes = bed.places.iter().map(RunningNode::start).collect();
+        for node in &bed.nodes {
+            node.wait_ready();
+        }
+        bed.wait_served();
+        bed
+    }
+
+    /// Waits until every node has heard of targets and of the others.
+    fn wait_served(&self) {
+        let everywhere = || {
+            self.nodes.iter().enumerate().all(|(index, node)| {
+                let stream = self.stream(&format!("warm-{index}"), "/single/warm");
+                let streamed = send(node.place.callers, &stream);
+                let looked = self.lookup(index, &format!("warm-l-{index}"));
+                let known = super::caller::resolve(node.place.directory);
+                streamed.is_some_and(|answer| answer.status == 200)
+                    && looked.is_some_and(|answer| answer.status == 200)
+                    && known.is_some_and(|list| list.len() == self.nodes.len())
+            })
+        };
+        wait_for(Duration::from_secs(15), "all nodes serve", everywhere);
+    }
+
+    pub fn put_config(&self, config: &Value) {
+        let text = config.to_string();
+        self.store.put("keyed.op", "config", text.as_bytes());
+    }
+
+    pub fn target(&self, index: usize) -> &StandInTarget {
+        self.engines
+            .iter()
+            .chain(&self.replicas)
+            .nth(index)
+            .expect("a target has this index")
+    }
+
+    pub fn put_target(&self, index: usize, state: &str) {
+        let target = self.target(index);
+        let record = target.record(self.target_proxies[index].address, state);
+        let text = record.to_string();
+        self.store.put("keyed.servers", &target.id, text.as_bytes());
+    }
+
+    pub fn set_engines(&self, mood: TargetMood) {
+        self.engines.iter().for_each(|engine| engine.set_mood(mood));
+    }
+
+    pub fn set_replicas(&self, mood: TargetMood) {
+        self.replicas
+            .iter()
+            .for_each(|replica| replica.set_mood(mood));
+    }
+
+    /// A request for a short generation.
+    pub fn stream(&self, id: &str, path: &str) -> CallerSend {
+        let mut request = CallerSend::new(id, "POST", path);
+        request.tokens = Some("1000,400".to_owned());
+        request.body = b"prompt".to_vec();
+        request
+    }
+
+    pub fn lookup(&self, node: usize, id: &str) -> Option<CallerAnswer> {
+        send(
+            self.places[node].callers,
+            &CallerSend::new(id, "GET", "/lookup/7"),
+        )
+    }
+
+    pub fn issue(&self, node: usize, id: &str) -> Option<CallerAnswer> {
+        let mut request = CallerSend::new(id, "POST", "/issue/7");
+        request.body = id.as_bytes().to_vec();
+        send(self.places[node].callers, &request)
+    }
+
+    /// Runs of a request so far.
+    pub fn runs(&self, id: &str) -> Vec<RunRecord> {
+        let ledger = self.ledger();
+        ledger
+            .runs
+            .iter()
+            .filter(|run| run.id == id)
+            .cloned()
+            .collect()
+    }
+
+    pub fn ledger(&self) -> std::sync::MutexGuard<'_, TargetLedger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Waits until `holds`, and fails with `what` when it does not within `limit`.
+pub fn wait_for(limit: Duration, what: &str, holds: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < limit, "not within {limit:?}: {what}");
+        std::thread::sleep(WAIT_STEP);
+    }
+}
--- /dev/null
+++ b/tests/support/caller.rs
@@ -0,0 +1,167 @@
+//! Callers: they ask the directory, connect, send one request and judge the answer.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use serde_json::Value;
+
+const CONNECT_WITHIN: Duration = Duration::from_secs(1);
+
+/// A request to send.
+#[derive(Debug, Clone)]
+pub struct CallerSend {
+    pub id: String,
+    pub method: &'static str,
+    pub path: String,
+    pub key: Option<String>,
+    pub deadline: Duration,
+    pub body: Vec<u8>,
+    pub tokens: Option<String>,
+    pub extra: Vec<(String, String)>,
+}
+
+impl CallerSend {
+    pub fn new(id: &str, method: &'static str, path: &str) -> Self {
+        Self {
+            id: id.to_owned(),
+            method,
+            path: path.to_owned(),
+            key: Some("key-a".to_owned()),
+            deadline: Duration::from_secs(5),
+            body: Vec::new(),
+            tokens: None,
+            extra: Vec::new(),
+        }
+    }
+
+    fn bytes(&self) -> Vec<u8> {
+        let mut head = format!(
+            "{} {} HTTP/1.1\r\nhost: callers.example\r\nx-plantainnotch-request-id: {}\r\nx-plantainnotch-deadline: {}\r\ncontent-length: {}\r\n",
+            self.method,
+            self.path,
+            self.id,
+            self.deadline.as_millis(),
+            self.body.len(),
+        );
+        if let Some(key) = &self.key {
+            head.push_str(&format!("x-plantainnotch-key: {key}\r\n"));
+        }
+        if let Some(tokens) = &self.tokens {
+            head.push_str(&format!("x-plantainnotch-token-count: {tokens}\r\n"));
+        }
+        for (name, value) in &self.extra {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("connection: close\r\n\r\n");
+        let mut bytes = head.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+/// An answer as the caller saw it.
+#[derive(Debug, Clone)]
+pub struct CallerAnswer {
+    pub status: u16,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+    /// Whether the framing says that the body is whole.
+    pub complete: bool,
+}
+
+impl CallerAnswer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+
+    /// The ids of a stream's events in order.
+    pub fn event_ids(&self) -> Vec<u64> {
+        String::from_utf8_lossy(&self.body)
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+            .collect()
+    }
+}
+
+/// Sends a request to `address`; none when no head of an answer came.
+pub fn send(address: SocketAddr, request: &CallerSend) -> Option<CallerAnswer> {
+    let mut stream = TcpStream::connect_timeout(&address, CONNECT_WITHIN).ok()?;
+    stream.set_read_timeout(Some(request.deadline)).ok()?;
+    stream.write_all(&request.bytes()).ok()?;
+    let mut bytes = Vec::new();
+    let ended_well = stream.read_to_end(&mut bytes).is_ok();
+    parse_answer(&bytes, ended_well)
+}
+
+/// Asks a directory for addresses.
+pub fn resolve(directory: SocketAddr) -> Option<Vec<SocketAddr>> {
+    let path = "/api/resolve?name=callers.example&region=r&zone=domain-0";
+    let answer = send(directory, &CallerSend::new("", "GET", path))?;
+    let body: Value = serde_json::from_slice(&answer.body).ok()?;
+    let list = body["addresses"].as_array()?;
+    list.iter()
+        .map(|text| text.as_str()?.parse().ok())
+        .collect()
+}
+
+/// Whether a node says that it takes callers.
+pub fn is_ready(readiness: SocketAddr) -> bool {
+    let mut ask = CallerSend::new("", "GET", "/api/ready");
+    ask.deadline = Duration::from_secs(1);
+    send(readiness, &ask).is_some_and(|answer| answer.status == 200)
+}
+
+fn parse_answer(bytes: &[u8], ended_well: bool) -> Option<CallerAnswer> {
+    let head_end = bytes.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
+    let mut lines = head.split("\r\n");
+    let status = lines.next()?.split(' ').nth(1)?.parse().ok()?;
+    let headers: BTreeMap<String, String> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+        .collect();
+    let raw = &bytes[head_end..];
+    let chunked = headers
+        .get("transfer-encoding")
+        .is_some_and(|value| value.contains("chunked"));
+    let (body, complete) = if chunked {
+        decode_chunks(raw)
+    } else if let Some(length) = headers.get("content-length") {
+        (raw.to_vec(), length.parse() == Ok(raw.len()))
+    } else {
+        (raw.to_vec(), ended_well)
+    };
+    Some(CallerAnswer {
+        status,
+        headers,
+        body,
+        complete,
+    })
+}
+
+fn decode_chunks(mut raw: &[u8]) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    loop {
+        let Some(end) = raw.windows(2).position(|window| window == b"\r\n") else {
+            return (body, false);
+        };
+        let size = std::str::from_utf8(&raw[..end])
+            .ok()
+            .and_then(|text| usize::from_str_radix(text.trim(), 16).ok());
+        let Some(size) = size else {
+            return (body, false);
+        };
+        raw = &raw[end + 2..];
+        if size == 0 {
+            return (body, true);
+        }
+        if raw.len() < size + 2 {
+            body.extend_from_slice(&raw[..size.min(raw.len())]);
+            return (body, false);
+        }
+        body.extend_from_slice(&raw[..size]);
+        raw = &raw[size + 2..];
+    }
+}
--- /dev/null
+++ b/tests/support/http.rs
@@ -0,0 +1,172 @@
+//! A small HTTP/1.1 server whose handlers decide on every byte of an answer.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+/// A request as it was read.
+#[derive(Debug, Clone)]
+pub struct SeenRequest {
+    pub method: String,
+    pub path: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl SeenRequest {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let (_, query) = self.path.split_once('?')?;
+        query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find_map(|(key, value)| (key == name).then_some(value))
+    }
+}
+
+/// One step of an answer.
+#[derive(Debug, Clone)]
+pub enum AnswerStep {
+    Write(Vec<u8>),
+    Wait(Duration),
+    /// Ends the connection with a reset.
+    Reset,
+    /// Ends the connection in order.
+    Close,
+    /// Says nothing more for good.
+    Silence,
+}
+
+/// Where a handler sends the steps of its answer; closed when the peer has gone.
+pub type StepSender = mpsc::Sender<AnswerStep>;
+
+/// A whole answer with a length.
+pub fn whole_answer(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut out = format!("HTTP/1.1 {status} X\r\n");
+    for (name, value) in headers {
+        out.push_str(&format!("{name}: {value}\r\n"));
+    }
+    out.push_str(&format!("content-length: {}\r\n\r\n", body.len()));
+    let mut out = out.into_bytes();
+    out.extend_from_slice(body);
+    out
+}
+
+/// Serves connections until the listener fails.
+pub async fn serve<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(SeenRequest, StepSender) -> F + Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let handler = Arc::new(handler);
+    while let Ok((stream, _)) = listener.accept().await {
+        let handler = handler.clone();
+        tokio::spawn(async move { serve_connection(stream, handler).await });
+    }
+}
+
+async fn serve_connection<H, F>(mut stream: TcpStream, handler: Arc<H>)
+where
+    H: Fn(SeenRequest, StepSender) -> F + Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    stream.set_nodelay(true).ok();
+    let mut buffer = Vec::new();
+    while let Some(request) = read_request(&mut stream, &mut buffer).await {
+        let (sender, mut steps) = mpsc::channel(4);
+        let task = tokio::spawn(handler(request, sender));
+        loop {
+            let step = tokio::select! {
+                step = steps.recv() => step,
+                gone = peer_gone(&mut stream, &mut buffer) => {
+                    if gone {
+                        task.abort();
+                        return;
+                    }
+                    continue;
+                }
+            };
+            match step {
+                Some(AnswerStep::Write(bytes)) => {
+                    if stream.write_all(&bytes).await.is_err() {
+                        task.abort();
+                        return;
+                    }
+                }
+                Some(AnswerStep::Wait(time)) => {
+                    let waited = tokio::time::sleep(time);
+                    tokio::pin!(waited);
+                    loop {
+                        tokio::select! {
+                            () = &mut waited => break,
+                            gone = peer_gone(&mut stream, &mut buffer) => {
+                                if gone {
+                                    task.abort();
+                                    return;
+                                }
+                            }
+                        }
+                    }
+                }
+                Some(AnswerStep::Reset) => {
+                    stream.set_linger(Some(Duration::ZERO)).ok();
+                    return;
+                }
+                Some(AnswerStep::Close) => return,
+                Some(AnswerStep::Silence) => {
+                    while !peer_gone(&mut stream, &mut buffer).await {}
+                    return;
+                }
+                None => break,
+            }
+        }
+    }
+}
+
+async fn peer_gone(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
+    matches!(stream.read_buf(buffer).await, Ok(0) | Err(_))
+}
+
+async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<SeenRequest> {
+    let head_end = loop {
+        if let Some(end) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
+            break end + 4;
+        }
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let head = String::from_utf8_lossy(&buffer[..head_end]).into_owned();
+    let mut lines = head.split("\r\n");
+    let mut first = lines.next()?.split(' ');
+    let (method, path) = (first.next()?.to_owned(), first.next()?.to_owned());
+    let headers: BTreeMap<String, String> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+        .collect();
+    let length: usize = headers
+        .get("content-length")
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(0);
+    while buffer.len() < head_end + length {
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let body = buffer[head_end..head_end + length].to_vec();
+    buffer.drain(..head_end + length);
+    Some(SeenRequest {
+        method,
+        path,
+        headers,
+        body,
+    })
+}
--- /dev/null
+++ b/tests/support/node.rs
@@ -0,0 +1,190 @@
+//! Real `notch-node` processes on loopback, ended when dropped.
+
+use std::fs::File;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+/// Loopback addresses differ between VMs and between test programs at work.
+static NEXT_HOST: AtomicU8 = AtomicU8::new(1);
+
+const READY_WITHIN: Duration = Duration::from_secs(15);
+
+/// The settings of one node.
+#[derive(Debug, Clone)]
+pub struct NodePlace {
+    pub name: String,
+    pub domain: String,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub peers: SocketAddr,
+    pub directory: SocketAddr,
+    pub metrics: SocketAddr,
+    pub store: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+    folder: PathBuf,
+}
+
+/// Places for `count` nodes that know each other as seeds.
+pub fn node_places(count: usize, store: SocketAddr) -> Vec<NodePlace> {
+    let process = (std::process::id() % 250 + 1) as u8;
+    let mut places: Vec<NodePlace> = (0..count)
+        .map(|index| {
+            let host = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+            let ip = IpAddr::V4(Ipv4Addr::new(127, process, 7, host));
+            let name = format!("vm-{index}");
+            let folder =
+                std::env::temp_dir().join(format!("notch-{}-{host}-{name}", std::process::id()));
+            NodePlace {
+                name,
+                domain: format!("domain-{}", index % 3),
+                callers: free_port(ip),
+                readiness: free_port(ip),
+                peers: free_port(ip),
+                directory: free_port(ip),
+                metrics: free_port(ip),
+                store,
+                seeds: Vec::new(),
+                folder,
+            }
+        })
+        .collect();
+    let seeds: Vec<SocketAddr> = places.iter().take(3).map(|place| place.peers).collect();
+    for place in &mut places {
+        place.seeds = seeds.clone();
+    }
+    places
+}
+
+fn free_port(ip: IpAddr) -> SocketAddr {
+    let listener = TcpListener::bind((ip, 0)).expect("a port is free");
+    listener
+        .local_addr()
+        .expect("a bound socket has an address")
+}
+
+impl NodePlace {
+    fn settings(&self) -> String {
+        let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("{seed:?}")).collect();
+        format!(
+            r#"node = "{}"
+role = "node"
+zone = "{}"
+seeds = ["{}"]
+[listen_addrs]
+front = "{}"
+ready = "{}"
+control = "{}"
+directory = "{}"
+[limits]
+cpu_share = 0.25
+cores = 1
+max_fds = 4200
+[bounds]
+grace_s = 8
+retry_budget_ratio = 0.2
+budget_window_s = 10
+retry_slack = 102
+stall_ms = 1500
+hold_max_ms = 20000
+ttl_max_s = 5
+[platform]
+address = "{}"
+"#,
+            self.name,
+            self.domain,
+            seeds.join("\",\""),
+            self.callers,
+            self.readiness,
+            self.peers,
+            self.directory,
+            self.store,
+        )
+    }
+}
+
+/// A running node, killed when dropped.
+pub struct RunningNode {
+    pub place: NodePlace,
+    child: Child,
+}
+
+impl RunningNode {
+    pub fn start(place: &NodePlace) -> Self {
+        std::fs::create_dir_all(&place.folder).expect("the temporary folder can be written");
+        let settings = place.folder.join("node.toml");
+        std::fs::write(&settings, place.settings()).expect("the settings can be written");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(place.folder.join("node.log"))
+            .expect("the log can be written");
+        let child = Command::new(env!("CARGO_BIN_EXE_notch-node"))
+            .args(["--metrics-port", &place.metrics.port().to_string()])
+            .env("PLANTAINNOTCH_SETTINGS", settings)
+            .stdout(Stdio::from(log))
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the program was built");
+        Self {
+            place: place.clone(),
+            child,
+        }
+    }
+
+    /// The node's log so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.place.folder.join("node.log")).unwrap_or_default()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        Command::new("kill").args(["-s", name, &id]).status().ok();
+    }
+
+    pub fn kill(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    /// Waits until the process has ended by itself; tells whether with success.
+    pub fn ended_well(&mut self, within: Duration) -> bool {
+        let begun = Instant::now();
+        while begun.elapsed() < within {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.success();
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
+    /// Waits until the node says that it is ready.
+    pub fn wait_ready(&self) {
+        let begun = Instant::now();
+        while !super::caller::is_ready(self.place.readiness) {
+            assert!(
+                begun.elapsed() < READY_WITHIN,
+                "{} is not ready:\n{}",
+                self.place.name,
+                self.log()
+            );
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+impl Drop for RunningNode {
+    fn drop(&mut self) {
+        self.kill();
+        if !std::thread::panicking() {
+            std::fs::remove_dir_all(&self.place.folder).ok();
+        }
+    }
+}
--- /dev/null
+++ b/tests/support/store.rs
@@ -0,0 +1,234 @@
+//! A stand-in of the platform's store, with outages, slow answers and lost answers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use super::StandInRuntime;
+use super::http::{AnswerStep, SeenRequest, StepSender, serve, whole_answer};
+
+/// How the store behaves.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum StoreMood {
+    Well,
+    Busy,
+    Silent,
+    Slow(Duration),
+    /// Reads are answered; writes take effect without an answer.
+    LosesWrites,
+}
+
+#[derive(Default)]
+struct StoreTopic {
+    records: Vec<(String, Vec<u8>)>,
+    first: u64,
+    newest: BTreeMap<String, (u64, Vec<u8>)>,
+}
+
+struct StoreState {
+    topics: BTreeMap<String, StoreTopic>,
+    mood: StoreMood,
+    calls: usize,
+}
+
+/// A running stand-in.
+#[derive(Clone)]
+pub struct StandInStore {
+    pub address: SocketAddr,
+    state: Arc<Mutex<StoreState>>,
+    changed: watch::Sender<u64>,
+}
+
+impl StandInStore {
+    pub fn start(runtime: &StandInRuntime) -> Self {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        listener
+            .set_nonblocking(true)
+            .expect("sockets can be non-blocking");
+        let address = listener
+            .local_addr()
+            .expect("a bound socket has an address");
+        let (changed, _) = watch::channel(0);
+        let store = Self {
+            address,
+            state: Arc::new(Mutex::new(StoreState {
+                topics: BTreeMap::new(),
+                mood: StoreMood::Well,
+                calls: 0,
+            })),
+            changed,
+        };
+        let served = store.clone();
+        let _guard = runtime.enter();
+        let listener = TcpListener::from_std(listener).expect("the runtime takes the socket");
+        runtime.spawn(serve(listener, move |request, steps| {
+            let store = served.clone();
+            async move { store.answer(request, steps).await }
+        }));
+        store
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, StoreState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn set_mood(&self, mood: StoreMood) {
+        self.lock().mood = mood;
+        self.changed.send_modify(|version| *version += 1);
+    }
+
+    pub fn calls(&self) -> usize {
+        self.lock().calls
+    }
+
+    /// Writes a record; an empty value drops the key.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut state = self.lock();
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        let offset = topic.first + topic.records.len() as u64;
+        topic.records.push((key.to_owned(), value.to_vec()));
+        if value.is_empty() {
+            topic.newest.remove(key);
+        } else {
+            topic
+                .newest
+                .insert(key.to_owned(), (offset, value.to_vec()));
+        }
+        drop(state);
+        self.changed.send_modify(|version| *version += 1);
+    }
+
+    /// Forgets the history of a topic, but for the newest record of each key.
+    pub fn compact(&self, topic: &str) {
+        let mut state = self.lock();
+        let topic = state.topics.entry(topic.to_owned()).or_default();
+        topic.first += topic.records.len() as u64;
+        topic.records.clear();
+        drop(state);
+        self.changed.send_modify(|version| *version += 1);
+    }
+
+    async fn answer(&self, request: SeenRequest, steps: StepSender) {
+        let mood = {
+            let mut state = self.lock();
+            state.calls += 1;
+            state.mood
+        };
+        match mood {
+            StoreMood::Busy => {
+                let answer = whole_answer(503, &[], b"");
+                steps.send(AnswerStep::Write(answer)).await.ok();
+                return;
+            }
+            StoreMood::Silent => {
+                steps.send(AnswerStep::Silence).await.ok();
+                return;
+            }
+            StoreMood::Slow(time) => tokio::time::sleep(time).await,
+            StoreMood::Well | StoreMood::LosesWrites => {}
+        }
+        let topic = request.query("topic").unwrap_or_default().to_owned();
+        let answer = match request.path.split('?').next().unwrap_or_default() {
+            "/api/log-newest" => self.newest(&topic),
+            "/api/log-read" => self.read(&request, &topic).await,
+            "/api/log-append" => {
+                self.append(&topic, &request.body);
+                if mood == StoreMood::LosesWrites {
+                    steps.send(AnswerStep::Silence).await.ok();
+                    return;
+                }
+                whole_answer(200, &[], br#"{"offset":0,"end":1}"#)
+            }
+            _ => whole_answer(404, &[], b""),
+        };
+        steps.send(AnswerStep::Write(answer)).await.ok();
+    }
+
+    fn newest(&self, topic: &str) -> Vec<u8> {
+        let state = self.lock();
+        let (items, end): (Vec<Value>, u64) = match state.topics.get(topic) {
+            Some(topic) => {
+                let items = topic.newest.iter().map(|(key, (offset, value))| {
+                    json!({"key": key, "offset": offset, "value": STANDARD.encode(value)})
+                });
+                (items.collect(), topic.first + topic.records.len() as u64)
+            }
+            None => (Vec::new(), 0),
+        };
+        let body = json!({"items": items, "has_more": false, "end": end}).to_string();
+        whole_answer(
+            200,
+            &[("content-type", "application/json")],
+            body.as_bytes(),
+        )
+    }
+
+    async fn read(&self, request: &SeenRequest, topic: &str) -> Vec<u8> {
+        let number = |name: &str| -> u64 {
+            request
+                .query(name)
+                .and_then(|value| value.parse().ok())
+                .unwrap_or(0)
+        };
+        let (from, wait) = (number("from"), Duration::from_millis(number("wait_ms")));
+        let mut changes = self.changed.subscribe();
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            if let Some(answer) = self.read_now(topic, from) {
+                return answer;
+            }
+            let waited = tokio::time::timeout_at(deadline, changes.changed()).await;
+            if waited.is_err() {
+                let mut empty = from.to_be_bytes().to_vec();
+                empty.extend(0_u64.to_be_bytes());
+                return whole_answer(200, &[], &empty);
+            }
+        }
+    }
+
+    fn read_now(&self, topic: &str, from: u64) -> Option<Vec<u8>> {
+        let state = self.lock();
+        let topic = state.topics.get(topic)?;
+        if from < topic.first {
+            return Some(whole_answer(410, &[], br#"{"first":0}"#));
+        }
+        let skip = usize::try_from(from - topic.first).unwrap_or(usize::MAX);
+        let records = topic.records.get(skip..)?;
+        if records.is_empty() {
+            return None;
+        }
+        let end = topic.first + topic.records.len() as u64;
+        let mut body = end.to_be_bytes().to_vec();
+        body.extend(topic.first.to_be_bytes());
+        for (key, value) in records {
+            let length = 1 + key.len() + value.len();
+            body.extend((length as u32).to_be_bytes());
+            body.push(key.len() as u8);
+            body.extend(key.as_bytes());
+            body.extend(value);
+        }
+        Some(whole_answer(200, &[], &body))
+    }
+
+    fn append(&self, topic: &str, body: &[u8]) {
+        let mut rest = body;
+        while let Some((length, after)) = rest.split_first_chunk::<4>() {
+            let length = u32::from_be_bytes(*length) as usize;
+            let (record, after) = after.split_at(length.min(after.len()));
+            rest = after;
+            let Some((&key_length, record)) = record.split_first() else {
+                continue;
+            };
+            let (key, value) = record.split_at(usize::from(key_length).min(record.len()));
+            let key = String::from_utf8_lossy(key).into_owned();
+            self.put(topic, &key, value);
+        }
+    }
+}
