--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -195,6 +195,8 @@
     read_until: Option<Instant>,
     booked: Instant,
     expires: Instant,
+    /// Late already, so that a further pause costs nothing.
+    spoiled: bool,
 }
 
 #[derive(Debug)]
@@ -437,7 +439,7 @@
                 if full {
                     engine.running() as i64
                 } else {
-                    -(engine.shorts() as i64)
+                    -(engine.tender() as i64)
                 },
                 engine.target.domain != ask.domain,
                 &engine.target.name,
@@ -484,7 +486,7 @@
             .collect();
         free.sort_by_cached_key(|engine| {
             let risk = engine.generating_value().round() as u64;
-            (engine.shorts(), risk, engine.target.name.clone())
+            (engine.tender(), risk, engine.target.name.clone())
         });
         let left = waiting.objective_at().saturating_duration_since(now);
         let needed = self.memory_parts(&free, ask.prompt + ask.output)?;
@@ -536,7 +538,7 @@
         let clean: Vec<&EngineLedger> = self
             .engines
             .values()
-            .filter(|engine| engine.usable && engine.shorts() == 0)
+            .filter(|engine| engine.usable && engine.tender() == 0)
             .collect();
         let wait = clean
             .iter()
@@ -581,7 +583,7 @@
                 (
                     self.memory_left(engine) >= memory,
                     engine.target.domain == ask.domain,
-                    Reverse(engine.shorts()),
+                    Reverse(engine.tender()),
                     self.memory_left(engine),
                 )
             })
@@ -642,7 +644,11 @@
                 short,
                 helper,
             };
+            let pass = self.engines.get(target).map(|engine| self.pass_of(engine, 0));
             if let Some(engine) = self.engines.get_mut(target) {
+                if !short {
+                    engine.spoil(read, pass.unwrap_or_default(), now);
+                }
                 let begins = now + engine.reading_left(now);
                 engine
                     .sends
@@ -653,6 +659,7 @@
                     read_until: Some(begins + read),
                     booked: now,
                     expires: now + life,
+                    spoiled: false,
                 });
             }
         }
@@ -728,6 +735,7 @@
                 read_until: (!report.reading.is_zero()).then(|| now + report.reading),
                 booked: now,
                 expires: now + JOB_EXPIRY,
+                spoiled: false,
             });
         }
     }
@@ -747,6 +755,17 @@
     }
 }
 
+impl EngineJob {
+    /// Whether a pause makes the stream late that is not late yet.
+    fn is_harmed_by(&self, pause: Duration) -> bool {
+        let begun = self.report.short || self.read_until.is_none();
+        begun
+            && !self.report.helper
+            && !self.spoiled
+            && pause > self.report.pause.mul_f64(PAUSE_LIMIT)
+    }
+}
+
 impl EngineLedger {
     fn running(&self) -> usize {
         self.jobs.iter().filter(|held| !held.report.helper).count()
@@ -759,6 +778,7 @@
     /// Value of the requests that generate here.
     fn generating_value(&self) -> f64 {
         self.generating()
+            .filter(|held| !held.spoiled)
             .map(|held| prompt_value(held.report.prompt))
             .sum()
     }
@@ -772,15 +792,30 @@
     /// What a part that takes `read` costs the streams here: those that pause too long
     /// are late.
     fn harm_of(&self, read: Duration, pass: Duration, now: Instant) -> f64 {
-        let read = read + self.unread(now);
+        let pause = read + pass + self.unread(now);
         self.jobs
             .iter()
-            .filter(|held| !held.report.helper && (held.report.short || held.read_until.is_none()))
-            .filter(|held| read + pass > held.report.pause.mul_f64(PAUSE_LIMIT))
+            .filter(|held| held.is_harmed_by(pause))
             .map(|held| prompt_value(held.report.prompt) * (1.0 - LATE_VALUE))
             .sum()
     }
 
+    /// Notes the streams that a further part makes late.
+    fn spoil(&mut self, read: Duration, pass: Duration, now: Instant) {
+        let pause = read + pass + self.unread(now);
+        for held in &mut self.jobs {
+            held.spoiled |= held.is_harmed_by(pause);
+        }
+    }
+
+    /// Short prompts that are still in time.
+    fn tender(&self) -> usize {
+        self.jobs
+            .iter()
+            .filter(|held| held.report.short && !held.spoiled)
+            .count()
+    }
+
     /// The least pause that anything generating here allows.
     fn least_pause(&self, own: Duration) -> Duration {
         self.jobs
--- a/tests/core/engine_play.rs
+++ b/tests/core/engine_play.rs
@@ -581,6 +581,7 @@
             if at - held.last_event > pause
                 && held.request.kind == 0
                 && std::env::var("DBG").is_ok()
+                && self.policy == PlayPolicy::Dispatcher
             {
                 println!(
                     "DBG {:?} short {} on {} pause {:?} pass {:?}",
