--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -297,7 +297,7 @@
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_cached_key(|waiting| {
             let short = read_time(&self.spec, waiting.ask.prompt, 1) <= SHORT_READ;
-            let late = waiting.objective_at() <= now;
+            let late = waiting.objective_at() <= now + self.typical_time(waiting.ask.prompt);
             (!short, late, waiting.objective_at(), waiting.ask.job)
         });
         let mut decisions = Vec::new();
@@ -409,6 +409,16 @@
         read_time(&self.spec, prompt, parts) + pass_time(&self.spec, 1, prompt)
     }
 
+    /// Time to the first event of a prompt that begins now on engines as busy as usual.
+    fn typical_time(&self, prompt: u64) -> Duration {
+        let read = read_time(&self.spec, prompt, 1);
+        if read > SHORT_READ {
+            return Duration::ZERO;
+        }
+        let half = self.spec.slots / 2;
+        read + pass_time(&self.spec, half, prompt * half as u64).mul_f64(1.5)
+    }
+
     fn place_short(&self, waiting: &WaitingAsk, now: Instant) -> Option<EnginePlacement> {
         let ask = &waiting.ask;
         let own_read = read_time(&self.spec, ask.prompt, 1);
