--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -17,6 +17,11 @@
 /// A prompt that one engine reads within this is short: it fits between two events of
 /// a stream that must pause for 250 ms at most.
 const SHORT_READ: Duration = Duration::from_millis(90);
+/// A prompt that one engine reads within this may go beside streams when no engine is free.
+const BRIEF_READ: Duration = Duration::from_millis(170);
+/// Share of a late stream's value that a further long pause costs: a few of them, and it
+/// does not end in its time.
+const LATE_HARM_SHARE: f64 = 0.3;
 /// Share of a request's value that is left when it is late.
 const LATE_VALUE: f64 = 0.25;
 /// Share of a request's value that a first event just within its objective costs: engines
@@ -334,9 +339,13 @@
         if needed > room {
             return Some(refuse(RefusalReason::TooLarge, MIN_RETRY_AFTER * 4));
         }
-        let short = read_time(&self.spec, ask.prompt, 1) <= SHORT_READ;
-        let placed = if short {
+        let alone = read_time(&self.spec, ask.prompt, 1);
+        let short = alone <= BRIEF_READ;
+        let placed = if alone <= SHORT_READ {
             self.place_short(waiting, now)
+        } else if short {
+            self.place_long(waiting, now)
+                .or_else(|| self.place_short(waiting, now))
         } else if ahead.is_zero() || waiting.objective_at() > now {
             self.place_long(waiting, now)
         } else {
@@ -358,10 +367,10 @@
         short: bool,
         now: Instant,
     ) -> Option<DispatchAnswer> {
-        let lanes = self.reading_lanes();
-        let backlog = (self.reading_left(now) + ahead).div_f64(lanes);
         let own = self.least_time(waiting.ask.prompt);
-        let predicted = now + backlog + own;
+        let soonest = self.soonest_first_event(waiting.ask.prompt, ahead, now);
+        let backlog = soonest.saturating_sub(own);
+        let predicted = now + soonest;
         let retry_after = backlog.max(MIN_RETRY_AFTER);
         if predicted > waiting.leaves_at() {
             return Some(refuse(RefusalReason::TooLate, retry_after));
@@ -395,12 +404,25 @@
             .max(LEAST_LANE)
     }
 
-    fn reading_left(&self, now: Instant) -> Duration {
-        self.engines
+    /// Time to the first event of a long prompt that begins as soon as engines are free,
+    /// after what goes before it in the queue.
+    fn soonest_first_event(&self, prompt: u64, ahead: Duration, now: Instant) -> Duration {
+        let mut free_in: Vec<Duration> = self
+            .engines
             .values()
             .filter(|engine| engine.usable)
             .map(|engine| engine.long_reading_left(now))
-            .sum()
+            .collect();
+        free_in.sort_unstable();
+        let queue = ahead.div_f64(self.reading_lanes());
+        let pass = pass_time(&self.spec, 1, prompt);
+        free_in
+            .into_iter()
+            .take(MAX_PARTS)
+            .enumerate()
+            .map(|(index, free)| free + queue + read_time(&self.spec, prompt, index + 1) + pass)
+            .min()
+            .unwrap_or(Duration::MAX)
     }
 
     /// Time to the first event if the prompt began now on as many engines as it may use.
@@ -654,7 +676,10 @@
                 short,
                 helper,
             };
-            let pass = self.engines.get(target).map(|engine| self.pass_of(engine, 0));
+            let pass = self
+                .engines
+                .get(target)
+                .map(|engine| self.pass_of(engine, 0));
             if let Some(engine) = self.engines.get_mut(target) {
                 if !short {
                     engine.spoil(read, pass.unwrap_or_default(), now);
@@ -766,13 +791,10 @@
 }
 
 impl EngineJob {
-    /// Whether a pause makes the stream late that is not late yet.
-    fn is_harmed_by(&self, pause: Duration) -> bool {
+    /// Whether the stream's next pause would be too long.
+    fn is_held_up_by(&self, pause: Duration) -> bool {
         let begun = self.report.short || self.read_until.is_none();
-        begun
-            && !self.report.helper
-            && !self.spoiled
-            && pause > self.report.pause.mul_f64(PAUSE_LIMIT)
+        begun && !self.report.helper && pause > self.report.pause.mul_f64(PAUSE_LIMIT)
     }
 }
 
@@ -805,8 +827,15 @@
         let pause = read + pass + self.unread(now);
         self.jobs
             .iter()
-            .filter(|held| held.is_harmed_by(pause))
-            .map(|held| prompt_value(held.report.prompt) * (1.0 - LATE_VALUE))
+            .filter(|held| held.is_held_up_by(pause))
+            .map(|held| {
+                let share = if held.spoiled {
+                    LATE_VALUE * LATE_HARM_SHARE
+                } else {
+                    1.0 - LATE_VALUE
+                };
+                prompt_value(held.report.prompt) * share
+            })
             .sum()
     }
 
@@ -814,7 +843,7 @@
     fn spoil(&mut self, read: Duration, pass: Duration, now: Instant) {
         let pause = read + pass + self.unread(now);
         for held in &mut self.jobs {
-            held.spoiled |= held.is_harmed_by(pause);
+            held.spoiled |= held.is_held_up_by(pause);
         }
     }
 
