--- /dev/null
+++ b/tests/core/adapter.rs
@@ -0,0 +1,278 @@
+//! The platform's adapter: what it takes in, and what it lets out.
+
+use std::time::{Duration, Instant};
+
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use plantainnotch::ids::{DomainName, TargetName, TeamName};
+use plantainnotch::platform::callers::{
+    SplitHelper, TargetHeaders, decode_answer, decode_caller, encode_target,
+};
+use plantainnotch::platform::settings::parse_settings;
+use plantainnotch::platform::store::{decode_tail, encode_keyed};
+use plantainnotch::policy::retry_share::RetryShare;
+use plantainnotch::policy::target_choice::{TargetHealth, TargetOption, choose_target};
+
+use crate::fixtures::check;
+
+const SETTINGS: &str = r#"
+node = "vm-1"
+zone = "a"
+seeds = ["10.0.0.1:1"]
+new_field = "is ignored"
+[listen_addrs]
+front = "10.0.0.1:2"
+ready = "10.0.0.1:3"
+control = "10.0.0.1:1"
+directory = "10.0.0.1:4"
+[limits]
+cpu_share = 0.25
+cores = 1
+max_fds = 4200
+[bounds]
+grace_s = 8
+retry_budget_ratio = 0.2
+budget_window_s = 10
+retry_slack = 102
+stall_ms = 1500
+hold_max_ms = 20000
+ttl_max_s = 5
+[platform]
+address = "10.0.0.9:1"
+"#;
+
+fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
+    let mut map = HeaderMap::new();
+    for (name, value) in pairs {
+        map.append(
+            HeaderName::from_static(name),
+            HeaderValue::from_static(value),
+        );
+    }
+    map
+}
+
+#[test]
+fn settings_are_read_and_unknown_fields_ignored() {
+    let settings = parse_settings(SETTINGS).expect("the settings hold");
+
+    assert_eq!(settings.domain, DomainName::new("a"));
+    assert_eq!(settings.bounds.stop_grace, Duration::from_secs(8));
+    assert_eq!(settings.addresses.peers.port(), 1);
+}
+
+#[test]
+fn all_mistakes_in_settings_are_told_at_once() {
+    let wrong = SETTINGS
+        .replace("10.0.0.1:2", "nowhere")
+        .replace("cpu_share = 0.25", "cpu_share = -1")
+        .replace("node = \"vm-1\"", "node = \"\"");
+
+    let error = parse_settings(&wrong)
+        .expect_err("three mistakes")
+        .to_string();
+
+    for part in ["listen_addrs.front", "limits.cpu_share", "node is empty"] {
+        assert!(error.contains(part), "{part} is missing in {error}");
+    }
+}
+
+/// Bytes from the network never panic the decoder.
+#[test]
+fn any_bytes_are_a_tail_or_an_error() {
+    fn property(bytes: Vec<u8>) -> bool {
+        let mut framed = vec![0; 16];
+        framed.extend_from_slice(&bytes);
+        decode_tail(&framed, 0).map_or(true, |tail| tail.next <= bytes.len() as u64)
+    }
+    check(45, property as fn(Vec<u8>) -> bool);
+}
+
+/// What is written is read back, in order and with its offsets.
+#[test]
+fn records_survive_the_wire() {
+    fn property(records: Vec<(u8, Vec<u8>)>) -> bool {
+        let mut bytes = vec![0; 16];
+        for (key, value) in &records {
+            bytes.extend(encode_keyed(&format!("k{key}"), value));
+        }
+        let tail = decode_tail(&bytes, 5).expect("whole records");
+        let same = tail.items.iter().zip(&records).all(|(item, (key, value))| {
+            item.key == format!("k{key}") && item.value.clone().unwrap_or_default() == *value
+        });
+        same && tail.items.len() == records.len() && tail.next == 5 + records.len() as u64
+    }
+    check(46, property as fn(Vec<(u8, Vec<u8>)>) -> bool);
+}
+
+#[test]
+fn forged_headers_and_keys_do_not_reach_targets() {
+    let caller = headers(&[
+        ("x-plantainnotch-request-id", "id-1"),
+        ("x-plantainnotch-key", "secret"),
+        ("x-plantainnotch-tenant", "forged"),
+        ("x-plantainnotch-helpers", "10.9.9.9:1"),
+        ("x-plantainnotch-request-priority", "0"),
+        ("x-plantainnotch-target-replica", "forged"),
+        ("x-plantainnotch-model", "m"),
+        ("connection", "keep-alive, x-hop"),
+        ("x-hop", "1"),
+        ("x-other", "kept"),
+    ]);
+    let (target, team) = (TargetName::new("i-1"), TeamName::new("team-a"));
+
+    let sent = encode_target(
+        &caller,
+        &TargetHeaders {
+            target: &target,
+            team: Some(&team),
+            deadline: Duration::from_millis(700),
+            urgency: None,
+            helpers: &[],
+            last_event: None,
+        },
+    );
+
+    let value = |name: &str| sent.get(name).and_then(|value| value.to_str().ok());
+    assert_eq!(value("x-plantainnotch-tenant"), Some("team-a"));
+    assert_eq!(value("x-plantainnotch-target-replica"), Some("i-1"));
+    assert_eq!(value("x-plantainnotch-deadline"), Some("700"));
+    assert_eq!(value("x-plantainnotch-model"), Some("m"));
+    assert_eq!(value("x-other"), Some("kept"));
+    for gone in [
+        "x-plantainnotch-key",
+        "x-plantainnotch-helpers",
+        "x-plantainnotch-request-priority",
+        "x-hop",
+        "connection",
+    ] {
+        assert_eq!(value(gone), None, "{gone} was passed on");
+    }
+}
+
+#[test]
+fn a_resumed_stream_names_its_own_last_event() {
+    let caller = headers(&[("last-event-id", "3")]);
+    let target = TargetName::new("i-1");
+    let helper = SplitHelper {
+        address: "10.0.0.2:8".parse().expect("an address"),
+        reservation: Some("t".to_owned()),
+    };
+
+    let sent = encode_target(
+        &caller,
+        &TargetHeaders {
+            target: &target,
+            team: None,
+            deadline: Duration::from_secs(1),
+            urgency: Some(3),
+            helpers: &[helper],
+            last_event: Some(9),
+        },
+    );
+
+    let all: Vec<_> = sent.get_all("last-event-id").collect();
+    assert_eq!(all, [&HeaderValue::from_static("9")]);
+    let split = sent
+        .get("x-plantainnotch-helpers")
+        .expect("a helper is named");
+    assert_eq!(split, "10.0.0.2:8/t");
+}
+
+#[test]
+fn headers_are_decoded_once() {
+    let caller = decode_caller(&headers(&[
+        ("x-plantainnotch-request-id", "id-1"),
+        ("x-plantainnotch-deadline", "1500"),
+        ("x-plantainnotch-token-count", "1460, 80"),
+    ]));
+    let answer = decode_answer(&headers(&[
+        ("x-plantainnotch-request-id", "id-1"),
+        ("x-plantainnotch-replica-load", "3,1,8"),
+        ("content-encoding", "gzip"),
+    ]));
+
+    assert_eq!(caller.deadline, Some(Duration::from_millis(1_500)));
+    assert_eq!((caller.prompt_tokens, caller.output_tokens), (1_460, 80));
+    assert_eq!(answer.load.map(|load| load.running + load.waiting), Some(4));
+    assert!(answer.encoded && !answer.sealed && !answer.not_run);
+}
+
+/// All VMs together stay under the budget, however requests and retries fall.
+#[test]
+fn retries_of_all_vms_stay_under_the_budget() {
+    fn property(events: Vec<(u8, bool)>) -> bool {
+        const VMS: usize = 7;
+        let settings = parse_settings(SETTINGS).expect("the settings hold");
+        let now = Instant::now();
+        let mut shares: Vec<RetryShare> = (0..VMS)
+            .map(|_| RetryShare::new(&settings.bounds))
+            .collect();
+        let (mut requests, mut retries) = (0, 0);
+        for (vm, retry) in events {
+            let share = &mut shares[usize::from(vm) % VMS];
+            if retry {
+                retries += usize::from(share.take(VMS, now));
+            } else {
+                share.count_request(now);
+                requests += 1;
+            }
+        }
+        let bounds = &settings.bounds;
+        retries as f64 <= bounds.retry_ratio * f64::from(requests) + bounds.retry_slack
+    }
+    check(47, property as fn(Vec<(u8, bool)>) -> bool);
+}
+
+#[test]
+fn failing_targets_are_passed_over_and_tried_again() {
+    let now = Instant::now();
+    let (a, b, home) = (
+        TargetName::new("a"),
+        TargetName::new("b"),
+        DomainName::new("d"),
+    );
+    let mut health = TargetHealth::default();
+    let pause = health.note_failure(now);
+    let choose = |at: Instant, health: &TargetHealth| {
+        let options = [
+            TargetOption {
+                name: &a,
+                domain: &home,
+                health: Some(health),
+            },
+            TargetOption {
+                name: &b,
+                domain: &home,
+                health: None,
+            },
+        ];
+        choose_target(&options, &home, 0, at).cloned()
+    };
+
+    assert_eq!(choose(now, &health), Some(b.clone()));
+    let longer = health.note_failure(now);
+    assert!(
+        longer > pause,
+        "a second failure in a row pauses for longer"
+    );
+    health.note_success();
+    (0..40).for_each(|_| health.note_success());
+    health.in_service = 0;
+    let busy = TargetHealth {
+        in_service: 1,
+        ..TargetHealth::default()
+    };
+    let options = [
+        TargetOption {
+            name: &a,
+            domain: &home,
+            health: Some(&health),
+        },
+        TargetOption {
+            name: &b,
+            domain: &home,
+            health: Some(&busy),
+        },
+    ];
+    assert_eq!(choose_target(&options, &home, 0, now), Some(&a));
+}
--- /dev/null
+++ b/tests/core/catalog.rs
@@ -0,0 +1,244 @@
+//! Records of the store: never back, whoever tells them and in whatever order.
+
+use std::time::{Duration, Instant};
+
+use plantainnotch::fleet::catalog::{CatalogChange, FleetCatalog, KeyedItem, RecordDecoder};
+use plantainnotch::ids::{DomainName, TargetName};
+use plantainnotch::platform::records::{decode_routes, decode_target, operator_record};
+use serde_json::{Value, json};
+
+use crate::fixtures::check;
+
+const GRACE: Duration = Duration::from_secs(2);
+
+fn catalog() -> FleetCatalog {
+    FleetCatalog::new(RecordDecoder {
+        kind: operator_record,
+        routes: |value| Ok(decode_routes(value)?),
+        target: |key, value| Ok(decode_target(key, value)?),
+    })
+}
+
+fn config(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [
+            {"name": "wide", "host": "H.example", "path_prefix": "/a/", "route_type": "safe",
+             "timeout_ms": 800, "latency_target_ms": 150, "service": "s", "max_attempts": 2},
+            {"name": "narrow", "host": "h.example", "path_prefix": "/a/b/",
+             "route_type": "unsafe", "timeout_ms": 800, "latency_target_ms": 150,
+             "backends": [{"service": "s", "weight": 90}], "max_attempts": 1},
+        ],
+        "services": [{"name": "s", "max_conns": 10}],
+        "limits": {"max_body_bytes": 1000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "team-a", "api_keys": ["k"], "priority": 1}],
+    })
+}
+
+fn item(key: &str, offset: u64, value: &Value) -> KeyedItem {
+    KeyedItem {
+        key: key.to_owned(),
+        offset,
+        value: Some(value.to_string().into_bytes()),
+    }
+}
+
+fn dropped(key: &str, offset: u64) -> KeyedItem {
+    KeyedItem {
+        key: key.to_owned(),
+        offset,
+        value: None,
+    }
+}
+
+fn target(state: &str, born: u64) -> Value {
+    json!({"service": "s", "address": "10.0.0.1:80", "zone": "d", "slots": 4,
+        "state": state, "warmup_left_ms": 0, "sequence": born, "born": born})
+}
+
+fn usable(catalog: &FleetCatalog, now: Instant) -> usize {
+    catalog.usable_targets("s", now).count()
+}
+
+#[test]
+fn the_longest_prefix_of_a_host_wins() {
+    let mut catalog = catalog();
+    catalog.take_operator_items(&[item("config", 1, &config(2))]);
+    let table = catalog
+        .table()
+        .expect("a configuration is in force")
+        .clone();
+
+    let found = |path: &str| {
+        table
+            .find_route("h.example:8080", path)
+            .map(|rule| rule.name.clone())
+    };
+
+    assert_eq!(found("/a/b/c").as_deref(), Some("narrow"));
+    assert_eq!(found("/a/bc").as_deref(), Some("wide"));
+    assert_eq!(found("/a").as_deref(), None);
+    assert!(table.find_route("other.example", "/a/b/").is_none());
+}
+
+/// Whatever order configurations arrive in, the version in force never falls.
+#[test]
+fn versions_never_go_back() {
+    fn property(arrivals: Vec<(u8, u8)>) -> bool {
+        let mut catalog = catalog();
+        let mut highest = 0;
+        for (offset, version) in arrivals {
+            let (offset, version) = (u64::from(offset), u64::from(version) + 1);
+            catalog.take_operator_items(&[item("config", offset, &config(version))]);
+            let in_force = catalog.table().map_or(0, |table| table.version);
+            if in_force < highest {
+                return false;
+            }
+            highest = in_force;
+        }
+        true
+    }
+    check(42, property as fn(Vec<(u8, u8)>) -> bool);
+}
+
+/// However records are split between the store and peers, and repeated, two nodes that
+/// have heard all of them believe the same.
+#[test]
+fn nodes_that_heard_the_same_believe_the_same() {
+    fn property(records: Vec<(u8, bool)>, cut: u8) -> bool {
+        let now = Instant::now();
+        let items: Vec<KeyedItem> = records
+            .iter()
+            .enumerate()
+            .map(|(offset, (name, alive))| {
+                let key = format!("i-{}", name % 4);
+                let offset = offset as u64;
+                if *alive {
+                    item(&key, offset, &target("ready", 1 + offset / 3))
+                } else {
+                    dropped(&key, offset)
+                }
+            })
+            .collect();
+        let (mut near, mut far) = (catalog(), catalog());
+        near.take_target_items(&items, now, None);
+        let cut = usize::from(cut) % (items.len() + 1);
+        far.take_target_items(&items[..cut], now, None);
+        let relayed = near.target_feed.items_from(far.target_feed.end());
+        far.take_target_items(&relayed, now, None);
+        far.take_target_items(&items[..cut], now, None);
+        (0..4).all(|name| {
+            let name = TargetName::new(format!("i-{name}"));
+            let seen = |catalog: &FleetCatalog| {
+                catalog.target(&name).map(|target| target.record.started_ms)
+            };
+            seen(&near) == seen(&far)
+        })
+    }
+    check(43, property as fn(Vec<(u8, bool)>, u8) -> bool);
+}
+
+#[test]
+fn a_dropped_configuration_stays_in_force() {
+    let mut catalog = catalog();
+    catalog.take_operator_items(&[item("config", 1, &config(2)), dropped("config", 2)]);
+
+    assert_eq!(catalog.table().map(|table| table.version), Some(2));
+}
+
+#[test]
+fn unreadable_records_name_no_target_and_the_others_hold() {
+    let now = Instant::now();
+    let mut catalog = catalog();
+    let odd = json!({"service": "s", "address": 7, "zone": "d", "slots": 4, "state": "ready"});
+    let unknown = target("resting", 1);
+
+    let changes = catalog.take_target_items(
+        &[
+            item("i-1", 1, &odd),
+            item("i-2", 2, &target("ready", 1)),
+            item("i-3", 3, &unknown),
+        ],
+        now,
+        None,
+    );
+
+    assert_eq!(usable(&catalog, now), 1);
+    let unreadable = |change: &&CatalogChange| matches!(change, CatalogChange::Unreadable { .. });
+    assert_eq!(changes.iter().filter(unreadable).count(), 2);
+}
+
+#[test]
+fn domains_out_of_service_have_no_usable_targets() {
+    let now = Instant::now();
+    let mut catalog = catalog();
+    catalog.take_target_items(&[item("i-1", 1, &target("ready", 1))], now, None);
+
+    catalog.take_operator_items(&[item("evacuate/d", 1, &json!({}))]);
+    let out = usable(&catalog, now);
+    catalog.take_operator_items(&[dropped("evacuate/d", 2)]);
+
+    assert_eq!(out, 0);
+    assert!(catalog.in_service(&DomainName::new("d")));
+    assert_eq!(usable(&catalog, now), 1);
+}
+
+#[test]
+fn targets_lapse_with_the_store_and_are_gone_after_the_grace() {
+    let now = Instant::now();
+    let mut catalog = catalog();
+    catalog.take_target_items(&[item("i-1", 1, &target("ready", 1))], now, None);
+
+    catalog.take_target_items(&[dropped("i-1", 2)], now, Some(now + GRACE));
+
+    assert_eq!(usable(&catalog, now + GRACE / 2), 1);
+    assert_eq!(usable(&catalog, now + GRACE), 0);
+    catalog.drop_lapsed(now + GRACE);
+    assert!(catalog.target(&TargetName::new("i-1")).is_none());
+}
+
+#[test]
+fn draining_targets_do_not_lapse() {
+    let now = Instant::now();
+    let mut catalog = catalog();
+    catalog.take_target_items(&[item("i-1", 1, &target("draining", 1))], now, None);
+
+    catalog.take_target_items(&[dropped("i-1", 2)], now, Some(now + GRACE));
+
+    assert!(catalog.target(&TargetName::new("i-1")).is_none());
+}
+
+#[test]
+fn heartbeats_that_change_nothing_are_not_relayed() {
+    let now = Instant::now();
+    let mut catalog = catalog();
+    catalog.take_target_items(&[item("i-1", 1, &target("ready", 1))], now, None);
+    let end = catalog.target_feed.end();
+    let mut beat = target("ready", 1);
+    beat["sequence"] = json!(9);
+
+    let changes = catalog.take_target_items(&[item("i-1", 7, &beat)], now, None);
+
+    assert!(changes.is_empty());
+    assert_eq!(catalog.target_feed.end(), end);
+    assert!(catalog.target_feed.items_from(end).is_empty());
+}
+
+#[test]
+fn snapshots_tell_what_went_but_not_what_came_after_them() {
+    let now = Instant::now();
+    let mut catalog = catalog();
+    catalog.take_target_items(
+        &[
+            item("i-1", 1, &target("ready", 1)),
+            item("i-2", 9, &target("ready", 1)),
+        ],
+        now,
+        None,
+    );
+
+    let missing = catalog.target_feed.missing_from(&[], 5);
+
+    let keys: Vec<&str> = missing.iter().map(|item| item.key.as_str()).collect();
+    assert_eq!(keys, ["i-1"]);
+}
--- a/tests/core/engine_play.rs
+++ b/tests/core/engine_play.rs
@@ -18,7 +18,6 @@
 /// A kind of request of a load.
 #[derive(Debug, Clone)]
 pub struct LoadKind {
-    pub name: &'static str,
     pub per_s: f64,
     pub mean_prompt: f64,
     pub spread: f64,
@@ -40,8 +39,7 @@
 
 /// The kinds of the Kigali cooperative, each at `factors` times its usual rate.
 pub fn kigali_kinds(factors: [f64; 3]) -> Vec<LoadKind> {
-    let kind = |name, per_s, mean, spread, max, events, objective, pause, worth| LoadKind {
-        name,
+    let kind = |per_s, mean, spread, max, events, objective, pause, worth| LoadKind {
         per_s,
         mean_prompt: mean,
         spread,
@@ -53,7 +51,6 @@
     };
     vec![
         kind(
-            "short",
             29.7 * factors[0],
             4_960.0,
             0.9,
@@ -64,7 +61,6 @@
             1.3,
         ),
         kind(
-            "middle",
             1.62 * factors[1],
             45_000.0,
             0.5,
@@ -75,7 +71,6 @@
             3.9,
         ),
         kind(
-            "long",
             1.37 * factors[2],
             133_000.0,
             0.55,
@@ -146,8 +141,6 @@
     pub asked: usize,
     pub in_aim: usize,
     pub late: usize,
-    pub late_pause: usize,
-    pub by_phase: [usize; 8],
     pub refused: usize,
     pub left: usize,
     pub earned: f64,
@@ -204,7 +197,6 @@
     generating: Vec<u64>,
     finishing: Vec<u64>,
     produced: bool,
-    dbg: String,
 }
 
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -531,17 +523,9 @@
         let mut budget = CHUNK_TOKENS * steps;
         let mut millis = step * steps;
         let mut finished = Vec::new();
-        let mut dbg = Vec::new();
         for part in engine.helping.iter_mut().chain(engine.reading.iter_mut()) {
             let taken = part.tokens_left.min(budget);
             part.tokens_left -= taken;
-            dbg.push((
-                part.job,
-                taken as u64,
-                self.jobs
-                    .get(&part.job)
-                    .map(|h| (h.request.prompt, h.parts)),
-            ));
             budget -= taken;
             millis += taken * part.ms_per_token;
             if part.tokens_left <= 0.5 {
@@ -554,7 +538,6 @@
         engine.helping.retain(|part| part.tokens_left > 0.5);
         engine.reading.retain(|part| part.tokens_left > 0.5);
         engine.finishing = finished;
-        engine.dbg = format!("gen {generating} parts {dbg:?} millis {millis}");
         engine.produced = generating > 0;
         engine.in_pass = true;
         let end = at + Duration::from_secs_f64(millis / 1_000.0);
@@ -578,20 +561,6 @@
                 continue;
             }
             let pause = self.kinds[held.request.kind].pause;
-            if at - held.last_event > pause
-                && held.request.kind == 0
-                && std::env::var("DBG").is_ok()
-                && self.policy == PlayPolicy::Dispatcher
-            {
-                println!(
-                    "DBG {:?} short {} on {} pause {:?} pass {:?}",
-                    at,
-                    job,
-                    index,
-                    at - held.last_event,
-                    self.engines[index].dbg
-                );
-            }
             held.late_pause |= at - held.last_event > pause;
             held.last_event = at;
             held.events_left = held.events_left.saturating_sub(1);
@@ -639,8 +608,6 @@
             outcome.earned += owed;
         } else {
             outcome.late += 1;
-            outcome.late_pause += usize::from(first <= kind.objective);
-            outcome.by_phase[(held.request.at.as_secs() / 5).min(7) as usize] += 1;
             outcome.earned += owed * 0.25;
         }
         self.dispatcher.end(JobId(job));
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -3,7 +3,9 @@
 // Properties take owned values, as quickcheck hands them over.
 #![allow(clippy::needless_pass_by_value)]
 
+mod adapter;
 mod assembler;
+mod catalog;
 mod claims;
 mod dispatch;
 mod doors;
@@ -12,6 +14,7 @@
 mod fold;
 mod freshness;
 mod ledger;
+mod members;
 mod model_claim;
 mod model_ownership;
 mod model_table;
