--- a/src/node/agent.rs
+++ b/src/node/agent.rs
@@ -1,5 +1,6 @@
 //! Starts and stops a node.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -21,8 +22,8 @@
 use crate::platform::store::StoreClient;
 
 const READY_EVERY: Duration = Duration::from_millis(50);
-const STOP_MARGIN: Duration = Duration::from_millis(700); // the process must be gone before the kill
-const SERVE_AFTER_STOP: Duration = Duration::from_millis(3_000); // callers keep the directory's answer for 2 s
+const STOP_MARGIN: Duration = Duration::from_millis(400); // the process must be gone before the kill
+const SERVE_AFTER_STOP: Duration = Duration::from_millis(2_500); // callers keep the directory's answer for 2 s
 const IDLE_CHECK: Duration = Duration::from_millis(100);
 const JOB_SHIFT: u32 = 24; // low bits of a job's id count requests
 
@@ -94,22 +95,24 @@
     actix_rt::spawn(peers::serve(node.clone(), peers));
     let callers = bind(addresses.callers).await?;
     let state = node.clone();
-    actix_rt::spawn(serve_http(callers, move |request| {
+    let closing = node.clone();
+    let closed = async move { closing.close_listener.notified().await };
+    actix_rt::spawn(serve_http(callers, closed, move |request| {
         front::answer(state.clone(), request)
     }));
     let state = node.clone();
     let directory = bind(addresses.directory).await?;
-    actix_rt::spawn(serve_http(directory, move |request| {
+    actix_rt::spawn(serve_http(directory, pending(), move |request| {
         std::future::ready(answer_directory(&state, &request))
     }));
     let state = node.clone();
     let readiness = bind(addresses.readiness).await?;
-    actix_rt::spawn(serve_http(readiness, move |request| {
+    actix_rt::spawn(serve_http(readiness, pending(), move |request| {
         std::future::ready(answer_readiness(&state, &request))
     }));
     let state = node.clone();
     let metrics = bind(metrics).await?;
-    actix_rt::spawn(serve_http(metrics, move |request| {
+    actix_rt::spawn(serve_http(metrics, pending(), move |request| {
         std::future::ready(answer_metrics(&state, &request))
     }));
     Ok(())
@@ -160,6 +163,9 @@
     node.beat_now.notify_one();
     let finish = async {
         sleep(SERVE_AFTER_STOP).await;
+        // What comes later might not end before the kill; callers are served elsewhere.
+        node.closing.set(true);
+        node.close_listener.notify_one();
         while node.in_flight.get() > 0 {
             sleep(IDLE_CHECK).await;
         }
--- a/src/node/doors.rs
+++ b/src/node/doors.rs
@@ -17,10 +17,10 @@
 const REQUEST_WITHIN: Duration = Duration::from_secs(6); // beyond the bound that callers keep to
 const DIRECTORY_TTL: Duration = Duration::from_secs(2); // a lost VM is named this long after it is noticed
 
-/// Serves HTTP on `listener` with `handler` for as long as it works.
+/// Serves HTTP on `listener` with `handler` until `closed` is done; open connections go on.
 ///
 /// All connections share this thread: nodes have a fraction of a core each.
-pub async fn serve_http<H, F>(listener: TcpListener, handler: H)
+pub async fn serve_http<H, F>(listener: TcpListener, closed: impl Future<Output = ()>, handler: H)
 where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<BoxBody>> + 'static,
@@ -42,8 +42,13 @@
             return;
         }
     };
+    tokio::pin!(closed);
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut closed => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 stream.set_nodelay(true).ok();
                 let service = service.clone();
--- a/src/node/front.rs
+++ b/src/node/front.rs
@@ -18,6 +18,7 @@
 use crate::platform::callers::{CallerHeaders, decode_caller, own_answer};
 
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
+const ELSEWHERE_RETRY: Duration = Duration::from_millis(50); // other VMs take the request at once
 const RETRY_SPREAD: std::ops::Range<f64> = 0.85..1.25; // callers refused together return apart
 const END_MARGIN: Duration = Duration::from_millis(20); // an answer's way to the caller
 
@@ -98,6 +99,13 @@
     says: CallerHeaders,
 ) -> ServedAnswer {
     let arrived = node.now();
+    if node.closing.get() {
+        return own(OwnAnswer::not_run(
+            "stopping",
+            "this VM is about to stop",
+            ELSEWHERE_RETRY,
+        ));
+    }
     let table = node.catalog.borrow().table().cloned();
     let Some(table) = table else {
         return own(OwnAnswer::not_run(
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -7,8 +7,7 @@
 use actix_http::{Method, RequestHead, Response};
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::unfold;
-use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use super::attempt::{
     AttemptOutcome, AttemptPlan, CallerRequest, ServiceGuard, TargetReply, send_once,
@@ -30,8 +29,8 @@
 const SILENT_FACTOR: f64 = 2.0;
 const SILENT_SLACK: Duration = Duration::from_millis(700); // a part of another long prompt may go first
 const SILENT_SHARE: f64 = 0.55; // of the caller's patience; a second engine needs the rest
-const LEASE: Duration = Duration::from_millis(3_300); // memory must be free 4 s after its request ended, also if this VM died
-const RENEW_EVERY: Duration = Duration::from_millis(2_200); // leaves a second for an answer; most long requests end before
+const LEASE: Duration = Duration::from_millis(3_600); // memory must be free 4 s after its request ended, also if this VM died
+const RENEW_EVERY: Duration = Duration::from_millis(1_500); // leaves a second for an answer; most long requests end before
 const ORDER_WITHIN: Duration = Duration::from_millis(250);
 const PLACE_AGAIN_AFTER: Duration = Duration::from_millis(300);
 const URGENCY_SHORT: u8 = 0;
@@ -39,27 +38,57 @@
 const SHORT_PROMPT: u64 = 16_000; // tokens; engines read this in under 100 ms
 
 /// Memory set aside at targets, freed when dropped.
+///
+/// Leases are renewed only while the stream moves: a dead lead's memory is soon free.
 #[derive(Default)]
 pub struct Reservations {
     node: Option<Rc<NodeState>>,
-    held: Vec<(TargetRecord, String)>,
-    renewal: Option<JoinHandle<()>>,
+    held: Vec<HeldReservation>,
+    renewed: Option<Instant>,
+}
+
+#[derive(Clone)]
+struct HeldReservation {
+    target: TargetRecord,
+    id: String,
+    tokens: u64,
+}
+
+impl Reservations {
+    /// Renews leases that are about half over; called with each event of the stream.
+    pub fn keep(&mut self) {
+        let Some(node) = &self.node else {
+            return;
+        };
+        let now = node.now();
+        let due = |at: Instant| now.saturating_duration_since(at) >= RENEW_EVERY;
+        if self.held.is_empty() || !self.renewed.is_some_and(due) {
+            return;
+        }
+        self.renewed = Some(now);
+        for held in self.held.clone() {
+            let node = node.clone();
+            actix_rt::spawn(async move {
+                let order = encode_reserve(&held.id, held.tokens, LEASE);
+                if let Err(reason) = send_order(&node, &held.target, order).await {
+                    tracing::info!(replica = %held.target.name, id = held.id, reason, "reservation not renewed");
+                }
+            });
+        }
+    }
 }
 
 impl Drop for Reservations {
     fn drop(&mut self) {
-        if let Some(renewal) = self.renewal.take() {
-            renewal.abort();
-        }
         let Some(node) = self.node.take() else {
             return;
         };
-        for (target, id) in self.held.drain(..) {
+        for held in self.held.drain(..) {
             let node = node.clone();
             actix_rt::spawn(async move {
-                let body = encode_release(&id);
-                if let Err(reason) = send_order(&node, &target, body).await {
-                    tracing::info!(replica = %target.name, id, reason, "release not confirmed: the lease ends it");
+                let body = encode_release(&held.id);
+                if let Err(reason) = send_order(&node, &held.target, body).await {
+                    tracing::info!(replica = %held.target.name, id = held.id, reason, "release not confirmed: the lease ends it");
                 }
             });
         }
@@ -364,7 +393,11 @@
         if part.reserve > 0 {
             let id = format!("{}-{}", caller.says.id, helpers.len());
             // Noted before the order: one without an answer may take effect all the same.
-            reservations.held.push((target.clone(), id.clone()));
+            reservations.held.push(HeldReservation {
+                target: target.clone(),
+                id: id.clone(),
+                tokens: part.reserve,
+            });
             let order = encode_reserve(&id, part.reserve, LEASE);
             if let Err(reason) = send_order(node, &target, order).await {
                 let outcome = AttemptOutcome::NotRun {
@@ -380,9 +413,7 @@
     }
     // Reservations are filled in turn, so helpers that hold memory go first.
     helpers.sort_by_key(|helper| helper.reservation.is_none());
-    if !reservations.held.is_empty() {
-        reservations.renewal = Some(spawn_renewal(node, placement, &reservations.held));
-    }
+    reservations.renewed = Some(node.now());
     let urgency = if caller.says.prompt_tokens <= SHORT_PROMPT {
         URGENCY_SHORT
     } else {
@@ -399,35 +430,6 @@
     (outcome, reservations)
 }
 
-fn spawn_renewal(
-    node: &Rc<NodeState>,
-    placement: &EnginePlacement,
-    held: &[(TargetRecord, String)],
-) -> JoinHandle<()> {
-    let node = node.clone();
-    let leases: Vec<(TargetRecord, String, u64)> = held
-        .iter()
-        .filter_map(|(target, id)| {
-            let part = placement
-                .helpers
-                .iter()
-                .find(|part| part.target == target.name)?;
-            Some((target.clone(), id.clone(), part.reserve))
-        })
-        .collect();
-    actix_rt::spawn(async move {
-        loop {
-            sleep(RENEW_EVERY).await;
-            for (target, id, tokens) in &leases {
-                let order = encode_reserve(id, *tokens, LEASE);
-                if let Err(reason) = send_order(&node, target, order).await {
-                    tracing::info!(replica = %target.name, id, reason, "reservation not renewed");
-                }
-            }
-        }
-    })
-}
-
 /// Sends an order to a target.
 async fn send_order(
     node: &Rc<NodeState>,
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -198,6 +198,9 @@
         let now = self.node.now();
         self.longest_pause = self.longest_pause.max(now - self.last_at);
         self.last_at = now;
+        if let Some(run) = &mut self.run {
+            run.reservations.keep();
+        }
         Ok(Some(event.bytes))
     }
 
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -53,6 +53,10 @@
     pub metrics: NodeMetrics,
     /// Whether the node is stopping.
     pub stopping: Cell<bool>,
+    /// Whether the node takes no further requests, shortly before its end.
+    pub closing: Cell<bool>,
+    /// Ends the listener for callers.
+    pub close_listener: Notify,
     /// Requests under way.
     pub in_flight: Cell<usize>,
     /// Whether records are being fetched from a peer.
@@ -89,6 +93,8 @@
             beat_now: Notify::new(),
             metrics: NodeMetrics::new(),
             stopping: Cell::new(false),
+            closing: Cell::new(false),
+            close_listener: Notify::new(),
             in_flight: Cell::new(0),
             pulling: Cell::new(false),
             store_back: Cell::new(None),
--- a/tests/core/adapter.rs
+++ b/tests/core/adapter.rs
@@ -258,10 +258,8 @@
     health.note_success();
     (0..40).for_each(|_| health.note_success());
     health.in_service = 0;
-    let busy = TargetHealth {
-        in_service: 1,
-        ..TargetHealth::default()
-    };
+    let mut busy = TargetHealth::default();
+    busy.in_service = 1;
     let options = [
         TargetOption {
             name: &a,
--- a/tests/platform/members.rs
+++ b/tests/platform/members.rs
@@ -107,3 +107,24 @@
         thread::sleep(Duration::from_millis(1_500));
     }
 }
+
+#[test]
+fn a_node_about_to_end_takes_nothing_new() {
+    let mut bed = TestBed::start(2);
+    bed.engines
+        .iter()
+        .for_each(|engine| engine.set_step(Duration::from_millis(900)));
+    let stream = bed.stream("under-way", "/archive/a");
+    let callers = bed.places[0].callers;
+    let caller = thread::spawn(move || send(callers, &stream));
+    thread::sleep(Duration::from_millis(200));
+
+    bed.nodes[0].signal("TERM");
+    thread::sleep(Duration::from_millis(3_200));
+    let late = bed.lookup(0, "late");
+
+    assert!(late.is_none_or(|answer| answer.status == 503));
+    assert!(bed.runs("late").is_empty());
+    assert!(caller.join().expect("the caller's thread ends").is_some());
+    assert!(bed.nodes[0].ended_well(Duration::from_secs(8)));
+}
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -129,3 +129,35 @@
     assert!(answer.header("retry-after").is_some());
     assert!(bed.runs("full").is_empty());
 }
+
+#[test]
+fn memory_is_free_soon_after_a_lead_fell_silent() {
+    let bed = TestBed::start(1);
+    bed.set_engines(TargetMood::Hangs);
+    let mut request = bed.stream("silent-lead", "/archive/a");
+    request.tokens = Some("300000,700".to_owned());
+    request.deadline = Duration::from_secs(6);
+    let callers = bed.places[0].callers;
+    let caller = std::thread::spawn(move || send(callers, &request));
+    wait_for(Duration::from_secs(2), "memory is reserved", || {
+        !bed.ledger().tickets.is_empty()
+    });
+    let reserved = std::time::Instant::now();
+
+    let latest = || {
+        bed.ledger()
+            .tickets
+            .values()
+            .map(|ticket| ticket.until)
+            .max()
+    };
+    let mut until = latest();
+    while reserved.elapsed() < Duration::from_secs(4) {
+        std::thread::sleep(Duration::from_millis(100));
+        until = until.max(latest());
+    }
+
+    // The stand-in's ledger keeps leases that ran out; none may reach further.
+    assert!(until.is_some_and(|until| until < reserved + Duration::from_secs(4)));
+    caller.join().expect("the caller's thread ends");
+}
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -117,7 +117,7 @@
                     }
                 }
                 Some(AnswerStep::Reset) => {
-                    stream.set_linger(Some(Duration::ZERO)).ok();
+                    stream.set_zero_linger().ok();
                     return;
                 }
                 Some(AnswerStep::Close) => return,
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -62,7 +62,7 @@
 async fn relay(mut near: TcpStream, upstream: SocketAddr, fault: Arc<Mutex<ProxyFault>>) {
     let now = || *fault.lock().unwrap_or_else(PoisonError::into_inner);
     if now() == ProxyFault::Reset {
-        near.set_linger(Some(Duration::ZERO)).ok();
+        near.set_zero_linger().ok();
         return;
     }
     let Ok(mut far) = TcpStream::connect(upstream).await else {
@@ -77,8 +77,8 @@
             count = far.read(&mut down) => (count, false),
             () = tokio::time::sleep(Duration::from_millis(50)) => {
                 if now() == ProxyFault::Reset {
-                    near.set_linger(Some(Duration::ZERO)).ok();
-                    far.set_linger(Some(Duration::ZERO)).ok();
+                    near.set_zero_linger().ok();
+                    far.set_zero_linger().ok();
                     return;
                 }
                 continue;
@@ -98,7 +98,7 @@
             ProxyFault::Silence => continue,
             ProxyFault::OneWay if !from_near => continue,
             ProxyFault::Reset => {
-                near.set_linger(Some(Duration::ZERO)).ok();
+                near.set_zero_linger().ok();
                 return;
             }
             _ => {}
