--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -115,23 +115,34 @@
     pub fn start(place: &NodePlace) -> Self {
         std::fs::create_dir_all(&place.folder).expect("the temporary folder can be written");
         let settings = place.folder.join("node.toml");
-        std::fs::write(&settings, place.settings()).expect("the settings can be written");
+        std::fs::write(settings, place.settings()).expect("the settings can be written");
+        let child = Self::spawn(place);
+        Self {
+            place: place.clone(),
+            child,
+        }
+    }
+
+    /// Starts the process again after its end.
+    pub fn restart(&mut self) {
+        self.kill();
+        self.child = Self::spawn(&self.place);
+    }
+
+    fn spawn(place: &NodePlace) -> Child {
+        let settings = place.folder.join("node.toml");
         let log = File::options()
             .create(true)
             .append(true)
             .open(place.folder.join("node.log"))
             .expect("the log can be written");
-        let child = Command::new(env!("CARGO_BIN_EXE_notch-node"))
+        Command::new(env!("CARGO_BIN_EXE_notch-node"))
             .args(["--metrics-port", &place.metrics.port().to_string()])
             .env("PLANTAINNOTCH_SETTINGS", settings)
             .stdout(Stdio::from(log))
             .stderr(Stdio::inherit())
             .spawn()
-            .expect("the program was built");
-        Self {
-            place: place.clone(),
-            child,
-        }
+            .expect("the program was built")
     }
 
     /// The node's log so far.
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -91,7 +91,12 @@
                 tokio::time::sleep(Duration::from_secs(3)).await;
                 return;
             }
-            _ => return,
+            Ok(_) => return,
+            Err(_) => {
+                near.set_zero_linger().ok();
+                far.set_zero_linger().ok();
+                return;
+            }
         };
         match now() {
             ProxyFault::Delay(time) => tokio::time::sleep(time).await,
