Pass over targets that refuse connections until their record tells more

A refused connection is no retry, pauses for 1.5 s and more, and ends with a new record; one event is counted as one failure. Test: a_dead_domain_costs_nobody_an_answer.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -18,7 +18,6 @@
 };
 
 const DRAIN_WITHIN: Duration = Duration::from_millis(30); // a refusal's body comes with its head
-const BUSY_STATUSES: [u16; 3] = [408, 429, 503];
 const MISDIRECTED: u16 = 421;
 
 /// A caller's request, read whole and matched with its route.
@@ -94,8 +93,8 @@
         reason: String,
         /// The target at fault, when it is not the one asked.
         faulty: Option<String>,
-        /// Whether the target works and just has no room.
-        busy: bool,
+        /// Whether a target was reached, so that the send counts as one.
+        arrived: bool,
     },
     /// The request may have run.
     Unknown {
@@ -154,11 +153,12 @@
     let mut connection = match connect(node, plan, now).await {
         Ok(connection) => connection,
         Err(error) => {
-            node.note_target_failure(&plan.target.name, &error.to_string());
+            let refused = error.is_refused();
+            node.note_target_failure(&plan.target.name, refused, &error.to_string());
             return AttemptOutcome::NotRun {
                 reason: error.to_string(),
                 faulty: None,
-                busy: false,
+                arrived: false,
             };
         }
     };
@@ -177,7 +177,7 @@
     match connection.exchange(head, &caller.body).await {
         Ok(head) => judge_answer(node, caller, plan, head, connection).await,
         Err(error) => {
-            node.note_target_failure(&plan.target.name, &error.to_string());
+            node.note_target_failure(&plan.target.name, false, &error.to_string());
             AttemptOutcome::Unknown {
                 reason: error.to_string(),
             }
@@ -210,7 +210,7 @@
     let status = head.status.as_u16();
     if says.id != caller.says.id {
         // An answer to another request: nothing on this connection can be trusted.
-        node.note_target_failure(&plan.target.name, "answer to another request");
+        node.note_target_failure(&plan.target.name, false, "answer to another request");
         return AttemptOutcome::Unknown {
             reason: format!("answer to request {:?}", says.id),
         };
@@ -223,19 +223,22 @@
     }
     if says.not_run || status == MISDIRECTED {
         drain(node, connection).await;
-        let busy = BUSY_STATUSES.contains(&status) && says.faulty.is_none();
         if status == MISDIRECTED {
-            node.note_target_failure(&plan.target.name, "another target has its address");
+            node.note_target_failure(&plan.target.name, false, "another target has its address");
         }
         return AttemptOutcome::NotRun {
             reason: format!("target answered {status}, not run"),
             faulty: says.faulty,
-            busy,
+            arrived: true,
         };
     }
     let success = head.status.is_success();
     if success && (!says.sealed || says.encoded) {
-        node.note_target_failure(&plan.target.name, "success that is not the target's own");
+        node.note_target_failure(
+            &plan.target.name,
+            false,
+            "success that is not the target's own",
+        );
         return AttemptOutcome::Unknown {
             reason: "success without the target's mark".to_owned(),
         };
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -34,6 +34,8 @@
         address: SocketAddr,
         /// What the system said.
         reason: String,
+        /// Whether nothing listens there.
+        refused: bool,
     },
     /// The connection failed after something was sent.
     #[error("connection failed: {0}; the request may have run")]
@@ -47,9 +49,9 @@
 }
 
 impl ExchangeError {
-    /// Whether nothing of the request was sent.
-    pub fn not_sent(&self) -> bool {
-        matches!(self, Self::Connect { .. })
+    /// Whether nothing listens at the target's address.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { refused: true, .. })
     }
 }
 
@@ -80,14 +82,16 @@
 
 impl TargetConnection {
     async fn connect(address: SocketAddr, now: Instant) -> Result<Self> {
-        let refused = |reason: String| ExchangeError::Connect { address, reason };
+        let failed = |error: std::io::Error| ExchangeError::Connect {
+            address,
+            reason: error.to_string(),
+            refused: error.kind() == std::io::ErrorKind::ConnectionRefused,
+        };
         let stream = timeout(CONNECT_WITHIN, TcpStream::connect(address))
             .await
-            .map_err(|_| refused("no answer in time".to_owned()))?
-            .map_err(|error| refused(error.to_string()))?;
-        stream
-            .set_nodelay(true)
-            .map_err(|error| refused(error.to_string()))?;
+            .map_err(|_| failed(std::io::ErrorKind::TimedOut.into()))?
+            .map_err(failed)?;
+        stream.set_nodelay(true).map_err(failed)?;
         Ok(Self {
             address,
             stream,
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -24,7 +24,7 @@
 use crate::policy::dispatch::{DispatchAnswer, EnginePlacement, PlacementAsk};
 
 const GIVE_UP_MARGIN: Duration = Duration::from_millis(150); // the answer's way to the caller
-const EXTRA_SENDS: u32 = 3; // beyond the route's attempts, when engines did not run the request
+const EXTRA_SENDS: u32 = 6; // beyond the route's attempts, when engines did not run the request; a lost domain refuses several in a row
 const REUSE_FOR: Duration = Duration::from_secs(4);
 const SILENT_FACTOR: f64 = 2.0;
 const SILENT_SLACK: Duration = Duration::from_millis(700); // a part of another long prompt may go first
@@ -100,6 +100,7 @@
     let mut ask = first_ask(node, caller);
     let mut runs = 0;
     let mut sends = 0;
+    let mut arrived = false;
     let mut last: Option<OwnAnswer> = None;
     let mut avoid: Vec<TargetName> = Vec::new();
     loop {
@@ -134,7 +135,8 @@
             }
         };
         let job = JobGuard::new(node.clone(), ask.job);
-        if sends > 0 && !node.take_retry(&caller.service) {
+        // What reached no target is no retry.
+        if arrived && !node.take_retry(&caller.service) {
             tracing::info!(id = caller.says.id, "retry withheld by the budget");
             break;
         }
@@ -152,6 +154,7 @@
         );
         let another = caller.route.repeat.may_repeat() && runs + 1 < caller.route.max_attempts;
         let limit = first_event_limit(caller, &placement, another, node.now());
+        arrived = true;
         let begun = begin_stream(node, caller, &placement, job, limit).await;
         match begun {
             BegunStream::Running {
@@ -182,7 +185,12 @@
                 }
                 last = Some(OwnAnswer::unknown("engine failed the request"));
             }
-            BegunStream::NotRun { reason, at_fault } => {
+            BegunStream::NotRun {
+                arrived: reached,
+                reason,
+                at_fault,
+            } => {
+                arrived = reached;
                 tracing::info!(id = caller.says.id, replica = %placement.lead, reason, "send not run");
                 avoid.extend(at_fault);
                 if runs == 0 {
@@ -261,6 +269,7 @@
     },
     Failed(Response<BoxBody>),
     NotRun {
+        arrived: bool,
         reason: String,
         at_fault: Option<TargetName>,
     },
@@ -284,7 +293,12 @@
             AttemptOutcome::Answered(reply) => {
                 read_first_event(node, placement, *reply, job, service, reservations).await
             }
-            AttemptOutcome::NotRun { reason, faulty, .. } => BegunStream::NotRun {
+            AttemptOutcome::NotRun {
+                reason,
+                faulty,
+                arrived,
+            } => BegunStream::NotRun {
+                arrived,
                 reason,
                 at_fault: faulty.map(TargetName::new),
             },
@@ -294,7 +308,7 @@
     match timeout(limit, begin).await {
         Ok(begun) => begun,
         Err(_) => {
-            node.note_target_failure(&placement.lead, "no first event in time");
+            node.note_target_failure(&placement.lead, false, "no first event in time");
             BegunStream::Unknown {
                 reason: format!("no first event within {} ms", limit.as_millis()),
             }
@@ -326,7 +340,7 @@
         Ok(Some(chunk)) => events.push(&chunk),
         Ok(None) => {}
         Err(error) => {
-            node.note_target_failure(&placement.lead, &error.to_string());
+            node.note_target_failure(&placement.lead, false, &error.to_string());
             return BegunStream::Unknown {
                 reason: error.to_string(),
             };
@@ -370,7 +384,7 @@
     let gone = |name: &TargetName| AttemptOutcome::NotRun {
         reason: format!("target {name} is gone"),
         faulty: Some(name.to_string()),
-        busy: false,
+        arrived: false,
     };
     let record = |name: &TargetName| {
         let catalog = node.catalog.borrow();
@@ -403,7 +417,7 @@
                 let outcome = AttemptOutcome::NotRun {
                     reason: format!("memory not reserved: {reason}"),
                     faulty: Some(part.target.to_string()),
-                    busy: true,
+                    arrived: false,
                 };
                 return (outcome, reservations);
             }
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -61,7 +61,12 @@
     /// It ended.
     End(JobId),
     /// A target did not take or answer a request.
-    TargetFailed(TargetName),
+    TargetFailed {
+        /// The target.
+        target: TargetName,
+        /// Whether nothing listens there.
+        refused: bool,
+    },
 }
 
 /// A call from one node to another.
--- a/src/node/placing.rs
+++ b/src/node/placing.rs
@@ -216,7 +216,9 @@
             }
         }
         JobEvent::End(job) => end_job(node, *job),
-        JobEvent::TargetFailed(target) => node.note_reported_failure(target),
+        JobEvent::TargetFailed { target, refused } => {
+            node.note_reported_failure(target, *refused);
+        }
     }
 }
 
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -286,7 +286,7 @@
         match self.start_elsewhere(target.as_ref(), &failure).await {
             Ok(()) => {
                 if let Some(target) = target {
-                    self.node.note_target_failure(&target, &failure);
+                    self.node.note_target_failure(&target, false, &failure);
                 }
                 self.events = EventBuffer::default();
             }
@@ -307,7 +307,7 @@
     async fn resume(&mut self, failure: String) -> Result<(), String> {
         let failed = self.run.take().map(|run| run.target);
         if let Some(target) = &failed {
-            self.node.note_target_failure(target, &failure);
+            self.node.note_target_failure(target, false, &failure);
         }
         self.events = EventBuffer::default();
         self.start_elsewhere(failed.as_ref(), &failure).await
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -92,6 +92,7 @@
     let mut avoid: Vec<TargetName> = Vec::new();
     let mut runs = 0;
     let mut sends = 0;
+    let mut arrived = false;
     let mut last = OwnAnswer::not_run("no_target", "no target takes work", BUSY_RETRY_AFTER);
     let mut failed: Option<WholeAnswer> = None;
     loop {
@@ -102,11 +103,12 @@
         let Some(target) = choose(node, caller, &avoid) else {
             break;
         };
-        if sends > 0 && !node.take_retry(&caller.service) {
+        if arrived && !node.take_retry(&caller.service) {
             tracing::info!(id = caller.says.id, "retry withheld by the budget");
             break;
         }
         sends += 1;
+        arrived = true;
         let another = repeat.may_repeat() && runs + 1 < caller.route.max_attempts;
         let limit = if another {
             let silent = caller.route.objective.mul_f64(SILENT_SHARE);
@@ -116,7 +118,7 @@
         };
         let result = timeout(limit, send_whole(node, caller, &target)).await;
         let outcome = result.unwrap_or_else(|_| {
-            node.note_target_failure(&target.name, "silent");
+            node.note_target_failure(&target.name, false, "silent");
             SendOutcome::Unknown(format!("no answer within {} ms", limit.as_millis()))
         });
         avoid.push(target.name.clone());
@@ -136,7 +138,11 @@
                 runs += 1;
                 failed = Some(answer);
             }
-            SendOutcome::NotRun(reason) => {
+            SendOutcome::NotRun {
+                reason,
+                arrived: reached,
+            } => {
+                arrived = reached;
                 tracing::info!(id = caller.says.id, replica = %target.name, reason, "send not run");
                 if runs == 0 {
                     last = OwnAnswer::not_run("busy", reason, BUSY_RETRY_AFTER);
@@ -166,7 +172,7 @@
 
 enum SendOutcome {
     Whole(WholeAnswer),
-    NotRun(String),
+    NotRun { reason: String, arrived: bool },
     Unknown(String),
 }
 
@@ -189,7 +195,9 @@
         },
     };
     match send_once(node, caller, &plan).await {
-        AttemptOutcome::NotRun { reason, .. } => SendOutcome::NotRun(reason),
+        AttemptOutcome::NotRun {
+            reason, arrived, ..
+        } => SendOutcome::NotRun { reason, arrived },
         AttemptOutcome::Unknown { reason } => SendOutcome::Unknown(reason),
         AttemptOutcome::Answered(reply) => read_whole(node, target, *reply).await,
     }
@@ -207,7 +215,7 @@
             Ok(Some(chunk)) => body.extend_from_slice(&chunk),
             Ok(None) => break,
             Err(error) => {
-                node.note_target_failure(&target.name, &error.to_string());
+                node.note_target_failure(&target.name, false, &error.to_string());
                 return SendOutcome::Unknown(error.to_string());
             }
         }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -136,6 +136,8 @@
                     tracing::info!(%domain, in_service, source, "failure domain changed");
                 }
                 CatalogChange::Target { target, state } => {
+                    // A new record tells more than failures of before.
+                    self.health.borrow_mut().remove(target);
                     tracing::info!(replica = %target, state, source, "target changed");
                 }
                 CatalogChange::Unreadable { key, reason } => {
@@ -182,28 +184,34 @@
     }
 
     /// Notes a failed send to a target, and tells the owner of placement.
-    pub fn note_target_failure(&self, target: &TargetName, reason: &str) {
+    pub fn note_target_failure(&self, target: &TargetName, refused: bool, reason: &str) {
         let now = self.now();
         let pause = {
             let mut health = self.health.borrow_mut();
             let health = health.entry(target.clone()).or_default();
-            health.note_failure(now)
+            health.note_failure(refused, now)
+        };
+        let Some(pause) = pause else {
+            return;
         };
         let pause_ms = pause.as_millis() as u64;
         tracing::info!(replica = %target, reason, pause_ms, "target passed over");
-        let event = JobEvent::TargetFailed(target.clone());
+        let event = JobEvent::TargetFailed {
+            target: target.clone(),
+            refused,
+        };
         self.events.borrow_mut().push(event);
         self.events_ready.notify_one();
         self.refresh_engines();
     }
 
     /// Notes that another VM's send to a target failed.
-    pub fn note_reported_failure(&self, target: &TargetName) {
+    pub fn note_reported_failure(&self, target: &TargetName, refused: bool) {
         let now = self.now();
         let pause = {
             let mut health = self.health.borrow_mut();
             let health = health.entry(target.clone()).or_default();
-            health.note_reported_failure(now)
+            health.note_reported_failure(refused, now)
         };
         if let Some(pause) = pause {
             let pause_ms = pause.as_millis() as u64;
--- a/src/policy/target_choice.rs
+++ b/src/policy/target_choice.rs
@@ -6,6 +6,7 @@
 
 const FIRST_PAUSE: Duration = Duration::from_millis(400); // a restarted target is back within seconds
 const REPORTED_PAUSE: Duration = Duration::from_millis(700); // by then another VM has failed or succeeded there
+const REFUSED_PAUSE: Duration = Duration::from_millis(1_500); // a target that starts again says so in its record
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 const FAILURE_WEIGHT: f64 = 0.2;
 const FAILURE_COST: f64 = 10.0; // requests in service that a sure failure weighs as much as
@@ -36,24 +37,34 @@
         self.suspended_until.is_some_and(|until| now < until)
     }
 
-    /// Notes a failed send; returns for how long the target is now passed over.
-    pub fn note_failure(&mut self, now: Instant) -> Duration {
+    /// Notes a failed send; returns for how long the target is now passed over, unless it
+    /// already is. `refused` tells that nothing listens there.
+    pub fn note_failure(&mut self, refused: bool, now: Instant) -> Option<Duration> {
         self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate);
+        if self.is_suspended(now) {
+            return None;
+        }
         self.failures_in_row += 1;
-        let doubled = FIRST_PAUSE * 2_u32.pow(self.failures_in_row.min(5) - 1);
+        let first = if refused { REFUSED_PAUSE } else { FIRST_PAUSE };
+        let doubled = first * 2_u32.pow(self.failures_in_row.min(5) - 1);
         let pause = doubled.min(LONGEST_PAUSE);
         self.suspended_until = Some(now + pause);
-        pause
+        Some(pause)
     }
 
     /// Notes that another VM's send failed; returns for how long the target is now passed
     /// over, unless it already is. A single VM's trouble costs others a short pause only.
-    pub fn note_reported_failure(&mut self, now: Instant) -> Option<Duration> {
+    pub fn note_reported_failure(&mut self, refused: bool, now: Instant) -> Option<Duration> {
         if self.is_suspended(now) {
             return None;
         }
-        self.suspended_until = Some(now + REPORTED_PAUSE);
-        Some(REPORTED_PAUSE)
+        let pause = if refused {
+            REFUSED_PAUSE
+        } else {
+            REPORTED_PAUSE
+        };
+        self.suspended_until = Some(now + pause);
+        Some(pause)
     }
 
     /// Notes a failure that the target answered itself: it works, but not well.
--- a/tests/core/adapter.rs
+++ b/tests/core/adapter.rs
@@ -232,7 +232,7 @@
         DomainName::new("d"),
     );
     let mut health = TargetHealth::default();
-    let pause = health.note_failure(now);
+    let pause = health.note_failure(false, now);
     let choose = |at: Instant, health: &TargetHealth| {
         let options = [
             TargetOption {
@@ -250,7 +250,12 @@
     };
 
     assert_eq!(choose(now, &health), Some(b.clone()));
-    let longer = health.note_failure(now);
+    assert_eq!(
+        health.note_failure(false, now),
+        None,
+        "one failure seen twice"
+    );
+    let longer = health.note_failure(false, now + Duration::from_secs(1));
     assert!(
         longer > pause,
         "a second failure in a row pauses for longer"
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -161,3 +161,29 @@
     assert!(until.is_some_and(|until| until < reserved + Duration::from_secs(4)));
     caller.join().expect("the caller's thread ends");
 }
+
+#[test]
+fn a_dead_domain_costs_nobody_an_answer() {
+    let bed = TestBed::start(2);
+    for index in 0..2 {
+        let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = closed.local_addr().expect("a bound socket has an address");
+        drop(closed);
+        let engine = bed.target(index);
+        let record = engine.record(address, "ready").to_string();
+        bed.store
+            .put("keyed.servers", &engine.id, record.as_bytes());
+    }
+    std::thread::sleep(Duration::from_millis(700));
+    for request in 0..12 {
+        let id = format!("dead-{request}");
+
+        let answer = send(
+            bed.places[request % 2].callers,
+            &bed.stream(&id, "/single/a"),
+        );
+
+        assert_eq!(answer.expect("an answer").status, 200, "{id}");
+        assert_eq!(bed.runs(&id).len(), 1);
+    }
+}
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -37,14 +37,15 @@
             let name = format!("vm-{index}");
             let folder =
                 std::env::temp_dir().join(format!("notch-{}-{host}-{name}", std::process::id()));
+            let ports = free_ports(ip);
             NodePlace {
                 name,
                 domain: format!("domain-{}", index % 3),
-                callers: free_port(ip),
-                readiness: free_port(ip),
-                peers: free_port(ip),
-                directory: free_port(ip),
-                metrics: free_port(ip),
+                callers: ports[0],
+                readiness: ports[1],
+                peers: ports[2],
+                directory: ports[3],
+                metrics: ports[4],
                 store,
                 seeds: Vec::new(),
                 folder,
@@ -58,11 +59,19 @@
     places
 }
 
-fn free_port(ip: IpAddr) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("a port is free");
-    listener
-        .local_addr()
-        .expect("a bound socket has an address")
+/// Five free ports; held together while they are drawn, so that none comes twice.
+fn free_ports(ip: IpAddr) -> Vec<SocketAddr> {
+    let listeners: Vec<TcpListener> = (0..5)
+        .map(|_| TcpListener::bind((ip, 0)).expect("a port is free"))
+        .collect();
+    listeners
+        .iter()
+        .map(|listener| {
+            listener
+                .local_addr()
+                .expect("a bound socket has an address")
+        })
+        .collect()
 }
 
 impl NodePlace {
