--- a/src/cmd/ctl/mod.rs
+++ b/src/cmd/ctl/mod.rs
@@ -8,6 +8,7 @@
 pub mod service;
 pub mod status;
 pub mod table;
+pub mod trace;
 
 use eyre::{Result, ensure};
 
@@ -24,6 +25,7 @@
     match &options.command {
         CtlCommand::Key(KeyCommand::New { file }) => key::new(file),
         CtlCommand::Key(KeyCommand::Show { file }) => key::show(file),
+        CtlCommand::Trace { request, files } => trace::run(request, files),
         _ => actix::System::new().block_on(run_with_fleet(options)),
     }
 }
@@ -52,7 +54,7 @@
             table::history(&fleet, name.as_deref()).await
         }
         CtlCommand::Service(change) => service::run(&fleet, change, &author()?, options.wait).await,
-        CtlCommand::Key(_) => Ok(()),
+        CtlCommand::Key(_) | CtlCommand::Trace { .. } => Ok(()),
         CtlCommand::Status => status::run(&fleet).await,
         CtlCommand::Explain { request } => explain::run(&fleet, request).await,
     }
--- a/src/cmd/ctl/options.rs
+++ b/src/cmd/ctl/options.rs
@@ -37,6 +37,13 @@
         /// The request's id.
         request: String,
     },
+    /// What collected logs say of a request.
+    Trace {
+        /// The request's id.
+        request: String,
+        /// Files of JSON lines.
+        files: Vec<PathBuf>,
+    },
 }
 
 /// Something with an operator's key.
@@ -204,7 +211,13 @@
         .to_options()
         .descr("Why a request went where it went")
         .command("explain");
-    let command = construct!([table, domain, target, key, status, explain]);
+    let request = positional::<String>("REQUEST");
+    let files = positional::<PathBuf>("LOG").some("name at least one log file");
+    let trace = construct!(CtlCommand::Trace { request, files })
+        .to_options()
+        .descr("What collected logs of notch-node say of a request, in order of time")
+        .command("trace");
+    let command = construct!([table, domain, target, key, status, explain, trace]);
     construct!(CtlOptions {
         platform,
         author,
--- a/tests/processes/failures.rs
+++ b/tests/processes/failures.rs
@@ -9,6 +9,7 @@
 use crate::fleet::{TestFleet, assert_promises, page, post};
 
 const QUIET: Duration = Duration::from_secs(3);
+const EVICTED_WITHIN: Duration = Duration::from_secs(10);
 
 /// Runs a load while `faults` happen, then checks every promise.
 async fn run_through(
@@ -50,7 +51,12 @@
         let mut fleet = TestFleet::start().await;
         let samples = run_through("steward killed", &mut fleet, 101, 16, async |fleet| {
             fleet.stewards[1] = None;
-            sleep(Duration::from_secs(9)).await;
+            fleet
+                .wait_until(EVICTED_WITHIN, "the dead steward is evicted", |fleet| {
+                    fleet.members() == 2
+                })
+                .await;
+            sleep(Duration::from_secs(5)).await;
             fleet.start_steward(1);
         })
         .await;
