--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -17,6 +17,8 @@
 /// A prompt that one engine reads within this is short: it fits between two events of
 /// a stream that must pause for 250 ms at most.
 const SHORT_READ: Duration = Duration::from_millis(90);
+/// A stream that runs for longer was held up before, and fails at its deadline if that goes on.
+const FAILING_AGE: Duration = Duration::from_secs(4);
 /// A prompt that one engine reads within this may go beside streams when no engine is free.
 const BRIEF_READ: Duration = Duration::from_millis(170);
 /// Share of a late stream's value that a further long pause costs: a few of them, and it
@@ -829,10 +831,11 @@
             .iter()
             .filter(|held| held.is_held_up_by(pause))
             .map(|held| {
-                let share = if held.spoiled {
-                    LATE_VALUE * LATE_HARM_SHARE
-                } else {
-                    1.0 - LATE_VALUE
+                let age = now.saturating_duration_since(held.booked);
+                let share = match held.spoiled {
+                    _ if age > FAILING_AGE => 1.0,
+                    true => LATE_VALUE * LATE_HARM_SHARE,
+                    false => 1.0 - LATE_VALUE,
                 };
                 prompt_value(held.report.prompt) * share
             })
