--- a/src/fleet/routes.rs
+++ b/src/fleet/routes.rs
@@ -108,10 +108,6 @@
 pub struct ServiceSpec {
     /// The service's name.
     pub name: String,
-    /// Path of its health check.
-    pub health_path: String,
-    /// Connections that a target takes from all callers together.
-    pub max_connections: usize,
     /// Requests a second that a cold target bears; 0 when it is never cold.
     pub cold_per_s: f64,
     /// How its engines work; none for a plain service.
@@ -132,8 +128,6 @@
 pub struct CallerLimits {
     /// Largest body in bytes.
     pub body_bytes: usize,
-    /// How long a caller's connection may stay idle.
-    pub idle: Duration,
 }
 
 /// One version of the configuration.
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -29,8 +29,6 @@
     pub retry_window: Duration,
     /// Retries allowed in each window besides the ratio, over all VMs.
     pub retry_slack: f64,
-    /// How long work that depends on a dead target stalls.
-    pub target_stall: Duration,
     /// Longest reservation of memory.
     pub reservation_max: Duration,
     /// Longest time for which callers may keep the directory's answer.
@@ -52,8 +50,6 @@
     pub store: String,
     /// Share of a processor core.
     pub cpu_share: f64,
-    /// Open files allowed.
-    pub max_descriptors: u64,
     /// Bounds.
     pub bounds: NodeBounds,
 }
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -69,7 +69,7 @@
         for held in self.held.clone() {
             let node = node.clone();
             actix_rt::spawn(async move {
-                let order = encode_reserve(&held.id, held.tokens, LEASE);
+                let order = encode_reserve(&held.id, held.tokens, lease(&node));
                 if let Err(reason) = send_order(&node, &held.target, order).await {
                     tracing::info!(replica = %held.target.name, id = held.id, reason, "reservation not renewed");
                 }
@@ -412,7 +412,7 @@
                 id: id.clone(),
                 tokens: part.reserve,
             });
-            let order = encode_reserve(&id, part.reserve, LEASE);
+            let order = encode_reserve(&id, part.reserve, lease(node));
             if let Err(reason) = send_order(node, &target, order).await {
                 let outcome = AttemptOutcome::NotRun {
                     reason: format!("memory not reserved: {reason}"),
@@ -444,6 +444,11 @@
     (outcome, reservations)
 }
 
+/// How long memory is set aside at a time.
+fn lease(node: &NodeState) -> Duration {
+    LEASE.min(node.settings.bounds.reservation_max)
+}
+
 /// Sends an order to a target.
 async fn send_order(
     node: &Rc<NodeState>,
--- a/src/node/placing.rs
+++ b/src/node/placing.rs
@@ -140,6 +140,7 @@
                 retry_after: NO_CONFIG_RETRY,
             };
         };
+        dispatcher.set_share(decision_share(node));
         dispatcher.enqueue(ask, now);
     }
     node.waiters.borrow_mut().insert(job, sender);
@@ -157,6 +158,18 @@
     answer
 }
 
+/// The share of targets' cold limits that this node may use: all as the owner of placement,
+/// an even part when it decides alone.
+fn decision_share(node: &NodeState) -> f64 {
+    let members = node.members.borrow();
+    let now = node.now();
+    let owner = members.coordinators(now).into_iter().next();
+    if owner.is_some_and(|owner| owner.vm == node.settings.vm) {
+        return 1.0;
+    }
+    1.0 / members.live(now).len().max(1) as f64
+}
+
 /// Takes a request out of the queue when whoever asked has gone.
 struct WaitingGuard {
     node: Rc<NodeState>,
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -92,9 +92,6 @@
 struct ServiceBody {
     name: String,
     #[serde(default)]
-    health_path: String,
-    max_conns: usize,
-    #[serde(default)]
     warmup_per_s: f64,
     engine: Option<EngineBody>,
 }
@@ -116,7 +113,6 @@
 #[derive(Debug, Deserialize)]
 struct LimitsBody {
     max_body_bytes: usize,
-    idle_timeout_ms: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -198,7 +194,6 @@
         keyed,
         limits: CallerLimits {
             body_bytes: body.limits.max_body_bytes,
-            idle: Duration::from_millis(body.limits.idle_timeout_ms),
         },
     })
 }
@@ -250,8 +245,6 @@
 fn decode_service(service: ServiceBody) -> ServiceSpec {
     ServiceSpec {
         name: service.name,
-        health_path: service.health_path,
-        max_connections: service.max_conns,
         cold_per_s: service.warmup_per_s,
         engine: service.engine.map(|engine| EngineSpec {
             slots: engine.slots,
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -67,7 +67,6 @@
     cpu_share: f64,
     #[serde(default = "one_core")]
     cores: f64,
-    max_fds: u64,
 }
 
 fn one_core() -> f64 {
@@ -80,7 +79,6 @@
     retry_budget_ratio: f64,
     budget_window_s: f64,
     retry_slack: f64,
-    stall_ms: u64,
     hold_max_ms: u64,
     ttl_max_s: f64,
 }
@@ -170,13 +168,11 @@
         seeds,
         store: file.platform.address,
         cpu_share: file.limits.cpu_share * file.limits.cores,
-        max_descriptors: file.limits.max_fds,
         bounds: NodeBounds {
             stop_grace: Duration::from_secs_f64(file.bounds.grace_s),
             retry_ratio: file.bounds.retry_budget_ratio,
             retry_window: Duration::from_secs_f64(file.bounds.budget_window_s),
             retry_slack: file.bounds.retry_slack,
-            target_stall: Duration::from_millis(file.bounds.stall_ms),
             reservation_max: Duration::from_millis(file.bounds.hold_max_ms),
             directory_ttl_max: Duration::from_secs_f64(file.bounds.ttl_max_s),
         },
