--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -1,5 +1,6 @@
 //! Requests to model engines: placed by the owner of placement, streamed to the caller.
 
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -95,8 +96,65 @@
     }
 }
 
+/// A first send that is silent, kept until another engine has taken over.
+struct SilentSend {
+    begun: Pin<Box<dyn Future<Output = BegunStream>>>,
+    ask: PlacementAsk,
+}
+
 /// Serves a request to a model engine.
 pub async fn serve(node: &Rc<NodeState>, caller: &Rc<CallerRequest>) -> ServedAnswer {
+    let mut silent = None;
+    let answer = try_engines(node, caller, &mut silent).await;
+    let (ServedAnswer::Own(own), Some(silent)) = (&answer, silent) else {
+        return answer;
+    };
+    tracing::info!(
+        id = caller.says.id,
+        reason = own.reason,
+        "waiting for the silent target"
+    );
+    match silent.begun.await {
+        BegunStream::Running {
+            reply_head,
+            run,
+            events,
+        } => {
+            let runs = caller.route.max_attempts;
+            let relay = relay_of(node, caller, silent.ask, *run, events, runs);
+            ServedAnswer::Target(stream_answer(&reply_head, relay))
+        }
+        BegunStream::Failed(response) => ServedAnswer::Target(response),
+        BegunStream::NotRun { .. } | BegunStream::Unknown { .. } => answer,
+    }
+}
+
+fn relay_of(
+    node: &Rc<NodeState>,
+    caller: &Rc<CallerRequest>,
+    ask: PlacementAsk,
+    run: StreamRun,
+    events: EventBuffer,
+    runs: u32,
+) -> StreamRelay {
+    let elapsed = node.now().saturating_duration_since(caller.arrived);
+    tracing::info!(
+        id = caller.says.id,
+        replica = %run.target,
+        first_event_ms = elapsed.as_millis() as u64,
+        objective_ms = caller.route.objective.as_millis() as u64,
+        "first event"
+    );
+    node.metrics
+        .observe_answer(&caller.route.name, elapsed.as_secs_f64());
+    StreamRelay::new(node.clone(), caller.clone(), ask, run, events, runs)
+}
+
+async fn try_engines(
+    node: &Rc<NodeState>,
+    caller: &Rc<CallerRequest>,
+    silent: &mut Option<SilentSend>,
+) -> ServedAnswer {
     let mut ask = first_ask(node, caller);
     let mut runs = 0;
     let mut sends = 0;
@@ -155,26 +213,29 @@
         let another = caller.route.repeat.may_repeat() && runs + 1 < caller.route.max_attempts;
         let limit = first_event_limit(caller, &placement, another, node.now());
         arrived = true;
-        let begun = begin_stream(node, caller, &placement, job, limit).await;
+        let (sender, request) = (node.clone(), caller.clone());
+        let chosen = placement.clone();
+        let mut sent: Pin<Box<dyn Future<Output = BegunStream>>> =
+            Box::pin(async move { begin_stream(&sender, &request, &chosen, job).await });
+        let begun = match timeout(limit, &mut sent).await {
+            Ok(begun) => begun,
+            Err(_) => {
+                let reason = format!("no first event within {} ms", limit.as_millis());
+                node.note_target_failure(&placement.lead, false, &reason);
+                if another {
+                    let ask = ask.clone();
+                    *silent = Some(SilentSend { begun: sent, ask });
+                }
+                BegunStream::Unknown { reason }
+            }
+        };
         match begun {
             BegunStream::Running {
                 reply_head,
                 run,
                 events,
             } => {
-                let elapsed = node.now().saturating_duration_since(caller.arrived);
-                tracing::info!(
-                    id = caller.says.id,
-                    replica = %placement.lead,
-                    first_event_ms = elapsed.as_millis() as u64,
-                    predicted_ms = placement.predicted.as_millis() as u64,
-                    objective_ms = caller.route.objective.as_millis() as u64,
-                    "first event"
-                );
-                let route = &caller.route.name;
-                node.metrics.observe_answer(route, elapsed.as_secs_f64());
-                let relay =
-                    StreamRelay::new(node.clone(), caller.clone(), ask, *run, events, runs + 1);
+                let relay = relay_of(node, caller, ask, *run, events, runs + 1);
                 return ServedAnswer::Target(stream_answer(&reply_head, relay));
             }
             BegunStream::Failed(response) => {
@@ -284,35 +345,23 @@
     caller: &Rc<CallerRequest>,
     placement: &EnginePlacement,
     job: JobGuard,
-    limit: Duration,
 ) -> BegunStream {
     let service = ServiceGuard::new(node, &placement.lead);
-    let begin = async {
-        let (outcome, reservations) = send_placed(node, caller, placement, None).await;
-        match outcome {
-            AttemptOutcome::Answered(reply) => {
-                read_first_event(node, placement, *reply, job, service, reservations).await
-            }
-            AttemptOutcome::NotRun {
-                reason,
-                faulty,
-                arrived,
-            } => BegunStream::NotRun {
-                arrived,
-                reason,
-                at_fault: faulty.map(TargetName::new),
-            },
-            AttemptOutcome::Unknown { reason } => BegunStream::Unknown { reason },
-        }
-    };
-    match timeout(limit, begin).await {
-        Ok(begun) => begun,
-        Err(_) => {
-            node.note_target_failure(&placement.lead, false, "no first event in time");
-            BegunStream::Unknown {
-                reason: format!("no first event within {} ms", limit.as_millis()),
-            }
+    let (outcome, reservations) = send_placed(node, caller, placement, None).await;
+    match outcome {
+        AttemptOutcome::Answered(reply) => {
+            read_first_event(node, placement, *reply, job, service, reservations).await
         }
+        AttemptOutcome::NotRun {
+            reason,
+            faulty,
+            arrived,
+        } => BegunStream::NotRun {
+            arrived,
+            reason,
+            at_fault: faulty.map(TargetName::new),
+        },
+        AttemptOutcome::Unknown { reason } => BegunStream::Unknown { reason },
     }
 }
 
