--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -39,9 +39,12 @@
 ///
 /// Fails when the settings do not hold or an address cannot be bound.
 pub fn run(flags: &NodeFlags) -> Result<()> {
-    let _writer = logging::init_bounded();
+    let writer = logging::init_bounded();
     let settings = read_settings().wrap_err("settings")?;
     let ip: IpAddr = settings.addresses.callers.ip();
     let metrics = SocketAddr::new(ip, flags.metrics_port);
-    actix_rt::System::new().block_on(agent::run(settings, metrics, TimeSource::system()))
+    let counter = writer.counter();
+    let dropped_lines = move || counter.dropped_lines();
+    let clock = TimeSource::system();
+    actix_rt::System::new().block_on(agent::run(settings, metrics, clock, dropped_lines))
 }
--- a/src/node/agent.rs
+++ b/src/node/agent.rs
@@ -21,18 +21,24 @@
 use crate::platform::records::{decode_routes, decode_target, operator_record};
 use crate::platform::store::StoreClient;
 
+const DROPPED_EVERY: Duration = Duration::from_secs(1); // metrics are fetched every few seconds
 const READY_EVERY: Duration = Duration::from_millis(50);
 const STOP_MARGIN: Duration = Duration::from_millis(400); // the process must be gone before the kill
 const SERVE_AFTER_STOP: Duration = Duration::from_millis(2_500); // callers keep the directory's answer for 2 s
 const IDLE_CHECK: Duration = Duration::from_millis(100);
 const JOB_SHIFT: u32 = 24; // low bits of a job's id count requests
 
-/// Runs a node until it is told to stop.
+/// Runs a node until it is told to stop. `dropped_lines` counts log lines that were dropped.
 ///
 /// # Errors
 ///
 /// Fails when an address cannot be bound.
-pub async fn run(settings: NodeSettings, metrics: SocketAddr, clock: TimeSource) -> Result<()> {
+pub async fn run(
+    settings: NodeSettings,
+    metrics: SocketAddr,
+    clock: TimeSource,
+    dropped_lines: impl Fn() -> usize + 'static,
+) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut reload = signal(SignalKind::hangup())?;
@@ -47,6 +53,7 @@
     actix_rt::spawn(placing::decide_loop(node.clone()));
     actix_rt::spawn(placing::events_loop(node.clone()));
     actix_rt::spawn(ready_loop(node.clone()));
+    actix_rt::spawn(count_dropped(node.clone(), dropped_lines));
     tracing::info!(
         version = env!("CARGO_PKG_VERSION"),
         settings = ?node.settings,
@@ -124,6 +131,18 @@
     })
 }
 
+/// Shows in the metrics how many log lines were dropped.
+async fn count_dropped(node: Rc<NodeState>, dropped_lines: impl Fn() -> usize) {
+    loop {
+        let dropped = dropped_lines() as i64;
+        let before = node.metrics.log_lines_dropped.set(dropped);
+        if dropped > before {
+            tracing::warn!(dropped, "log lines dropped: the writer lags behind");
+        }
+        sleep(DROPPED_EVERY).await;
+    }
+}
+
 /// Tells peers as soon as this node takes callers, or no longer does.
 async fn ready_loop(node: Rc<NodeState>) {
     loop {
--- a/tests/platform/members.rs
+++ b/tests/platform/members.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::support::bed::{TestBed, wait_for};
-use crate::support::caller::{is_ready, resolve, send};
+use crate::support::caller::{CallerSend, is_ready, resolve, send};
 use crate::support::node::RunningNode;
 
 const GONE_WITHIN: Duration = Duration::from_secs(3);
@@ -128,3 +128,35 @@
     assert!(caller.join().expect("the caller's thread ends").is_some());
     assert!(bed.nodes[0].ended_well(Duration::from_secs(8)));
 }
+
+#[test]
+fn a_node_told_to_reload_goes_on() {
+    let bed = TestBed::start(1);
+
+    bed.nodes[0].signal("HUP");
+
+    wait_for(Duration::from_secs(2), "the reload is logged", || {
+        bed.nodes[0].log().contains("settings read again")
+    });
+    let answer = bed.lookup(0, "after-reload").expect("an answer");
+    assert_eq!(answer.status, 200);
+}
+
+#[test]
+fn metrics_tell_requests_and_dropped_lines() {
+    let bed = TestBed::start(1);
+    bed.lookup(0, "counted").expect("an answer");
+
+    let page = CallerSend::new("", "GET", "/metrics");
+    let answer = send(bed.places[0].metrics, &page).expect("a page");
+
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    for name in [
+        r#"notch_node_requests_total{route="lookup",outcome="served"}"#,
+        "notch_node_answer_seconds_bucket",
+        "notch_node_log_lines_dropped",
+        "notch_node_config_version 1",
+    ] {
+        assert!(text.contains(name), "{name} is missing in\n{text}");
+    }
+}
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -60,7 +60,7 @@
 #[test]
 fn silence_ends_no_stream_that_nobody_goes_on_with() {
     let bed = TestBed::start(1);
-    bed.engines[0].set_step(Duration::from_millis(1_600));
+    bed.engines[0].set_step(Duration::from_millis(250));
     // Nobody else can go on with the stream.
     bed.engines[1].set_mood(TargetMood::Full);
     bed.engines[2].set_mood(TargetMood::Full);
@@ -68,12 +68,39 @@
     request.extra = vec![("Last-Event-Id".into(), "5".into())];
     request.deadline = Duration::from_secs(12);
 
-    let answer = send(bed.places[0].callers, &request).expect("an answer");
+    let callers = bed.places[0].callers;
+    let caller = std::thread::spawn(move || send(callers, &request));
+    // The first event comes in time, the next ones after long pauses.
+    wait_for(Duration::from_secs(2), "the stream begins", || {
+        bed.runs("slow").iter().any(|run| run.target == "engine-0")
+    });
+    std::thread::sleep(Duration::from_millis(150));
+    bed.engines[0].set_step(Duration::from_millis(1_600));
+
+    let answer = caller
+        .join()
+        .expect("the caller's thread ends")
+        .expect("an answer");
 
     assert!(answer.complete, "{:?}", answer.event_ids());
     assert_eq!(answer.event_ids(), [6, 7, 8]);
 }
 
+#[test]
+fn a_silent_engine_is_kept_when_no_other_takes_over() {
+    let bed = TestBed::start(1);
+    bed.engines[0].set_step(Duration::from_millis(1_600));
+    bed.engines[1].set_mood(TargetMood::Full);
+    bed.engines[2].set_mood(TargetMood::Full);
+    let mut request = bed.stream("late-first", "/resumable/a");
+    request.extra = vec![("Last-Event-Id".into(), "6".into())];
+
+    let answer = send(bed.places[0].callers, &request).expect("an answer");
+
+    assert!(answer.complete, "status {}", answer.status);
+    assert_eq!(answer.event_ids(), [7, 8]);
+}
+
 #[test]
 fn targets_stop_soon_after_a_caller_left() {
     let bed = TestBed::start(1);
@@ -172,9 +199,8 @@
 fn a_dead_domain_costs_nobody_an_answer() {
     let bed = TestBed::start(2);
     for index in 0..2 {
-        let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-        let address = closed.local_addr().expect("a bound socket has an address");
-        drop(closed);
+        // A port that was free a moment ago may be another test's by now.
+        let address = ([127, 99, 0, 1 + index as u8], 9).into();
         let engine = bed.target(index);
         let record = engine.record(address, "ready").to_string();
         bed.store
