--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -81,7 +81,7 @@
     stream.set_nodelay(true).ok();
     let mut buffer = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut buffer).await {
-        let (sender, mut steps) = mpsc::channel(4);
+        let (sender, mut steps) = mpsc::channel(1);
         let task = tokio::spawn(handler(request, sender));
         loop {
             let step = tokio::select! {
