Keep rosters fresh until the next beat at any fleet size

Cause: the beat interval followed the known VMs (8 ms each, 2.4 s at 300) while the time after which a roster lapsed followed the VMs heard directly, a handful on most VMs: 1.4 s. Both now follow the VMs known from rosters, and the interval is at most 950 ms so that a dead VM is dropped within 3 s.

--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -18,8 +18,10 @@
 
 const BEAT_FLOOR: Duration = Duration::from_millis(250); // leaves three beats before a VM is taken as dead
 const BEAT_PER_MEMBER: Duration = Duration::from_millis(8); // bounds a coordinator to 125 beats a second
+const BEAT_CEILING: Duration = Duration::from_millis(950); // a VM is taken as dead within 3 s at any size
 const DEAD_FLOOR: Duration = Duration::from_millis(1_400); // callers must not be sent to a dead VM for 3 s
 const DEAD_AFTER_BEATS: u32 = 3;
+const ROSTER_KEPT_FOR: Duration = Duration::from_secs(10); // several beats at any size
 const SUSPECT_FOR: Duration = Duration::from_millis(1_000); // a paused VM is asked again after this
 const CPU_RANK_STEP: f64 = 0.1; // shares of a core that rank alike
 
@@ -139,6 +141,8 @@
         now: Instant,
     ) {
         self.suspects.remove(&coordinator.vm);
+        self.rosters
+            .retain(|_, known| now.saturating_duration_since(known.fetched) < ROSTER_KEPT_FOR);
         match roster {
             Some(roster) => {
                 let fetched = FetchedRoster {
@@ -170,18 +174,28 @@
     }
 
     /// Time between heartbeats for a fleet of the known size.
-    pub fn beat_interval(&self, now: Instant) -> Duration {
-        BEAT_FLOOR.max(BEAT_PER_MEMBER * self.live(now).len() as u32)
+    pub fn beat_interval(&self) -> Duration {
+        (BEAT_PER_MEMBER * self.known_count() as u32).clamp(BEAT_FLOOR, BEAT_CEILING)
+    }
+
+    /// VMs heard of lately, also in rosters that are due again: the interval must not depend
+    /// on whether they are still fresh.
+    fn known_count(&self) -> usize {
+        let listed = self
+            .rosters
+            .values()
+            .map(|known| known.roster.members.len())
+            .max();
+        listed.unwrap_or(0).max(self.heard.len() + 1)
     }
 
-    fn dead_after(&self, members: usize) -> Duration {
-        let interval = BEAT_FLOOR.max(BEAT_PER_MEMBER * members as u32);
-        DEAD_FLOOR.max(interval * DEAD_AFTER_BEATS)
+    fn dead_after(&self) -> Duration {
+        DEAD_FLOOR.max(self.beat_interval() * DEAD_AFTER_BEATS)
     }
 
     /// All VMs taken as alive, this one included, by name.
     pub fn live(&self, now: Instant) -> Vec<&MemberRecord> {
-        let dead_after = self.dead_after(self.heard.len().max(self.served.members.len()));
+        let dead_after = self.dead_after();
         let fresh = |at: Instant| now.saturating_duration_since(at) < dead_after;
         let mut live: BTreeMap<&VmName, (&MemberRecord, Instant)> = BTreeMap::new();
         for known in self.rosters.values().filter(|known| fresh(known.fetched)) {
@@ -236,7 +250,7 @@
 
     /// The roster that this VM serves to others.
     pub fn served_roster(&mut self, now: Instant) -> &MemberRoster {
-        let dead_after = self.dead_after(self.heard.len());
+        let dead_after = self.dead_after();
         self.heard
             .retain(|_, member| now.saturating_duration_since(member.heard) < dead_after);
         let mut members = vec![self.own.clone()];
--- a/src/node/feeds.rs
+++ b/src/node/feeds.rs
@@ -19,11 +19,13 @@
 const TARGET_PAUSE: Duration = Duration::from_millis(350); // gathers records; a change must act within 2 s
 const RETRY_FLOOR: Duration = Duration::from_millis(150);
 const RETRY_CEILING: Duration = Duration::from_millis(1_200); // a config must be in force 2 s after its acknowledgement
-const STANDBY_CHECK: Duration = Duration::from_millis(500);
+const STANDBY_CHECK: Duration = Duration::from_millis(100);
 const MEMBERS_EVERY: Duration = Duration::from_secs(20);
 
 /// VMs that read the store; the rest are told by the coordinators.
 const READERS: usize = 8;
+/// By then a VM that starts beside others has their records; when all start, every ms counts.
+const PEERS_FIRST: Duration = Duration::from_millis(80);
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum FeedKind {
@@ -88,12 +90,12 @@
 
 /// Whether this VM is among those that read the store.
 fn is_reader(node: &NodeState) -> bool {
+    let now = node.now();
     let members = node.members.borrow();
-    let live = members.live(node.now());
-    if live.len() <= READERS {
-        return true;
+    if members.live(now).len() <= READERS {
+        return now.saturating_duration_since(node.started) >= PEERS_FIRST;
     }
-    let coordinators = members.coordinators(node.now());
+    let coordinators = members.coordinators(now);
     coordinators
         .iter()
         .any(|member| member.vm == node.settings.vm)
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -133,7 +133,7 @@
         join_all(beats).await;
         let (interval, live) = {
             let members = node.members.borrow();
-            (members.beat_interval(now), members.live(now).len())
+            (members.beat_interval(), members.live(now).len())
         };
         let before = node.metrics.members_live.set(live as i64);
         if before != live as i64 {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -27,6 +27,8 @@
     pub settings: NodeSettings,
     /// The clock.
     pub clock: TimeSource,
+    /// When the process started.
+    pub started: Instant,
     /// Routes and targets.
     pub catalog: RefCell<FleetCatalog>,
     /// The other VMs.
@@ -79,6 +81,7 @@
     ) -> Self {
         Self {
             settings,
+            started: clock.now(),
             clock,
             catalog: RefCell::new(FleetCatalog::new(decoder)),
             members: RefCell::new(MemberTable::new(own)),
--- a/tests/core/members.rs
+++ b/tests/core/members.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use plantainnotch::fleet::members::{COORDINATORS, MemberRecord, MemberTable};
+use plantainnotch::fleet::members::{COORDINATORS, MemberRecord, MemberRoster, MemberTable};
 use plantainnotch::ids::{DomainName, VmName};
 
 use crate::fixtures::check;
 
 const GONE_WITHIN: Duration = Duration::from_secs(3);
+const LONGEST_JITTER: f64 = 1.2;
 
 fn member(number: u8, domains: u8) -> MemberRecord {
     let address = |port: u16| SocketAddr::from(([10, 0, 0, number], port));
@@ -81,7 +82,7 @@
 
 #[test]
 fn a_silent_vm_is_dropped_in_time_at_any_fleet_size() {
-    for others in [2_u8, 7, 87] {
+    for others in [2_u8, 7, 87, 250] {
         let now = Instant::now();
         let all: Vec<u8> = (1..=others).collect();
         let mut table = table(0, &all, now);
@@ -158,6 +159,25 @@
     assert_eq!(newcomer.live(now + GONE_WITHIN).len(), 1);
 }
 
+/// A VM that knows the others from rosters only takes them as alive until the next beat.
+#[test]
+fn a_roster_holds_until_the_next_beat_at_any_fleet_size() {
+    for others in [2_u8, 7, 87, 250] {
+        let now = Instant::now();
+        let mut table = table(0, &[], now);
+        let roster = MemberRoster {
+            version: 1,
+            members: (1..=others).map(|other| member(other, 3)).collect(),
+        };
+        table.take_roster(&member(1, 3), Some(roster), now);
+        let next_beat = now + table.beat_interval().mul_f64(LONGEST_JITTER);
+
+        let live = table.live(next_beat).len();
+
+        assert_eq!(live, 1 + usize::from(others), "of {others}");
+    }
+}
+
 #[test]
 fn the_directory_names_near_vms_first_when_it_must_choose() {
     let now = Instant::now();
