Track engines' passes and end them by first events

Cause: an engine counted as free at the predicted end of a part although it had not begun: what arrives during a pass waits for its end. Each engine now has a pass with an end; claims are read in the next one; a first event resynchronises it; an overdue pass keeps its engine busy for 400 ms at most. A part counts as harm to a waiting short prompt whose objective it would cost. Tests: three of passes; two fail on the code before.

--- a/src/node/placing.rs
+++ b/src/node/placing.rs
@@ -225,7 +225,7 @@
     match event {
         JobEvent::FirstEvent(job) => {
             for dispatcher in node.dispatchers.borrow_mut().values_mut() {
-                dispatcher.first_event(*job);
+                dispatcher.first_event(*job, node.now());
             }
         }
         JobEvent::End(job) => end_job(node, *job),
--- a/src/policy/dispatch/ask.rs
+++ b/src/policy/dispatch/ask.rs
@@ -133,6 +133,8 @@
     pub memory: u64,
     /// What is left of its reading; zero once it generates.
     pub reading: Duration,
+    /// What is left of its objective for the first event.
+    pub objective: Duration,
     /// Tokens of the whole prompt.
     pub prompt: u64,
     /// Longest pause between its events that is in time.
--- a/src/policy/dispatch/choice.rs
+++ b/src/policy/dispatch/choice.rs
@@ -5,7 +5,7 @@
 
 use super::ask::{EnginePlacement, PlacementAsk, SplitPart};
 use super::ledger::{EngineLedger, LATE_VALUE, prompt_value};
-use super::{EngineDispatcher, SHORT_READ, WaitingAsk};
+use super::{EngineDispatcher, SHORT_READ, WaitingAsk, step_of};
 use crate::policy::engine_model::{pass_time, read_time};
 
 /// Share of a request's value that a first event just within its objective costs: engines
@@ -17,8 +17,9 @@
 const SAFE_SHARE: f64 = 0.75;
 /// Share of a cold target's limit that is used.
 const COLD_SHARE: f64 = 0.75;
-/// An engine whose long reading ends within this counts as free.
-const NEARLY_FREE: Duration = Duration::from_millis(15);
+/// An engine whose long reading ends within this counts as free: what arrives by then is
+/// read in the next pass.
+const NEARLY_FREE: Duration = Duration::from_millis(70);
 /// Engines that one prompt may be split over: the lead and 16 helpers.
 pub(super) const MAX_PARTS: usize = 17;
 /// Streams of short prompts on an engine before the next engine is opened.
@@ -60,15 +61,17 @@
                 && self.bears_another(engine, now)
         });
         let predicted = |engine: &EngineLedger| {
-            let pass = self.pass_of(engine, ask.prompt);
-            engine.unread(now) + own_read + pass.mul_f64(1.5)
+            let step = self.pass_of(engine, ask.prompt);
+            let next = engine.next_pass(step, now);
+            next.begins_in + next.reading + own_read + step
         };
         let best = open.min_by_key(|engine| {
             let time = predicted(engine);
-            let pass = self.pass_of(engine, ask.prompt);
-            let next_pause = pass + engine.unread(now) + own_read;
+            let step = self.pass_of(engine, ask.prompt);
+            let next_pause = step + engine.next_pass(step, now).reading + own_read;
             let safe = time <= left.mul_f64(SAFE_SHARE)
-                && next_pause <= engine.least_pause(ask.pause).mul_f64(PAUSE_SHARE);
+                && next_pause <= engine.least_pause(ask.pause).mul_f64(PAUSE_SHARE)
+                && engine.harm_of(own_read, step, now) <= 0.0;
             let full = engine.shorts() >= PACK_LIMIT;
             (
                 !safe,
@@ -93,7 +96,7 @@
     }
 
     pub(super) fn pass_of(&self, engine: &EngineLedger, extra: u64) -> Duration {
-        pass_time(&self.spec, engine.running() + 1, engine.context() + extra)
+        step_of(&self.spec, engine, extra)
     }
 
     pub(super) fn bears_another(&self, engine: &EngineLedger, now: Instant) -> bool {
@@ -118,7 +121,7 @@
                 engine.usable
                     && !ask.avoid.contains(&engine.target.name)
                     && engine.running() < self.spec.slots
-                    && engine.long_reading_left(now) <= NEARLY_FREE
+                    && engine.long_reading_left(self.pass_of(engine, 0), now) <= NEARLY_FREE
                     && self.bears_another(engine, now)
             })
             .collect();
@@ -133,9 +136,13 @@
         let chosen = &free[..parts];
         let slowest = chosen
             .iter()
-            .map(|engine| self.pass_of(engine, ask.prompt / parts as u64))
+            .map(|engine| {
+                let step = self.pass_of(engine, ask.prompt / parts as u64);
+                let next = engine.next_pass(step, now);
+                next.begins_in + next.reading + step
+            })
             .max()?;
-        let predicted = read + slowest.mul_f64(1.5);
+        let predicted = read + slowest;
         if now + predicted > waiting.leaves_at() {
             return None;
         }
@@ -180,7 +187,7 @@
             .collect();
         let wait = clean
             .iter()
-            .map(|engine| engine.long_reading_left(now))
+            .map(|engine| engine.long_reading_left(self.pass_of(engine, 0), now))
             .max()
             .unwrap_or(Duration::ZERO);
         let memory: u64 = clean.iter().map(|engine| self.memory_left(engine)).sum();
--- a/src/policy/dispatch/mod.rs
+++ b/src/policy/dispatch/mod.rs
@@ -20,7 +20,7 @@
     PlacementAsk, RefusalReason, SplitPart,
 };
 use choice::{MAX_PARTS, MEMORY_SHARE, PACK_LIMIT};
-use ledger::{EngineJob, EngineLedger};
+use ledger::EngineLedger;
 
 /// A prompt that one engine reads within this is short: it fits between two events of
 /// a stream that must pause for 250 ms at most.
@@ -104,12 +104,7 @@
             let engine = self
                 .engines
                 .entry(target.name.clone())
-                .or_insert_with(|| EngineLedger {
-                    target: target.clone(),
-                    usable: true,
-                    jobs: Vec::new(),
-                    sends: Vec::new(),
-                });
+                .or_insert_with(|| EngineLedger::new(target.clone()));
             engine.target = target.clone();
             engine.usable = true;
         }
@@ -125,6 +120,7 @@
     /// Decides on all that wait: places, refuses, or leaves them waiting.
     pub fn decide(&mut self, now: Instant) -> Vec<DispatchDecision> {
         self.expire_jobs(now);
+        self.roll_passes(now);
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.sort_by_cached_key(|waiting| {
             let short = read_time(&self.spec, waiting.ask.prompt, 1) <= SHORT_READ;
@@ -237,7 +233,7 @@
             .engines
             .values()
             .filter(|engine| engine.usable)
-            .map(|engine| engine.long_reading_left(now))
+            .map(|engine| engine.long_reading_left(self.pass_of(engine, 0), now))
             .collect();
         free_in.sort_unstable();
         let queue = ahead.div_f64(self.reading_lanes());
@@ -277,32 +273,31 @@
                 },
                 memory,
                 reading: read,
+                objective: ask.objective,
                 prompt: ask.prompt,
                 pause: ask.pause,
                 short,
                 helper,
             };
-            let pass = self
+            let Some(step) = self
                 .engines
                 .get(target)
-                .map(|engine| self.pass_of(engine, 0));
-            if let Some(engine) = self.engines.get_mut(target) {
-                if !short {
-                    engine.spoil(read, pass.unwrap_or_default(), now);
-                }
-                let begins = now + engine.reading_left(now);
-                engine
-                    .sends
-                    .retain(|at| now.saturating_duration_since(*at) < Duration::from_secs(1));
-                engine.sends.push(now);
-                engine.jobs.push(EngineJob {
-                    report,
-                    read_until: Some(begins + read),
-                    booked: now,
-                    expires: now + life,
-                    spoiled: false,
-                });
+                .map(|engine| self.pass_of(engine, 0))
+            else {
+                continue;
+            };
+            let Some(engine) = self.engines.get_mut(target) else {
+                continue;
+            };
+            engine.roll(step, now);
+            if !short {
+                engine.spoil(read, step, now);
             }
+            engine
+                .sends
+                .retain(|at| now.saturating_duration_since(*at) < Duration::from_secs(1));
+            engine.sends.push(now);
+            engine.claim(report, life, step, now);
         }
     }
 
@@ -312,16 +307,19 @@
     }
 
     /// Notes that a request generates: its parts are read.
-    pub fn first_event(&mut self, job: JobId) {
+    pub fn first_event(&mut self, job: JobId, now: Instant) {
+        let spec = &self.spec;
         for engine in self.engines.values_mut() {
-            engine.jobs.retain(|held| {
-                held.report.job != job || !held.report.helper || held.report.memory > 0
-            });
-            for held in &mut engine.jobs {
-                if held.report.job == job {
-                    held.read_until = None;
-                }
-            }
+            let step = step_of(spec, engine, 0);
+            engine.note_read(job, step, now);
+        }
+    }
+
+    fn roll_passes(&mut self, now: Instant) {
+        let spec = &self.spec;
+        for engine in self.engines.values_mut() {
+            let step = step_of(spec, engine, 0);
+            engine.roll(step, now);
         }
     }
 
@@ -335,17 +333,16 @@
 
     /// The jobs of `vm`, for a coordinator that may have to take over.
     pub fn reports_of(&self, vm: &VmName, now: Instant) -> Vec<JobReport> {
-        self.engines
-            .values()
-            .flat_map(|engine| &engine.jobs)
-            .filter(|held| held.report.vm == *vm)
-            .map(|held| JobReport {
-                reading: held
-                    .read_until
-                    .map_or(Duration::ZERO, |until| until.saturating_duration_since(now)),
+        let mut reports = Vec::new();
+        for engine in self.engines.values() {
+            let own = engine.jobs.iter().filter(|held| held.report.vm == *vm);
+            reports.extend(own.map(|held| JobReport {
+                reading: engine.reading_left_of(held, now),
+                objective: held.in_time_until.saturating_duration_since(now),
                 ..held.report.clone()
-            })
-            .collect()
+            }));
+        }
+        reports
     }
 
     /// Replaces what is known of a VM's jobs, but for those younger than the report may be.
@@ -371,13 +368,8 @@
             if engine.jobs.iter().any(|held| held.report.job == report.job) {
                 continue;
             }
-            engine.jobs.push(EngineJob {
-                report: report.clone(),
-                read_until: (!report.reading.is_zero()).then(|| now + report.reading),
-                booked: now,
-                expires: now + JOB_EXPIRY,
-                spoiled: false,
-            });
+            let step = step_of(&self.spec, engine, 0);
+            engine.claim(report.clone(), JOB_EXPIRY, step, now);
         }
     }
 
@@ -396,6 +388,11 @@
     }
 }
 
+/// Time of a pass on `engine` with one more request of `extra` tokens, without any reading.
+fn step_of(spec: &EngineSpec, engine: &EngineLedger, extra: u64) -> Duration {
+    pass_time(spec, engine.running() + 1, engine.context() + extra)
+}
+
 fn refuse(reason: RefusalReason, retry_after: Duration) -> DispatchAnswer {
     DispatchAnswer::Refused {
         reason,
--- a/tests/core/dispatch.rs
+++ b/tests/core/dispatch.rs
@@ -8,7 +8,7 @@
 use plantainnotch::policy::dispatch::{
     DispatchAnswer, EngineDispatcher, EngineTarget, JobId, PlacementAsk, RefusalReason,
 };
-use plantainnotch::policy::engine_model::example_spec;
+use plantainnotch::policy::engine_model::{example_spec, read_time};
 
 use crate::engine_play::{
     LoadKind, LoadRequest, PlayPolicy, PlayReport, draw_load, kigali_kinds, play,
@@ -199,7 +199,7 @@
         let now = start + Duration::from_millis(100 * job);
         dispatcher.enqueue(ask(job, 500), now);
         dispatcher.decide(now);
-        dispatcher.first_event(JobId(job));
+        dispatcher.first_event(JobId(job), now);
 
         let running = dispatcher.reports_of(&VmName::new("vm-1"), now).len();
 
@@ -207,6 +207,72 @@
     }
 }
 
+/// Places `request` on the only engine, or tells that it waits.
+fn placed_at(
+    dispatcher: &mut EngineDispatcher,
+    request: PlacementAsk,
+    now: Instant,
+) -> Option<Duration> {
+    dispatcher.enqueue(request, now);
+    match dispatcher.decide(now).pop()?.answer {
+        DispatchAnswer::Placed(placement) => Some(placement.predicted),
+        DispatchAnswer::Refused { .. } => None,
+    }
+}
+
+#[test]
+fn an_engine_reads_until_its_first_event_tells_otherwise() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(1);
+    let predicted = placed_at(&mut dispatcher, ask(1, 60_000), now).expect("the engine is idle");
+    let late = now + predicted + Duration::from_millis(20);
+
+    let before = placed_at(&mut dispatcher, ask(2, 60_000), late);
+    dispatcher.first_event(JobId(1), late);
+    let after = dispatcher.decide(late);
+
+    assert_eq!(before, None);
+    assert_eq!(after.len(), 1, "{after:?}");
+}
+
+#[test]
+fn a_short_prompt_waits_out_the_pass_under_way_and_reads_with_the_next() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(1);
+    let long = placed_at(&mut dispatcher, ask(1, 40_000), now).expect("the engine is idle");
+    let later = now + Duration::from_millis(50);
+
+    let first = placed_at(&mut dispatcher, ask(2, 5_000), later).expect("a slot is free");
+    let second = placed_at(&mut dispatcher, ask(3, 5_000), later).expect("a slot is free");
+
+    let own = read_time(&example_spec(), 5_000, 1);
+    assert!(first > long - Duration::from_millis(50) + own, "{first:?}");
+    assert!(second > first + own.mul_f64(0.9), "{second:?}");
+}
+
+/// A part that is read beside a short prompt would cost its objective, not only a pause.
+#[test]
+fn a_part_spares_short_prompts_that_wait_for_their_first_event() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(2);
+    let mut busy = ask(1, 5_000);
+    busy.objective = Duration::from_millis(300);
+    placed_at(&mut dispatcher, ask(0, 1_000), now).expect("an engine is idle");
+    placed_at(&mut dispatcher, busy, now).expect("an engine is idle");
+    let short_engine = dispatcher.reports_of(&VmName::new("vm-1"), now)[0]
+        .target
+        .clone();
+    dispatcher.enqueue(ask(2, 60_000), now);
+
+    let decisions = dispatcher.decide(now);
+
+    let DispatchAnswer::Placed(placement) = &decisions[0].answer else {
+        panic!("{decisions:?}");
+    };
+    assert_ne!(placement.lead, short_engine);
+    assert!(placement.helpers.is_empty(), "{placement:?}");
+}
+
 #[test]
 fn engines_that_failed_the_request_are_avoided() {
     let now = Instant::now();
@@ -261,7 +327,7 @@
                 }
             }
             if ends {
-                dispatcher.first_event(JobId(asked / 2));
+                dispatcher.first_event(JobId(asked / 2), now);
                 dispatcher.end(JobId(asked / 2));
             }
             let mut memory: BTreeMap<TargetName, u64> = BTreeMap::new();
--- a/tests/core/engine_play.rs
+++ b/tests/core/engine_play.rs
@@ -586,7 +586,8 @@
                 } else {
                     self.engines[lead].generating.push(job);
                 }
-                self.dispatcher.first_event(JobId(job));
+                let now = self.start + at;
+                self.dispatcher.first_event(JobId(job), now);
             }
         }
         if self.policy == PlayPolicy::SharedQueue {
