Take free engines before those that still read

Cause: with engines free 70 ms before the end of their pass, the order among them did not look at what they still read, and the gain of a split left that wait out.

--- a/src/policy/dispatch/choice.rs
+++ b/src/policy/dispatch/choice.rs
@@ -20,6 +20,8 @@
 /// An engine whose long reading ends within this counts as free: what arrives by then is
 /// read in the next pass.
 const NEARLY_FREE: Duration = Duration::from_millis(70);
+/// An engine that begins to read within this is taken before those that still read.
+const FREE: Duration = Duration::from_millis(35);
 /// Engines that one prompt may be split over: the lead and 16 helpers.
 pub(super) const MAX_PARTS: usize = 17;
 /// Streams of short prompts on an engine before the next engine is opened.
@@ -95,6 +97,12 @@
         })
     }
 
+    /// Until an engine begins to read what arrives now.
+    fn wait_at(&self, engine: &EngineLedger, now: Instant) -> Duration {
+        let next = engine.next_pass(self.pass_of(engine, 0), now);
+        next.begins_in + next.reading
+    }
+
     pub(super) fn pass_of(&self, engine: &EngineLedger, extra: u64) -> Duration {
         step_of(&self.spec, engine, extra)
     }
@@ -127,7 +135,8 @@
             .collect();
         free.sort_by_cached_key(|engine| {
             let risk = engine.generating_value().round() as u64;
-            (engine.tender(), risk, engine.target.name.clone())
+            let waits = self.wait_at(engine, now) > FREE;
+            (engine.tender(), waits, risk, engine.target.name.clone())
         });
         let left = waiting.objective_at().saturating_duration_since(now);
         let needed = self.memory_parts(&free, ask.prompt + ask.output)?;
@@ -167,7 +176,12 @@
                 .iter()
                 .map(|engine| engine.harm_of(read, self.pass_of(engine, 0), now))
                 .sum();
-            let slowest = read + self.pass_of(free[parts - 1], 0);
+            let wait = free[..parts]
+                .iter()
+                .map(|engine| self.wait_at(engine, now))
+                .max()
+                .unwrap_or(Duration::ZERO);
+            let slowest = wait + read + self.pass_of(free[parts - 1], 0);
             value * earned_share(slowest, left) - harm
         };
         let best = (needed..=most).max_by(|a, b| gain(*a).total_cmp(&gain(*b)))?;
--- a/tests/core/dispatch.rs
+++ b/tests/core/dispatch.rs
@@ -273,6 +273,26 @@
     assert!(placement.helpers.is_empty(), "{placement:?}");
 }
 
+/// An engine at work on a part takes the next one only when no other is free.
+#[test]
+fn free_engines_go_before_those_that_still_read() {
+    let now = Instant::now();
+    let mut dispatcher = dispatcher(2);
+    let mut first = ask(1, 20_000);
+    first.avoid = vec![TargetName::new("engine-1")];
+    placed_at(&mut dispatcher, first, now).expect("an engine is idle");
+    let soon_over = now + Duration::from_millis(110);
+    dispatcher.enqueue(ask(2, 20_000), soon_over);
+
+    let decisions = dispatcher.decide(soon_over);
+
+    let DispatchAnswer::Placed(placement) = &decisions[0].answer else {
+        panic!("{decisions:?}");
+    };
+    assert_eq!(placement.lead, TargetName::new("engine-1"));
+    assert!(placement.helpers.is_empty(), "{placement:?}");
+}
+
 #[test]
 fn engines_that_failed_the_request_are_avoided() {
     let now = Instant::now();
