--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -1,28 +1,49 @@
-//! Membership and failure detection: which VMs are alive, and which of them coordinate.
+//! Membership and failure detection: which VMs are alive, and which of them have a duty.
 //!
-//! Every VM sends heartbeats to the coordinators, a few VMs that every VM ranks in the same
-//! order. A coordinator's roster lists the VMs whose heartbeats it receives. A VM considers
-//! those alive that are in a recently fetched roster or sent it a heartbeat themselves.
+//! Each failure domain has two hubs, VMs that all VMs rank in the same order. A VM sends
+//! heartbeats to the hubs of its own domain only; hubs also send them to the first hub of each
+//! other domain. A hub replies with changes of its roster: to its own domain with all VMs of the
+//! fleet, to another domain with those of its own. So the traffic between domains grows with the
+//! number of domains, and that of a VM with the size of its domain.
+//!
+//! A VM considers those alive that sent it a heartbeat or are in a recently fetched roster. Of two
+//! records of the same VM the newer one counts, by incarnation and revision, however it came.
+
+mod roster;
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use rand::Rng;
+use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::{DomainName, VmName};
 
+use roster::ServedRoster;
+pub use roster::{RosterScope, RosterUpdate};
+
 /// Number of coordinators: with three failure domains or more, losing one leaves at least two.
 pub const COORDINATOR_COUNT: usize = 3;
+/// Hubs of a failure domain: losing one leaves one that knows the domain already.
+pub const HUBS_PER_DOMAIN: usize = 2;
+/// Most VMs that try to read the store while it turns VMs away.
+pub const MAX_READERS_TRIED: usize = 9;
 
 const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250); // five of them fit into MIN_DEAD_AFTER
-const HEARTBEAT_INTERVAL_PER_MEMBER: Duration = Duration::from_millis(8); // at most 125 heartbeats a second at a coordinator, in fleets of up to 118 VMs
+const HEARTBEAT_INTERVAL_PER_MEMBER: Duration = Duration::from_millis(8); // at most 125 heartbeats a second at a hub, in domains of up to 118 VMs
 const MAX_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(950); // a VM counts as dead within 3 s at any fleet size
 const MIN_DEAD_AFTER: Duration = Duration::from_millis(1_400); // below the 3 s within which a dead VM must leave the directory
 const DEAD_AFTER_HEARTBEATS: u32 = 3;
-const ROSTER_RETENTION: Duration = Duration::from_secs(10); // several heartbeats at any fleet size
+const ROSTER_GRACE: Duration = Duration::from_secs(1); // a domain whose first hub dies is reached through the second one by then
+const RECORD_RETENTION: Duration = Duration::from_secs(10); // for rosters and contacts: several heartbeats at any fleet size
 const SUSPICION_TIME: Duration = Duration::from_millis(1_000); // then a VM that was only paused is tried again
+const DISCOVERY_PROBABILITY: f64 = 0.25; // that a hub's heartbeat round also tries an address without a live VM
+const DISCOVERY_FANOUT: usize = 3; // addresses tried in a round, beside the seeds, while no other VM is live
+const DOMAIN_FETCH_TIME: Duration = Duration::from_millis(600); // the first hub of a domain has fetched by then what the domain lacks
 const CPU_RANK_STEP_CORES: f64 = 0.1; // VMs whose CPU limits round to the same step rank alike
 
 /// Record that a VM sends about itself with each heartbeat.
@@ -38,21 +59,23 @@
     pub caller_address: SocketAddr,
     /// Start of its process in Unix milliseconds; distinguishes a restarted VM from its predecessor.
     pub incarnation: u64,
-    /// CPU limit in cores; a larger VM ranks first as a coordinator.
+    /// Incremented by the VM with each change of its record within an incarnation.
+    pub revision: u32,
+    /// CPU limit in cores; a larger VM ranks first for duties.
     pub cpu_cores: f64,
     /// Whether it takes callers' requests.
     pub ready: bool,
     /// Whether it is shutting down.
     pub leaving: bool,
+    /// False while its own reads of the store fail.
+    pub store_reachable: bool,
 }
 
-/// A coordinator's list of the VMs whose heartbeats it receives.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct MemberRoster {
-    /// Incremented with each change; starts again at 1 in a new incarnation of the coordinator.
-    pub version: u64,
-    /// Records of the VMs, the coordinator's own included.
-    pub members: Vec<MemberRecord>,
+impl MemberRecord {
+    /// Order in which records of the same VM replace each other.
+    fn age_rank(&self) -> (u64, u32) {
+        (self.incarnation, self.revision)
+    }
 }
 
 #[derive(Debug)]
@@ -63,8 +86,10 @@
 
 #[derive(Debug)]
 struct FetchedRoster {
+    domain: DomainName,
     incarnation: u64,
-    roster: MemberRoster,
+    version: u64,
+    members: BTreeMap<VmName, MemberRecord>,
     fetched_at: Instant,
 }
 
@@ -74,24 +99,22 @@
     own: MemberRecord,
     last_heartbeats: BTreeMap<VmName, ReceivedHeartbeat>,
     rosters: BTreeMap<VmName, FetchedRoster>,
+    contacts: BTreeMap<VmName, ReceivedHeartbeat>,
     suspects: BTreeMap<VmName, Instant>,
-    served_roster: MemberRoster,
+    served_roster: ServedRoster,
     addresses: BTreeSet<SocketAddr>,
 }
 
 impl MemberTable {
     /// Creates a table with this VM as its only member.
     pub fn new(own: MemberRecord) -> Self {
-        let served_roster = MemberRoster {
-            version: 1,
-            members: vec![own.clone()],
-        };
         Self {
             own,
             last_heartbeats: BTreeMap::new(),
             rosters: BTreeMap::new(),
+            contacts: BTreeMap::new(),
             suspects: BTreeMap::new(),
-            served_roster,
+            served_roster: ServedRoster::default(),
             addresses: BTreeSet::new(),
         }
     }
@@ -115,15 +138,35 @@
             .collect()
     }
 
+    /// Failure domain of the VM at a peer address, if a heartbeat, contact or roster named it.
+    pub fn domain_at(&self, peer_address: SocketAddr) -> Option<&DomainName> {
+        let heard = self.last_heartbeats.values().chain(self.contacts.values());
+        let listed = self
+            .rosters
+            .values()
+            .flat_map(|known| known.members.values());
+        heard
+            .map(|last| &last.record)
+            .chain(listed)
+            .find(|member| member.peer_address == peer_address)
+            .map(|member| &member.domain)
+    }
+
     /// This VM's own record, as sent with its heartbeats.
     pub fn own(&self) -> &MemberRecord {
         &self.own
     }
 
-    /// Updates the state in this VM's own record.
-    pub fn update_own(&mut self, ready: bool, leaving: bool) {
-        self.own.ready = ready;
-        self.own.leaving = leaving;
+    /// Updates the state in this VM's own record, and returns whether it changed.
+    pub fn update_own(&mut self, ready: bool, leaving: bool, store_reachable: bool) -> bool {
+        let own = &mut self.own;
+        let changed =
+            (own.ready, own.leaving, own.store_reachable) != (ready, leaving, store_reachable);
+        if changed {
+            (own.ready, own.leaving, own.store_reachable) = (ready, leaving, store_reachable);
+            own.revision += 1;
+        }
+        changed
     }
 
     /// Records a heartbeat of another VM and clears its suspicion.
@@ -132,6 +175,7 @@
             return;
         }
         self.suspects.remove(&record.vm);
+        self.contacts.remove(&record.vm);
         let vm = record.vm.clone();
         self.last_heartbeats.insert(
             vm,
@@ -142,31 +186,57 @@
         );
     }
 
-    /// Records a coordinator's response to a heartbeat; `None` when its roster is unchanged.
-    pub fn apply_roster(
-        &mut self,
-        coordinator: &MemberRecord,
-        roster: Option<MemberRoster>,
-        now: Instant,
-    ) {
-        self.suspects.remove(&coordinator.vm);
-        self.rosters
-            .retain(|_, known| now.saturating_duration_since(known.fetched_at) < ROSTER_RETENTION);
-        match roster {
-            Some(roster) => {
-                let fetched_roster = FetchedRoster {
-                    incarnation: coordinator.incarnation,
-                    roster,
-                    fetched_at: now,
-                };
-                self.rosters.insert(coordinator.vm.clone(), fetched_roster);
-            }
-            None => {
-                if let Some(known) = self.rosters.get_mut(&coordinator.vm) {
-                    known.fetched_at = now;
-                }
+    /// Records VMs that a peer named as hubs. They may be sent heartbeats, but count as alive only
+    /// once they or their domain's hubs answer.
+    pub fn record_contacts(&mut self, contacts: Vec<MemberRecord>, now: Instant) {
+        for record in contacts {
+            if record.vm == self.own.vm {
+                continue;
             }
+            let contact = ReceivedHeartbeat {
+                record,
+                received_at: now,
+            };
+            self.contacts.insert(contact.record.vm.clone(), contact);
         }
+        self.contacts.retain(|_, contact| {
+            now.saturating_duration_since(contact.received_at) < RECORD_RETENTION
+        });
+    }
+
+    /// Records a hub's reply to a heartbeat: the changes of its roster since the version that the
+    /// heartbeat named, or the whole roster.
+    pub fn apply_roster(&mut self, hub: &MemberRecord, update: RosterUpdate, now: Instant) {
+        self.suspects.remove(&hub.vm);
+        self.rosters
+            .retain(|_, known| now.saturating_duration_since(known.fetched_at) < RECORD_RETENTION);
+        let known = self
+            .rosters
+            .remove(&hub.vm)
+            .filter(|known| known.incarnation == hub.incarnation);
+        let members = match (update.base_version, known) {
+            (0, _) => BTreeMap::new(),
+            (base, Some(known)) if base == known.version => known.members,
+            // Changes to a version that is not known here: the next heartbeat asks for all of it.
+            _ => return,
+        };
+        let mut roster = FetchedRoster {
+            domain: hub.domain.clone(),
+            incarnation: hub.incarnation,
+            version: update.version,
+            members,
+            fetched_at: now,
+        };
+        for vm in &update.removed {
+            roster.members.remove(vm);
+        }
+        roster.members.extend(
+            update
+                .changed
+                .into_iter()
+                .map(|member| (member.vm.clone(), member)),
+        );
+        self.rosters.insert(hub.vm.clone(), roster);
     }
 
     /// Version of the roster last fetched from `vm`; 0 if none is known of that incarnation.
@@ -174,94 +244,263 @@
         self.rosters
             .get(vm)
             .filter(|known| known.incarnation == incarnation)
-            .map_or(0, |known| known.roster.version)
+            .map_or(0, |known| known.version)
     }
 
-    /// Marks a VM as suspect for a second after it did not respond; it does not coordinate then.
+    /// Marks a VM as suspect for a second after it did not respond; it has no duty then.
     pub fn mark_suspect(&mut self, vm: &VmName, now: Instant) {
         self.suspects.insert(vm.clone(), now + SUSPICION_TIME);
     }
 
-    /// Interval between heartbeats, growing with the number of known VMs.
+    /// Interval between heartbeats, growing with the size of the largest known failure domain.
     pub fn heartbeat_interval(&self) -> Duration {
-        (HEARTBEAT_INTERVAL_PER_MEMBER * self.known_member_count() as u32)
-            .clamp(MIN_HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL)
+        interval_for(self.largest_domain_size())
+    }
+
+    /// Interval between reports of this VM's jobs to coordinators, growing with the fleet's size.
+    pub fn report_interval(&self) -> Duration {
+        interval_for(self.domain_sizes().values().sum())
+    }
+
+    fn largest_domain_size(&self) -> usize {
+        self.domain_sizes().into_values().max().unwrap_or(1)
     }
 
     /// Counts members of outdated rosters too. Otherwise an outdated roster would shorten the
     /// interval, and with it the time after which other rosters count as outdated.
-    fn known_member_count(&self) -> usize {
+    fn domain_sizes(&self) -> BTreeMap<&DomainName, usize> {
+        let heard = self.last_heartbeats.values().map(|last| &last.record);
         let listed = self
             .rosters
             .values()
-            .map(|known| known.roster.members.len())
-            .max();
-        listed.unwrap_or(0).max(self.last_heartbeats.len() + 1)
+            .flat_map(|known| known.members.values());
+        let domains: BTreeMap<&VmName, &DomainName> = heard
+            .chain(listed)
+            .chain([&self.own])
+            .map(|member| (&member.vm, &member.domain))
+            .collect();
+        let mut sizes = BTreeMap::new();
+        for domain in domains.into_values() {
+            *sizes.entry(domain).or_insert(0) += 1;
+        }
+        sizes
     }
 
     fn dead_after(&self) -> Duration {
         MIN_DEAD_AFTER.max(self.heartbeat_interval() * DEAD_AFTER_HEARTBEATS)
     }
 
-    /// Records of all VMs considered alive, this one included, sorted by name.
-    pub fn live(&self, now: Instant) -> Vec<&MemberRecord> {
+    fn fresh_heartbeats(&self, now: Instant) -> impl Iterator<Item = &MemberRecord> {
         let dead_after = self.dead_after();
-        let fresh = |at: Instant| now.saturating_duration_since(at) < dead_after;
-        let mut live: BTreeMap<&VmName, (&MemberRecord, Instant)> = BTreeMap::new();
-        for known in self
-            .rosters
+        self.last_heartbeats
             .values()
-            .filter(|known| fresh(known.fetched_at))
-        {
-            for record in &known.roster.members {
-                match live.get(&record.vm) {
-                    Some((other, _)) if other.incarnation > record.incarnation => {}
-                    Some((other, at))
-                        if other.incarnation == record.incarnation && *at >= known.fetched_at => {}
-                    _ => {
-                        live.insert(&record.vm, (record, known.fetched_at));
-                    }
-                }
-            }
-        }
-        for last in self
-            .last_heartbeats
+            .filter(move |last| now.saturating_duration_since(last.received_at) < dead_after)
+            .map(|last| &last.record)
+    }
+
+    fn fresh_rosters(&self, now: Instant) -> impl Iterator<Item = &FetchedRoster> {
+        let outdated_after = self.dead_after() + ROSTER_GRACE;
+        self.rosters
             .values()
-            .filter(|last| fresh(last.received_at))
-        {
-            live.insert(&last.record.vm, (&last.record, last.received_at));
-        }
-        live.insert(&self.own.vm, (&self.own, now));
-        live.into_values().map(|(record, _)| record).collect()
+            .filter(move |known| now.saturating_duration_since(known.fetched_at) < outdated_after)
+    }
+
+    /// Records of all VMs considered alive, this one included, sorted by name.
+    pub fn live(&self, now: Instant) -> Vec<&MemberRecord> {
+        newest_records(self.live_records(now))
+            .into_values()
+            .collect()
     }
 
-    /// The coordinators in rank order; the first one is the owner of placement, which decides on
-    /// the engines that take requests.
+    /// Records of the VMs considered alive from all sources, several of a VM.
+    fn live_records(&self, now: Instant) -> impl Iterator<Item = &MemberRecord> {
+        self.fresh_rosters(now)
+            .flat_map(|known| known.members.values())
+            .chain(self.fresh_heartbeats(now))
+            .chain([&self.own])
+    }
+
+    /// The VMs that decide on the engines that take requests, the owner of placement first, and
+    /// that read the store.
     ///
     /// Larger VMs rank first, ties are broken by a hash of the name. A failure domain gets a
     /// second coordinator only after every domain has one. VMs that are leaving or suspect are
     /// skipped.
     pub fn coordinators(&self, now: Instant) -> Vec<MemberRecord> {
-        let mut ranked: Vec<&MemberRecord> = self
-            .live(now)
+        self.spread_over_domains(now)
             .into_iter()
-            .filter(|member| !member.leaving)
-            .filter(|member| !self.is_suspect(&member.vm, now))
-            .collect();
-        ranked.sort_by_cached_key(|member| {
-            let cpu_rank = (member.cpu_cores / CPU_RANK_STEP_CORES).round() as i64;
-            (-cpu_rank, xxh3_64(member.vm.as_str().as_bytes()))
-        });
+            .take(COORDINATOR_COUNT)
+            .cloned()
+            .collect()
+    }
+
+    /// Whether this VM is to read the store: it is among the first coordinators and successors
+    /// whose own reads do not fail. With all of [`MAX_READERS_TRIED`] failing, they all read on.
+    pub fn reads_store(&self, now: Instant) -> bool {
+        let mut readers = self.spread_over_domains(now);
+        readers.truncate(MAX_READERS_TRIED);
+        readers.sort_by_key(|member| !member.store_reachable);
+        readers
+            .into_iter()
+            .take(COORDINATOR_COUNT)
+            .any(|member| member.vm == self.own.vm)
+    }
+
+    /// Whether any VM considered alive says that its reads of the store fail.
+    pub fn store_fails_anywhere(&self, now: Instant) -> bool {
+        self.live(now).iter().any(|member| !member.store_reachable)
+    }
+
+    fn spread_over_domains(&self, now: Instant) -> Vec<&MemberRecord> {
+        let mut ranked = self.live(now);
+        ranked.retain(|member| self.may_have_duty(member, now));
+        sort_by_rank(&mut ranked);
         let mut domains = BTreeSet::new();
-        let (one_per_domain, others): (Vec<_>, Vec<_>) = ranked
+        let (mut first, others): (Vec<_>, Vec<_>) = ranked
             .into_iter()
             .partition(|member| domains.insert(&member.domain));
-        one_per_domain
+        first.extend(others);
+        first
+    }
+
+    fn may_have_duty(&self, member: &MemberRecord, now: Instant) -> bool {
+        !member.leaving && !self.is_suspect(&member.vm, now)
+    }
+
+    /// The hubs of all failure domains, by domain and then by rank.
+    ///
+    /// Contacts count as well as VMs considered alive, so that a VM that joins reaches its hubs.
+    pub fn hubs(&self, now: Instant) -> BTreeMap<&DomainName, Vec<&MemberRecord>> {
+        let contacts = self
+            .contacts
+            .values()
+            .filter(|contact| now.saturating_duration_since(contact.received_at) < RECORD_RETENTION)
+            .map(|contact| &contact.record);
+        let mut ranked: Vec<&MemberRecord> = newest_records(self.live_records(now).chain(contacts))
+            .into_values()
+            .filter(|member| self.may_have_duty(member, now))
+            .collect();
+        sort_by_rank(&mut ranked);
+        let mut hubs: BTreeMap<&DomainName, Vec<&MemberRecord>> = BTreeMap::new();
+        for member in ranked {
+            let of_domain = hubs.entry(&member.domain).or_default();
+            if of_domain.len() < HUBS_PER_DOMAIN {
+                of_domain.push(member);
+            }
+        }
+        hubs
+    }
+
+    /// The VMs to send heartbeats to: the hubs of this VM's domain and, from a hub, the first hub
+    /// of each other domain.
+    pub fn heartbeat_recipients(&self, now: Instant) -> Vec<MemberRecord> {
+        let mut hubs = self.hubs(now);
+        let own_hubs = hubs.remove(&self.own.domain).unwrap_or_default();
+        let is_hub = own_hubs.iter().any(|hub| hub.vm == self.own.vm);
+        let mut recipients: Vec<MemberRecord> = own_hubs
             .into_iter()
-            .chain(others)
-            .take(COORDINATOR_COUNT)
+            .filter(|hub| hub.vm != self.own.vm)
             .cloned()
-            .collect()
+            .collect();
+        if is_hub {
+            let first_hubs = hubs.values().filter_map(|of_domain| of_domain.first());
+            recipients.extend(first_hubs.copied().cloned());
+        }
+        recipients
+    }
+
+    /// Addresses without a live VM to send heartbeats to in this round: the seeds and some others
+    /// while no other VM is live; one in some of the rounds from a hub, so that parts of the fleet
+    /// that lost sight of each other meet again.
+    pub fn addresses_to_try(
+        &self,
+        seeds: &[SocketAddr],
+        rng: &mut impl Rng,
+        now: Instant,
+    ) -> BTreeSet<SocketAddr> {
+        let live = self.live(now);
+        let hubs = self.heartbeat_recipients(now);
+        let taken = live.iter().copied().chain(&hubs);
+        let taken: BTreeSet<SocketAddr> = taken.map(|member| member.peer_address).collect();
+        let untaken = |address: &SocketAddr| !taken.contains(address);
+        let unseen: Vec<SocketAddr> = self
+            .known_addresses(seeds)
+            .into_iter()
+            .filter(untaken)
+            .collect();
+        if live.len() == 1 {
+            let chosen = unseen.choose_multiple(rng, DISCOVERY_FANOUT);
+            return seeds
+                .iter()
+                .copied()
+                .filter(untaken)
+                .chain(chosen.copied())
+                .collect();
+        }
+        if self.is_hub(now) && rng.random_bool(DISCOVERY_PROBABILITY) {
+            return unseen.choose(rng).copied().into_iter().collect();
+        }
+        BTreeSet::new()
+    }
+
+    /// Whether this VM may fetch records from another one, after lacking them for `behind_for`.
+    ///
+    /// From another failure domain only the first hub fetches at once. The domain's other VMs get
+    /// the records from it, and fetch them themselves only if it does not bring them in time.
+    pub fn may_fetch_from(&self, other: &MemberRecord, behind_for: Duration, now: Instant) -> bool {
+        other.domain == self.own.domain || behind_for >= DOMAIN_FETCH_TIME || self.is_first_hub(now)
+    }
+
+    /// Whether this VM is a hub of its domain.
+    pub fn is_hub(&self, now: Instant) -> bool {
+        self.hubs(now)
+            .get(&self.own.domain)
+            .is_some_and(|of_domain| of_domain.iter().any(|hub| hub.vm == self.own.vm))
+    }
+
+    /// Whether this VM has heard of no other.
+    pub fn knows_no_peer(&self, now: Instant) -> bool {
+        self.hubs(now)
+            .values()
+            .flatten()
+            .all(|hub| hub.vm == self.own.vm)
+    }
+
+    /// Number of VMs that may exist: those that a peer named, or whose addresses are stored.
+    pub fn known_count(&self) -> usize {
+        let named: usize = self.domain_sizes().values().sum();
+        named.max(self.addresses.len())
+    }
+
+    /// Whether this VM is the first hub of its domain, through which records from other domains
+    /// come in.
+    pub fn is_first_hub(&self, now: Instant) -> bool {
+        self.hubs(now)
+            .get(&self.own.domain)
+            .and_then(|of_domain| of_domain.first())
+            .is_some_and(|hub| hub.vm == self.own.vm)
+    }
+
+    /// Hubs for the sender of a heartbeat to try: those of all domains if it knows no other VM,
+    /// else the first one of its own domain unless that is the sender.
+    pub fn contacts_for(
+        &self,
+        sender: &MemberRecord,
+        knows_no_peer: bool,
+        now: Instant,
+    ) -> Vec<MemberRecord> {
+        if sender.domain == self.own.domain && !knows_no_peer {
+            return Vec::new();
+        }
+        let hubs = self.hubs(now);
+        if knows_no_peer {
+            return hubs.into_values().flatten().cloned().collect();
+        }
+        let first = hubs
+            .get(&sender.domain)
+            .and_then(|of_domain| of_domain.first())
+            .filter(|hub| hub.vm != sender.vm);
+        first.into_iter().copied().cloned().collect()
     }
 
     /// Whether a VM counts as suspect at `now`.
@@ -269,24 +508,33 @@
         self.suspects.get(vm).is_some_and(|until| now < *until)
     }
 
-    /// Drops VMs whose heartbeats stopped and returns the roster that this VM serves to others.
-    pub fn served_roster(&mut self, now: Instant) -> &MemberRoster {
+    /// Drops VMs whose heartbeats stopped, and returns the changes of the roster that this VM
+    /// serves since `known_version`, within `scope`.
+    ///
+    /// Rosters of hubs of the same domain are not part of it: two hubs that served each other's
+    /// entries would keep a dead VM alive.
+    pub fn serve_roster(
+        &mut self,
+        known_version: u64,
+        scope: RosterScope,
+        now: Instant,
+    ) -> RosterUpdate {
         let dead_after = self.dead_after();
         self.last_heartbeats
             .retain(|_, last| now.saturating_duration_since(last.received_at) < dead_after);
-        let mut members = vec![self.own.clone()];
-        members.extend(
-            self.last_heartbeats
-                .values()
-                .map(|last| last.record.clone()),
-        );
-        if members != self.served_roster.members {
-            self.served_roster = MemberRoster {
-                version: self.served_roster.version + 1,
-                members,
-            };
-        }
-        &self.served_roster
+        let mut served_roster = std::mem::take(&mut self.served_roster);
+        let from_other_domains = self
+            .fresh_rosters(now)
+            .filter(|known| known.domain != self.own.domain)
+            .flat_map(|known| known.members.values());
+        served_roster.replace(&newest_records(
+            from_other_domains
+                .chain(self.fresh_heartbeats(now))
+                .chain([&self.own]),
+        ));
+        self.served_roster = served_roster;
+        self.served_roster
+            .changes_since(known_version, scope, &self.own.domain)
     }
 
     /// Addresses of the VMs that take callers' requests.
@@ -321,3 +569,30 @@
             .collect()
     }
 }
+
+fn interval_for(member_count: usize) -> Duration {
+    (HEARTBEAT_INTERVAL_PER_MEMBER * member_count as u32)
+        .clamp(MIN_HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL)
+}
+
+fn newest_records<'a>(
+    records: impl Iterator<Item = &'a MemberRecord>,
+) -> BTreeMap<&'a VmName, &'a MemberRecord> {
+    let mut newest: BTreeMap<&VmName, &MemberRecord> = BTreeMap::new();
+    for record in records {
+        match newest.get(&record.vm) {
+            Some(known) if known.age_rank() >= record.age_rank() => {}
+            _ => {
+                newest.insert(&record.vm, record);
+            }
+        }
+    }
+    newest
+}
+
+fn sort_by_rank(members: &mut [&MemberRecord]) {
+    members.sort_by_cached_key(|member| {
+        let cpu_rank = (member.cpu_cores / CPU_RANK_STEP_CORES).round() as i64;
+        (Reverse(cpu_rank), xxh3_64(member.vm.as_str().as_bytes()))
+    });
+}
--- a/src/node/feeds.rs
+++ b/src/node/feeds.rs
@@ -1,5 +1,5 @@
-//! Follows the store's topics. In a large fleet only the coordinators read the store; other
-//! VMs fetch the records from them.
+//! Follows the store's topics. In a large fleet only a few VMs read the store; the others fetch
+//! the records from the hubs of their failure domains.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,13 +24,19 @@
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 const MEMBER_CHECK_INTERVAL: Duration = Duration::from_secs(20);
 
-/// A fleet of at most this many VMs reads the store on each of them, a larger one on its
-/// coordinators only.
+/// A fleet of at most this many VMs reads the store on each of them.
 const SMALL_FLEET_VMS: usize = 8;
 /// How long a VM waits before its first read, so that one that joins a running fleet gets its
 /// peers' records first. It is short because all VMs wait for it when the whole fleet starts, and
 /// then no peer has any records.
 const FIRST_READ_DELAY: Duration = Duration::from_millis(80);
+/// Added to [`FIRST_READ_DELAY`] for each VM that may exist, times a random share: so that a large
+/// fleet that starts at once finds its hubs before all of its VMs read the store.
+const FIRST_READ_DELAY_PER_VM: Duration = Duration::from_millis(2);
+/// Time after its start from which a VM without a configuration reads the store itself.
+const UNFED_READ_DELAY: Duration = Duration::from_millis(1_500);
+/// Consecutive failed reads from which on another VM reads in this one's place.
+const FAILURES_UNTIL_REPLACED: u32 = 2;
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum FeedKind {
@@ -60,8 +66,9 @@
 async fn follow_topic(node: Rc<NodeState>, store: StoreClient, feed: FeedKind) {
     let mut next_offset: Option<u64> = None;
     let mut failures = 0_u32;
+    let delay_share = rand::random_range(0.0..1.0);
     loop {
-        if !reads_store(&node) {
+        if !reads_store(&node, delay_share) {
             next_offset = None;
             sleep(READER_CHECK_INTERVAL).await;
             continue;
@@ -93,17 +100,22 @@
     }
 }
 
-/// Whether this VM is one of those that read the store.
-fn reads_store(node: &NodeState) -> bool {
+/// Whether this VM is one of those that read the store. One whose reads fail goes on trying, so
+/// that the fleet learns when they work again.
+fn reads_store(node: &NodeState, delay_share: f64) -> bool {
     let now = node.now();
+    let running_for = now.saturating_duration_since(node.started_at);
     let members = node.members.borrow();
-    if members.live(now).len() <= SMALL_FLEET_VMS {
-        return now.saturating_duration_since(node.started_at) >= FIRST_READ_DELAY;
+    let known_count = members.known_count();
+    let large_fleet_delay = FIRST_READ_DELAY_PER_VM * known_count as u32;
+    if running_for < FIRST_READ_DELAY + large_fleet_delay.mul_f64(delay_share) {
+        return false;
     }
-    let coordinators = members.coordinators(now);
-    coordinators
-        .iter()
-        .any(|member| member.vm == node.settings.vm)
+    let is_unfed = node.catalog.borrow().table().is_none() && running_for >= UNFED_READ_DELAY;
+    known_count <= SMALL_FLEET_VMS
+        || is_unfed
+        || !node.store_reachable.get()
+        || members.is_hub(now) && members.reads_store(now)
 }
 
 async fn read_once(
@@ -148,9 +160,14 @@
         }
     };
     node.handle_catalog_changes(&changes, "store");
+    if feed == FeedKind::Operator && !changes.is_empty() {
+        // Hubs of other domains learn of it now, not at the next interval.
+        node.heartbeat_now.notify_one();
+    }
 }
 
 fn record_store_success(node: &NodeState, feed: FeedKind, failures: u32) {
+    node.store_reachable.set(true);
     if failures == 0 && !node.store_unavailable.get() {
         return;
     }
@@ -166,14 +183,18 @@
         tracing::warn!(topic = feed.topic(), %error, "store lost: last known records stay in force");
     }
     node.store_unavailable.set(true);
+    if failures + 1 >= FAILURES_UNTIL_REPLACED {
+        node.store_reachable.set(false);
+    }
 }
 
-/// Removes lapsed targets and connections past their idle limit, and updates the dispatchers,
-/// every 100 ms.
+/// Removes lapsed targets and connections past their idle limit, and updates the dispatchers and
+/// the state of the store, every 100 ms.
 pub async fn maintenance_loop(node: Rc<NodeState>) {
     loop {
         sleep(Duration::from_millis(100)).await;
         let now = node.now();
+        node.update_store_outage(now);
         let changes = node.catalog.borrow_mut().remove_lapsed(now);
         node.handle_catalog_changes(&changes, "lapse");
         node.connection_pool.borrow_mut().prune(now);
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -15,7 +15,7 @@
     directory_response, is_ready, metrics_response, readiness_response, serve_http,
 };
 use super::state::NodeState;
-use super::{feeds, peers, placement, request_handler};
+use super::{feeds, peer_calls, peers, placement, request_handler};
 use crate::clock::TimeSource;
 use crate::fleet::catalog::RecordDecoder;
 use crate::fleet::members::MemberRecord;
@@ -24,7 +24,7 @@
 use crate::platform::store::StoreClient;
 
 const DROPPED_LINES_INTERVAL: Duration = Duration::from_secs(1); // collectors scrape the metrics every few seconds
-const READINESS_INTERVAL: Duration = Duration::from_millis(50);
+const OWN_RECORD_INTERVAL: Duration = Duration::from_millis(50);
 const STOP_MARGIN: Duration = Duration::from_millis(400); // the process must exit before the platform kills it
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_500); // callers cache the directory's response for 2 s
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -57,7 +57,9 @@
     actix_rt::spawn(peers::heartbeat_loop(node.clone()));
     actix_rt::spawn(placement::decide_loop(node.clone()));
     actix_rt::spawn(placement::send_updates_loop(node.clone()));
-    actix_rt::spawn(readiness_loop(node.clone()));
+    actix_rt::spawn(placement::report_jobs_loop(node.clone()));
+    actix_rt::spawn(own_record_loop(node.clone()));
+    actix_rt::spawn(peer_calls::log_traffic(node.clone()));
     actix_rt::spawn(report_dropped_lines(node.clone(), dropped_lines));
     tracing::info!(
         version = env!("CARGO_PKG_VERSION"),
@@ -87,9 +89,11 @@
         peer_address: settings.addresses.peers,
         caller_address: settings.addresses.callers,
         incarnation,
+        revision: 0,
         cpu_cores: settings.cpu_cores,
         ready: false,
         leaving: false,
+        store_reachable: true,
     };
     let decoder = RecordDecoder {
         kind: operator_record_kind,
@@ -148,22 +152,25 @@
     }
 }
 
-/// Writes this node's readiness into its member record, and sends a heartbeat at once when it
-/// changes, instead of at the next interval.
-async fn readiness_loop(node: Rc<NodeState>) {
+/// Keeps this node's member record up to date, and sends a heartbeat at once when it changes,
+/// instead of at the next interval.
+async fn own_record_loop(node: Rc<NodeState>) {
     loop {
         let ready = is_ready(&node);
-        let changed = {
+        let (was_ready, changed) = {
             let mut members = node.members.borrow_mut();
-            let changed = members.own().ready != ready;
-            members.update_own(ready, node.stopping.get());
-            changed
+            let was_ready = members.own().ready;
+            let store_reachable = node.store_reachable.get();
+            let changed = members.update_own(ready, node.stopping.get(), store_reachable);
+            (was_ready, changed)
         };
-        if changed {
+        if was_ready != ready {
             tracing::info!(ready, "readiness changed");
+        }
+        if changed {
             node.heartbeat_now.notify_one();
         }
-        sleep(READINESS_INTERVAL).await;
+        sleep(OWN_RECORD_INTERVAL).await;
     }
 }
 
@@ -188,7 +195,10 @@
 async fn shut_down(node: &Rc<NodeState>) {
     tracing::info!(in_flight = node.in_flight.get(), "stopping");
     node.stopping.set(true);
-    node.members.borrow_mut().update_own(false, true);
+    let store_reachable = node.store_reachable.get();
+    node.members
+        .borrow_mut()
+        .update_own(false, true, store_reachable);
     node.heartbeat_now.notify_one();
     let finish = async {
         sleep(ACCEPT_AFTER_STOP).await;
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -3,24 +3,23 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::fleet::catalog::KeyedItem;
-use crate::fleet::members::{MemberRecord, MemberRoster};
-use crate::ids::TargetName;
+use crate::fleet::members::{MemberRecord, RosterUpdate};
+use crate::ids::{TargetName, VmName};
 use crate::policy::dispatch::{DispatchAnswer, JobId, JobReport, PlacementRequest};
 
-/// A heartbeat to a coordinator.
+/// A heartbeat to a hub.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct HeartbeatMessage {
     /// The VM that sends the heartbeat.
     pub sender: MemberRecord,
-    /// Version of the receiver's roster that the sender last fetched, 0 for none.
+    /// Version of the receiver's roster that the sender has, 0 for none.
     pub known_roster_version: u64,
+    /// Whether the sender knows no other VM, and needs the hubs of its domain.
+    pub knows_no_peer: bool,
     /// Offset after the sender's newest operator record.
     pub operator_end_offset: u64,
     /// Offset after the sender's newest target record.
     pub target_end_offset: u64,
-    /// The sender's requests placed at engines, from which the receiver corrects its own records.
-    pub jobs: Vec<JobReport>,
 }
 
 /// The state of a heartbeat's receiver, from which the sender learns of other VMs and of records
@@ -29,16 +28,28 @@
 pub struct HeartbeatReply {
     /// The VM that received the heartbeat.
     pub receiver: MemberRecord,
-    /// The receiver's roster; `None` if the sender already has this version.
-    pub roster: Option<MemberRoster>,
+    /// Changes of the receiver's roster since the version that the sender has.
+    pub roster: RosterUpdate,
+    /// Hubs that the sender may not know.
+    pub contacts: Vec<MemberRecord>,
     /// Offset after the receiver's newest operator record.
     pub operator_end_offset: u64,
     /// Offset after the receiver's newest target record.
     pub target_end_offset: u64,
 }
 
-/// Asks a node for all records at or after these offsets.
+/// All requests of a VM that are placed at engines, from which a coordinator corrects its own
+/// records.
 #[derive(Debug, Serialize, Deserialize)]
+pub struct JobsReport {
+    /// The VM that serves the requests.
+    pub vm: VmName,
+    /// Its jobs on all engines.
+    pub jobs: Vec<JobReport>,
+}
+
+/// Asks a node for all records at or after these offsets.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RecordsRequest {
     /// First offset wanted of the operators' topic.
     pub operator_from_offset: u64,
@@ -46,13 +57,13 @@
     pub target_from_offset: u64,
 }
 
-/// All records that the node has from the offsets of a [`RecordsRequest`] on.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct RecordsReply {
-    /// Records of the operators' topic, tombstones included.
-    pub operator_items: Vec<KeyedItem>,
-    /// Records of the targets' topic, tombstones included.
-    pub target_items: Vec<KeyedItem>,
+/// Records from the offsets of a [`RecordsRequest`] on, compressed.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PackedRecords {
+    /// Size before compression.
+    pub encoded_bytes: u64,
+    /// LZ4 block of the encoded records.
+    pub compressed: Vec<u8>,
 }
 
 /// A change of a placed request's state, or a failure at a target.
@@ -74,7 +85,7 @@
 /// A call from one node to another.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum NodeCall {
-    /// Reports the sender's state to a coordinator.
+    /// Reports the sender's state to a hub.
     Heartbeat(HeartbeatMessage),
     /// Asks for a placement; cancelling the call takes the request out of the queue.
     Place(PlacementRequest),
@@ -82,6 +93,30 @@
     Updates(Vec<JobUpdate>),
     /// Fetches records that the sender lacks.
     FetchRecords(RecordsRequest),
+    /// Reports the sender's jobs to a coordinator.
+    ReportJobs(JobsReport),
+}
+
+impl NodeCall {
+    /// The values that [`Self::kind`] may return.
+    pub const KINDS: [&'static str; 5] = [
+        "heartbeat",
+        "place",
+        "updates",
+        "fetch_records",
+        "report_jobs",
+    ];
+
+    /// Name of the kind of call, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeat",
+            Self::Place(_) => "place",
+            Self::Updates(_) => "updates",
+            Self::FetchRecords(_) => "fetch_records",
+            Self::ReportJobs(_) => "report_jobs",
+        }
+    }
 }
 
 /// The reply to a [`NodeCall`].
@@ -91,8 +126,8 @@
     Heartbeat(HeartbeatReply),
     /// The placement or its refusal, in reply to [`NodeCall::Place`].
     Placed(DispatchAnswer),
-    /// The updates were applied, in reply to [`NodeCall::Updates`].
+    /// The call was applied, in reply to [`NodeCall::Updates`] and [`NodeCall::ReportJobs`].
     Acknowledged,
     /// The records, in reply to [`NodeCall::FetchRecords`].
-    Records(RecordsReply),
+    Records(PackedRecords),
 }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -1,4 +1,5 @@
 //! A node's metrics, and their text form for collectors.
+
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -7,6 +8,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::messages::NodeCall;
+
 const LATENCY_BUCKETS_S: [f64; 12] = [
     0.01, 0.03, 0.06, 0.1, 0.15, 0.3, 0.6, 1.2, 2.5, 5.0, 10.0, 20.0,
 ];
@@ -34,6 +37,20 @@
     pub dependency: &'static str,
 }
 
+/// Labels of the metrics of calls to other nodes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PeerTrafficLabels {
+    /// Kind of the call.
+    pub call: &'static str,
+    /// Where the other node is, one of [`Self::REACHES`].
+    pub reach: &'static str,
+}
+
+impl PeerTrafficLabels {
+    /// The values of `reach`; the domain of a seed is unknown until it answers.
+    pub const REACHES: [&'static str; 3] = ["same_domain", "other_domain", "unknown"];
+}
+
 /// The metrics of one node, updated where the events occur.
 #[derive(Debug)]
 pub struct NodeMetrics {
@@ -66,6 +83,12 @@
     pub placed_alone: Counter,
     /// Log lines dropped since the start because the writer lagged behind.
     pub log_lines_dropped: Gauge,
+    /// Calls that other nodes accepted.
+    pub peer_calls: Family<PeerTrafficLabels, Counter>,
+    /// Bytes of the bodies of these calls.
+    pub peer_sent_bytes: Family<PeerTrafficLabels, Counter>,
+    /// Bytes of the bodies of the replies to these calls.
+    pub peer_received_bytes: Family<PeerTrafficLabels, Counter>,
 }
 
 impl NodeMetrics {
@@ -86,6 +109,9 @@
             failures: Family::default(),
             placed_alone: Counter::default(),
             log_lines_dropped: Gauge::default(),
+            peer_calls: Family::default(),
+            peer_sent_bytes: Family::default(),
+            peer_received_bytes: Family::default(),
         };
         metrics.register_all();
         metrics
@@ -146,6 +172,59 @@
             "Log lines dropped by the bounded writer",
             self.log_lines_dropped.clone(),
         );
+        self.register_peer_traffic();
+    }
+
+    fn register_peer_traffic(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "peer_calls",
+            "Calls to other nodes by kind and reach",
+            self.peer_calls.clone(),
+        );
+        registry.register(
+            "peer_sent_bytes",
+            "Bytes sent in calls to other nodes",
+            self.peer_sent_bytes.clone(),
+        );
+        registry.register(
+            "peer_received_bytes",
+            "Bytes received in replies of other nodes",
+            self.peer_received_bytes.clone(),
+        );
+    }
+
+    /// Counts a call that another node accepted, and the bytes of its body.
+    pub fn count_peer_call(&self, labels: &PeerTrafficLabels, sent_bytes: usize) {
+        self.peer_calls.get_or_create(labels).inc();
+        self.peer_sent_bytes
+            .get_or_create(labels)
+            .inc_by(sent_bytes as u64);
+    }
+
+    /// Counts the bytes of a reply's body.
+    pub fn count_peer_reply(&self, labels: &PeerTrafficLabels, received_bytes: usize) {
+        self.peer_received_bytes
+            .get_or_create(labels)
+            .inc_by(received_bytes as u64);
+    }
+
+    /// Totals of the calls to other nodes, one `call/reach=calls:sent:received` for each kind of
+    /// call and reach that occurred, separated by spaces.
+    pub fn peer_traffic_summary(&self) -> String {
+        let mut totals = Vec::new();
+        for call in NodeCall::KINDS {
+            for reach in PeerTrafficLabels::REACHES {
+                let labels = PeerTrafficLabels { call, reach };
+                let Some(calls) = self.peer_calls.get(&labels).map(|calls| calls.get()) else {
+                    continue;
+                };
+                let sent = self.peer_sent_bytes.get_or_create(&labels).get();
+                let received = self.peer_received_bytes.get_or_create(&labels).get();
+                totals.push(format!("{call}/{reach}={calls}:{sent}:{received}"));
+            }
+        }
+        totals.join(" ")
     }
 
     /// Counts a request, or the end of its stream, under its outcome.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -9,6 +9,8 @@
 pub mod listeners;
 pub mod messages;
 pub mod metrics;
+pub mod packed_records;
+pub mod peer_calls;
 pub mod peers;
 pub mod placement;
 pub mod relay;
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -1,29 +1,26 @@
-//! Calls between nodes: heartbeats to the coordinators, the records fetched after them, and the
-//! replies to peers' calls.
+//! Calls between nodes: heartbeats to the hubs, the records fetched after them, and the replies
+//! to peers' calls.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::{LocalBoxFuture, join_all};
-use rand::seq::IndexedRandom;
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
 use super::feeds::REMOVAL_GRACE;
-use super::messages::{
-    HeartbeatMessage, HeartbeatReply, NodeCall, NodeReply, RecordsReply, RecordsRequest,
-};
+use super::messages::{HeartbeatMessage, HeartbeatReply, NodeCall, NodeReply, RecordsRequest};
+use super::packed_records::unpack_records;
+use super::peer_calls::call_node;
 use super::placement::{apply_update, decide_waiting_jobs, place_locally};
 use super::state::NodeState;
-use crate::fleet::members::MemberRecord;
+use crate::fleet::members::{MemberRecord, RosterScope};
 use crate::wire::client::CallError;
 use crate::wire::server::{self, CallHandler};
 
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(400); // a throttled VM pauses for up to 75 ms; also bounds the start of a fetch
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000); // a configuration of 1,600 routes takes 40 ms on the smallest link
-const DISCOVERY_PROBABILITY: f64 = 0.25; // that a heartbeat round also tries a seed or an address without a live VM
 
 /// Answers peers' calls for as long as the listener works.
 pub async fn serve(node: Rc<NodeState>, listener: TcpListener) {
@@ -44,7 +41,16 @@
                 decide_waiting_jobs(&node);
                 NodeReply::Acknowledged
             }
-            NodeCall::FetchRecords(request) => NodeReply::Records(answer_fetch(&node, &request)),
+            NodeCall::FetchRecords(request) => {
+                let mut packer = node.record_packer.borrow_mut();
+                NodeReply::Records(packer.pack(&node.catalog.borrow(), &request))
+            }
+            NodeCall::ReportJobs(report) => {
+                for dispatcher in node.dispatchers.borrow_mut().values_mut() {
+                    dispatcher.reconcile_jobs_of(&report.vm, &report.jobs, node.now());
+                }
+                NodeReply::Acknowledged
+            }
         }
     })
 }
@@ -57,37 +63,26 @@
         heartbeat.operator_end_offset,
         heartbeat.target_end_offset,
     );
-    for dispatcher in node.dispatchers.borrow_mut().values_mut() {
-        dispatcher.reconcile_jobs_of(&heartbeat.sender.vm, &heartbeat.jobs, now);
-    }
     let mut members = node.members.borrow_mut();
-    members.record_heartbeat(heartbeat.sender, now);
-    let receiver = members.own().clone();
-    let roster = members.served_roster(now);
-    let roster = (roster.version != heartbeat.known_roster_version).then(|| roster.clone());
+    let sender = heartbeat.sender;
+    members.record_heartbeat(sender.clone(), now);
+    let scope = if sender.domain == members.own().domain {
+        RosterScope::Fleet
+    } else {
+        RosterScope::Domain
+    };
     let catalog = node.catalog.borrow();
     HeartbeatReply {
-        receiver,
-        roster,
+        receiver: members.own().clone(),
+        roster: members.serve_roster(heartbeat.known_roster_version, scope, now),
+        contacts: members.contacts_for(&sender, heartbeat.knows_no_peer, now),
         operator_end_offset: catalog.operator_feed.end(),
         target_end_offset: catalog.target_feed.end(),
     }
 }
 
-fn answer_fetch(node: &NodeState, request: &RecordsRequest) -> RecordsReply {
-    let catalog = node.catalog.borrow();
-    RecordsReply {
-        operator_items: catalog
-            .operator_feed
-            .items_from(request.operator_from_offset),
-        target_items: catalog.target_feed.items_from(request.target_from_offset),
-    }
-}
-
-/// Fetches records from a node that has newer ones, unless a fetch is under way.
-///
-/// The first node whose heartbeat or reply shows newer records is mostly a near one, so they cross
-/// between failure domains only once for each coordinator.
+/// Fetches records from a node that has newer ones, unless a fetch is under way or another VM of
+/// this domain is to fetch them.
 fn fetch_if_behind(
     node: &Rc<NodeState>,
     from: &MemberRecord,
@@ -99,14 +94,25 @@
         operator_end_offset > catalog.operator_feed.end()
             || target_end_offset > catalog.target_feed.end()
     };
-    if !behind || node.fetching_records.replace(true) {
+    if !behind || node.fetching_records.get() {
         return;
     }
+    let now = node.now();
+    let behind_since = node.behind_since.get().unwrap_or(now);
+    node.behind_since.set(Some(behind_since));
+    let behind_for = now.saturating_duration_since(behind_since);
+    if !node.members.borrow().may_fetch_from(from, behind_for, now) {
+        return;
+    }
+    node.fetching_records.set(true);
     let (node, from) = (node.clone(), from.clone());
     actix_rt::spawn(async move {
-        if let Err(error) = fetch_records(&node, &from).await {
-            tracing::info!(peer = %from.vm, %error, "newer records not fetched");
-            node.metrics.count_failure("peer_records");
+        match fetch_records(&node, &from).await {
+            Ok(()) => node.behind_since.set(None),
+            Err(error) => {
+                tracing::info!(peer = %from.vm, %error, "newer records not fetched");
+                node.metrics.count_failure("peer_records");
+            }
         }
         node.fetching_records.set(false);
     });
@@ -120,19 +126,18 @@
             target_from_offset: catalog.target_feed.end(),
         }
     };
-    let peer = node.peer_client(from.peer_address);
+    let call = NodeCall::FetchRecords(request);
     let exchange = async {
-        let pending = peer
-            .send(&NodeCall::FetchRecords(request), HEARTBEAT_TIMEOUT)
-            .await?;
-        pending.read::<NodeReply>().await
+        let pending = call_node(node, from.peer_address, &call, HEARTBEAT_TIMEOUT).await?;
+        pending.read().await
     };
     let reply = timeout(FETCH_TIMEOUT, exchange)
         .await
         .map_err(|_| CallError::Timeout(FETCH_TIMEOUT))??;
-    let NodeReply::Records(items) = reply else {
+    let NodeReply::Records(packed) = reply else {
         return Err(CallError::Status(http::StatusCode::BAD_GATEWAY));
     };
+    let items = unpack_records(&packed)?;
     let now = node.now();
     let changes = {
         let keep_removed_until = node.keep_removed_until(now, REMOVAL_GRACE);
@@ -145,11 +150,10 @@
     Ok(())
 }
 
-/// Sends heartbeats to the coordinators for as long as the process runs. Addresses without a live
-/// VM are also tried: all of them while no other VM is live, else one in some of the rounds.
+/// Sends heartbeats to the hubs for as long as the process runs. Other known addresses are also
+/// tried: the seeds and some more while no other VM is live, else by a hub one in some rounds.
 pub async fn heartbeat_loop(node: Rc<NodeState>) {
     loop {
-        let now = node.now();
         let recipients = heartbeat_recipients(&node);
         let heartbeats = recipients
             .iter()
@@ -157,7 +161,7 @@
         join_all(heartbeats).await;
         let (interval, live) = {
             let members = node.members.borrow();
-            (members.heartbeat_interval(), members.live(now).len())
+            (members.heartbeat_interval(), members.live(node.now()).len())
         };
         let before = node.metrics.members_live.set(live as i64);
         if before != live as i64 {
@@ -179,39 +183,21 @@
 fn heartbeat_recipients(node: &Rc<NodeState>) -> Vec<HeartbeatRecipient> {
     let now = node.now();
     let members = node.members.borrow();
-    let own_address = node.settings.addresses.peers;
-    let coordinators = members.coordinators(now);
-    let mut recipients: Vec<HeartbeatRecipient> = coordinators
+    let tried = members.addresses_to_try(&node.settings.seeds, &mut rand::rng(), now);
+    members
+        .heartbeat_recipients(now)
         .into_iter()
-        .filter(|member| member.vm != node.settings.vm)
         .map(HeartbeatRecipient::Member)
-        .collect();
-    let live: BTreeSet<SocketAddr> = members.live(now).iter().map(|m| m.peer_address).collect();
-    let unseen_addresses: Vec<SocketAddr> = members
-        .known_addresses(&node.settings.seeds)
-        .into_iter()
-        .filter(|address| *address != own_address && !live.contains(address))
-        .collect();
-    if live.len() == 1 {
-        recipients.extend(
-            unseen_addresses
-                .into_iter()
-                .map(HeartbeatRecipient::Address),
-        );
-    } else if rand::random_bool(DISCOVERY_PROBABILITY)
-        && let Some(address) = unseen_addresses.choose(&mut rand::rng())
-    {
-        recipients.push(HeartbeatRecipient::Address(*address));
-    }
-    recipients
+        .chain(tried.into_iter().map(HeartbeatRecipient::Address))
+        .collect()
 }
 
 async fn send_heartbeat(node: &Rc<NodeState>, recipient: &HeartbeatRecipient) {
     match recipient {
         HeartbeatRecipient::Member(member) => {
             if let Err(error) = send_heartbeat_to_member(node, member).await {
-                tracing::info!(peer = %member.vm, %error, "coordinator did not answer");
-                node.metrics.count_failure("coordinator");
+                tracing::info!(peer = %member.vm, %error, "hub did not answer");
+                node.metrics.count_failure("hub");
                 node.members
                     .borrow_mut()
                     .mark_suspect(&member.vm, node.now());
@@ -241,13 +227,10 @@
     address: SocketAddr,
     known_roster_version: u64,
 ) -> Result<(), CallError> {
-    let heartbeat = heartbeat_message(node, known_roster_version);
-    let peer = node.peer_client(address);
+    let call = NodeCall::Heartbeat(heartbeat_message(node, known_roster_version));
     let exchange = async {
-        let pending = peer
-            .send(&NodeCall::Heartbeat(heartbeat), HEARTBEAT_TIMEOUT)
-            .await?;
-        pending.read::<NodeReply>().await
+        let pending = call_node(node, address, &call, HEARTBEAT_TIMEOUT).await?;
+        pending.read().await
     };
     let reply = timeout(HEARTBEAT_TIMEOUT, exchange)
         .await
@@ -262,18 +245,13 @@
 fn heartbeat_message(node: &Rc<NodeState>, known_roster_version: u64) -> HeartbeatMessage {
     let now = node.now();
     let catalog = node.catalog.borrow();
-    let jobs = node
-        .dispatchers
-        .borrow()
-        .values()
-        .flat_map(|dispatcher| dispatcher.reports_of(&node.settings.vm, now))
-        .collect();
+    let members = node.members.borrow();
     HeartbeatMessage {
-        sender: node.members.borrow().own().clone(),
+        sender: members.own().clone(),
         known_roster_version,
+        knows_no_peer: members.knows_no_peer(now),
         operator_end_offset: catalog.operator_feed.end(),
         target_end_offset: catalog.target_feed.end(),
-        jobs,
     }
 }
 
@@ -283,6 +261,7 @@
     {
         let mut members = node.members.borrow_mut();
         members.apply_roster(&member, reply.roster, now);
+        members.record_contacts(reply.contacts, now);
         members.record_heartbeat(member.clone(), now);
     }
     fetch_if_behind(
--- a/src/node/placement.rs
+++ b/src/node/placement.rs
@@ -3,13 +3,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use tokio::sync::oneshot;
 use tokio::time::{interval, sleep};
 
-use super::messages::{JobUpdate, NodeCall, NodeReply};
+use super::messages::{JobUpdate, JobsReport, NodeCall, NodeReply};
+use super::peer_calls::call_node;
 use super::state::NodeState;
 use crate::fleet::members::MemberRecord;
-use crate::policy::dispatch::{DispatchAnswer, JobId, PlacementRequest, RefusalReason};
+use crate::policy::dispatch::{DispatchAnswer, JobId, JobReport, PlacementRequest, RefusalReason};
 use crate::wire::client::CallError;
 
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(100); // a round trip takes 2 ms, and a throttled VM pauses for up to 75 ms
@@ -18,6 +20,8 @@
 const DECISION_INTERVAL: Duration = Duration::from_millis(10); // a tenth of the shortest forward pass that matters
 const UPDATE_BATCH_DELAY: Duration = Duration::from_millis(3); // batches the updates of a burst
 const UPDATES_TIMEOUT: Duration = Duration::from_millis(300);
+const REPORTED_COORDINATORS: usize = 2; // the owner of placement and its successor
+const REPORT_TIMEOUT: Duration = Duration::from_millis(400); // a throttled VM pauses for up to 75 ms
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A job at the dispatchers, here and at the owner of placement; dropping the guard ends the job.
@@ -107,9 +111,8 @@
     owner: &MemberRecord,
     request: &PlacementRequest,
 ) -> Result<DispatchAnswer, CallError> {
-    let peer = node.peer_client(owner.peer_address);
     let call = NodeCall::Place(request.clone());
-    let pending = peer.send(&call, ACCEPT_TIMEOUT).await?;
+    let pending = call_node(node, owner.peer_address, &call, ACCEPT_TIMEOUT).await?;
     let owner_lost = async {
         let mut checks = interval(OWNER_CHECK_INTERVAL);
         loop {
@@ -126,7 +129,7 @@
         }
     };
     tokio::select! {
-        reply = pending.read::<NodeReply>() => match reply? {
+        reply = pending.read() => match reply? {
             NodeReply::Placed(answer) => Ok(answer),
             _ => Err(CallError::Status(http::StatusCode::BAD_GATEWAY)),
         },
@@ -274,14 +277,57 @@
             decide_waiting_jobs(&node);
             continue;
         };
-        let peer = node.peer_client(owner.peer_address);
-        // The jobs in the next heartbeat make up for lost updates.
-        let sent = peer
-            .send(&NodeCall::Updates(updates), UPDATES_TIMEOUT)
-            .await;
+        let call = NodeCall::Updates(updates);
+        // The next report of jobs makes up for lost updates.
+        let sent = call_node(&node, owner.peer_address, &call, UPDATES_TIMEOUT).await;
         if let Err(error) = sent {
             tracing::debug!(owner = %owner.vm, %error, "events not taken");
             node.metrics.count_failure("placement_owner");
         }
     }
 }
+
+/// Reports this node's jobs to the owner of placement and its successor, which so knows what runs
+/// when it takes over. A node without jobs reports that once.
+pub async fn report_jobs_loop(node: Rc<NodeState>) {
+    let mut reported_any = false;
+    loop {
+        let interval = node.members.borrow().report_interval();
+        sleep(interval.mul_f64(rand::random_range(0.8..1.2))).await;
+        let now = node.now();
+        let jobs: Vec<JobReport> = node
+            .dispatchers
+            .borrow()
+            .values()
+            .flat_map(|dispatcher| dispatcher.reports_of(&node.settings.vm, now))
+            .collect();
+        if jobs.is_empty() && !reported_any {
+            continue;
+        }
+        reported_any = !jobs.is_empty();
+        let mut coordinators = node.members.borrow().coordinators(now);
+        coordinators.truncate(REPORTED_COORDINATORS);
+        coordinators.retain(|coordinator| coordinator.vm != node.settings.vm);
+        let call = NodeCall::ReportJobs(JobsReport {
+            vm: node.settings.vm.clone(),
+            jobs,
+        });
+        join_all(
+            coordinators
+                .iter()
+                .map(|coordinator| report_jobs(&node, coordinator, &call)),
+        )
+        .await;
+    }
+}
+
+async fn report_jobs(node: &Rc<NodeState>, coordinator: &MemberRecord, call: &NodeCall) {
+    let sent = call_node(node, coordinator.peer_address, call, REPORT_TIMEOUT).await;
+    if let Err(error) = sent {
+        tracing::info!(peer = %coordinator.vm, %error, "coordinator did not answer");
+        node.metrics.count_failure("coordinator");
+        node.members
+            .borrow_mut()
+            .mark_suspect(&coordinator.vm, node.now());
+    }
+}
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -11,6 +11,7 @@
 use super::connection::ConnectionPool;
 use super::messages::JobUpdate;
 use super::metrics::NodeMetrics;
+use super::packed_records::RecordPacker;
 use crate::clock::TimeSource;
 use crate::fleet::catalog::{CatalogChange, FleetCatalog, RecordDecoder, TargetState};
 use crate::fleet::members::{MemberRecord, MemberTable};
@@ -65,10 +66,18 @@
     pub in_flight: Cell<usize>,
     /// Whether records are being fetched from a peer.
     pub fetching_records: Cell<bool>,
-    /// When the store last responded again after an outage.
+    /// Since when a peer has shown newer records that were not fetched yet.
+    pub behind_since: Cell<Option<Instant>>,
+    /// Packs records for peers.
+    pub record_packer: RefCell<RecordPacker>,
+    /// When the store last responded again after an outage, here or at another VM.
     pub store_recovered_at: Cell<Option<Instant>>,
     /// Whether the last read of the store by a feed failed.
     pub store_unavailable: Cell<bool>,
+    /// Whether reads of the store did not fail repeatedly; told to the other VMs.
+    pub store_reachable: Cell<bool>,
+    /// Whether the store fails for this VM or another one.
+    pub store_fails_anywhere: Cell<bool>,
     next_job_id: Cell<u64>,
 }
 
@@ -102,8 +111,12 @@
             close_listener: Notify::new(),
             in_flight: Cell::new(0),
             fetching_records: Cell::new(false),
+            behind_since: Cell::new(None),
+            record_packer: RefCell::default(),
             store_recovered_at: Cell::new(None),
             store_unavailable: Cell::new(false),
+            store_reachable: Cell::new(true),
+            store_fails_anywhere: Cell::new(false),
             next_job_id: Cell::new(first_job_id),
         }
     }
@@ -276,10 +289,21 @@
             .count_request(now);
     }
 
+    /// Updates whether the store fails for this VM or another one, and when that ended.
+    pub fn update_store_outage(&self, now: Instant) {
+        let fails = self.store_unavailable.get() || self.members.borrow().store_fails_anywhere(now);
+        if self.store_fails_anywhere.replace(fails) && !fails {
+            self.store_recovered_at.set(Some(now));
+        }
+    }
+
     /// Until when targets stay usable whose records are removed now: `grace` from now during a
     /// store outage, `grace` from its end afterwards, `None` otherwise.
+    ///
+    /// An outage that only other VMs see counts as well: they fetch the records that this VM
+    /// applies.
     pub fn keep_removed_until(&self, now: Instant, grace: Duration) -> Option<Instant> {
-        if self.store_unavailable.get() {
+        if self.store_unavailable.get() || self.store_fails_anywhere.get() {
             return Some(now + grace);
         }
         self.store_recovered_at
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -43,6 +43,9 @@
     /// The message could not be encoded or decoded.
     #[error(transparent)]
     Codec(#[from] codec::CodecError),
+    /// Compressed bytes in a reply are malformed.
+    #[error("reply cannot be decompressed: {0}; run the same release on all VMs")]
+    Compression(String),
     /// The peer answered with an error status.
     #[error("the peer answered {0}; see its log for the reason")]
     Status(StatusCode),
@@ -127,6 +130,7 @@
 
     async fn send_encoded(&self, body: Bytes) -> Result<PendingReply> {
         let mut sender = self.ready_sender().await?;
+        let sent_bytes = body.len();
         let request = Request::builder()
             .method(Method::POST)
             .uri("http://steward/call")
@@ -140,6 +144,7 @@
         }
         Ok(PendingReply {
             stream: response.into_body(),
+            sent_bytes,
         })
     }
 
@@ -188,17 +193,33 @@
 #[derive(Debug)]
 pub struct PendingReply {
     stream: RecvStream,
+    sent_bytes: usize,
 }
 
 impl PendingReply {
+    /// Bytes of the call's body.
+    pub fn sent_bytes(&self) -> usize {
+        self.sent_bytes
+    }
+
     /// Waits for the reply, without a time limit.
     ///
     /// # Errors
     ///
     /// Fails when the connection fails or the reply cannot be decoded.
     pub async fn read<R: DeserializeOwned>(self) -> Result<R> {
+        let (reply, _) = self.read_sized().await?;
+        Ok(reply)
+    }
+
+    /// Waits for the reply like [`Self::read`], and returns the bytes of its body with it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection fails or the reply cannot be decoded.
+    pub async fn read_sized<R: DeserializeOwned>(self) -> Result<(R, usize)> {
         let bytes = read_body(self.stream).await?;
-        Ok(codec::decode(&bytes)?)
+        Ok((codec::decode(&bytes)?, bytes.len()))
     }
 }
 
--- a/tests/core/fixtures.rs
+++ b/tests/core/fixtures.rs
@@ -1,8 +1,10 @@
 //! Records, rows and requests for the tests of the core modules.
 
 use std::io::Write;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use plantainnotch::fleet::members::MemberRecord;
 use plantainnotch::ids::{
     AuthorName, DomainName, ModelName, Offset, RecordId, RequestId, TargetName, TeamName, VmName,
 };
@@ -185,3 +187,20 @@
 pub fn report_states(model: &str, states: usize) {
     writeln!(std::io::stderr(), "model of {model}: {states} states").ok();
 }
+
+/// A VM's record of a fleet in which `number` modulo `domains` gives the failure domain.
+pub fn member(number: u8, domains: u8) -> MemberRecord {
+    let address = |port: u16| SocketAddr::from(([10, 0, 0, number], port));
+    MemberRecord {
+        vm: VmName::new(format!("vm-{number}")),
+        domain: DomainName::new(format!("domain-{}", number % domains)),
+        peer_address: address(1),
+        caller_address: address(2),
+        incarnation: 1,
+        revision: 0,
+        cpu_cores: 0.25,
+        ready: true,
+        leaving: false,
+        store_reachable: true,
+    }
+}
