--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -28,6 +28,8 @@
 
 /// Number of coordinators: with three failure domains or more, losing one leaves at least two.
 pub const COORDINATOR_COUNT: usize = 3;
+/// Coordinators that get reports of jobs: the owner of placement and its successor.
+const REPORTED_COORDINATORS: usize = 2;
 /// Hubs of a failure domain: losing one leaves one that knows the domain already.
 pub const HUBS_PER_DOMAIN: usize = 2;
 /// Most VMs that try to read the store while it turns VMs away.
@@ -41,6 +43,10 @@
 const ROSTER_GRACE: Duration = Duration::from_secs(1); // a domain whose first hub dies is reached through the second one by then
 const RECORD_RETENTION: Duration = Duration::from_secs(10); // for rosters and contacts: several heartbeats at any fleet size
 const SUSPICION_TIME: Duration = Duration::from_millis(1_000); // then a VM that was only paused is tried again
+const SETTLING_TIME: Duration = Duration::from_millis(2_500); // two reports of jobs by every VM
+const FLEET_START_SPREAD: Duration = Duration::from_millis(1_000); // VMs of a fleet that starts do so within a few hundred ms
+const LONE_START_TIME: Duration = Duration::from_millis(1_000); // a VM that heard of no other by then starts a fleet
+const NEW_HUB_DELAY: Duration = Duration::from_millis(60); // until a hub that was not known in the last round is sent a heartbeat
 const DISCOVERY_PROBABILITY: f64 = 0.25; // that a hub's heartbeat round also tries an address without a live VM
 const DISCOVERY_FANOUT: usize = 3; // addresses tried in a round, beside the seeds, while no other VM is live
 const DOMAIN_FETCH_TIME: Duration = Duration::from_millis(600); // the first hub of a domain has fetched by then what the domain lacks
@@ -69,6 +75,9 @@
     pub leaving: bool,
     /// False while its own reads of the store fail.
     pub store_reachable: bool,
+    /// Whether it has run long enough to know the fleet and its requests. VMs that do not rank
+    /// last for duties, so that one that restarts does not take over with an empty memory.
+    pub is_settled: bool,
 }
 
 impl MemberRecord {
@@ -78,6 +87,19 @@
     }
 }
 
+/// The part of a VM's own record that changes while it runs.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnState {
+    /// [`MemberRecord::ready`].
+    pub ready: bool,
+    /// [`MemberRecord::leaving`].
+    pub leaving: bool,
+    /// [`MemberRecord::store_reachable`].
+    pub store_reachable: bool,
+    /// [`MemberRecord::is_settled`].
+    pub is_settled: bool,
+}
+
 #[derive(Debug)]
 struct ReceivedHeartbeat {
     record: MemberRecord,
@@ -103,6 +125,7 @@
     suspects: BTreeMap<VmName, Instant>,
     served_roster: ServedRoster,
     addresses: BTreeSet<SocketAddr>,
+    fleet_started_at: Option<Instant>,
 }
 
 impl MemberTable {
@@ -116,6 +139,7 @@
             suspects: BTreeMap::new(),
             served_roster: ServedRoster::default(),
             addresses: BTreeSet::new(),
+            fleet_started_at: None,
         }
     }
 
@@ -158,17 +182,45 @@
     }
 
     /// Updates the state in this VM's own record, and returns whether it changed.
-    pub fn update_own(&mut self, ready: bool, leaving: bool, store_reachable: bool) -> bool {
-        let own = &mut self.own;
-        let changed =
-            (own.ready, own.leaving, own.store_reachable) != (ready, leaving, store_reachable);
+    pub fn update_own(&mut self, state: OwnState) -> bool {
+        let updated = MemberRecord {
+            ready: state.ready,
+            leaving: state.leaving,
+            store_reachable: state.store_reachable,
+            is_settled: state.is_settled,
+            ..self.own.clone()
+        };
+        let changed = updated != self.own;
         if changed {
-            (own.ready, own.leaving, own.store_reachable) = (ready, leaving, store_reachable);
-            own.revision += 1;
+            self.own = updated;
+            self.own.revision += 1;
         }
         changed
     }
 
+    /// Records how long a peer has known the fleet to run.
+    pub fn record_fleet_age(&mut self, fleet_age: Duration, now: Instant) {
+        let started_at = now.checked_sub(fleet_age).unwrap_or(now);
+        let known = self.fleet_started_at.unwrap_or(started_at);
+        self.fleet_started_at = Some(known.min(started_at));
+    }
+
+    /// How long the fleet is known to run: as long as the VM among those heard of that runs
+    /// longest, or this one after `running_for`.
+    pub fn fleet_age(&self, running_for: Duration, now: Instant) -> Duration {
+        self.fleet_started_at.map_or(running_for, |at| {
+            now.saturating_duration_since(at).max(running_for)
+        })
+    }
+
+    /// Whether this VM counts as settled after it has run for `running_for`. In a fleet that
+    /// started as late as this VM, no other knows more.
+    pub fn settles(&self, running_for: Duration, now: Instant) -> bool {
+        let heard_of_fleet = self.fleet_started_at.is_some() || running_for >= LONE_START_TIME;
+        let head_start = self.fleet_age(running_for, now).saturating_sub(running_for);
+        running_for >= SETTLING_TIME || heard_of_fleet && head_start <= FLEET_START_SPREAD
+    }
+
     /// Records a heartbeat of another VM and clears its suspicion.
     pub fn record_heartbeat(&mut self, record: MemberRecord, now: Instant) {
         if record.vm == self.own.vm {
@@ -257,6 +309,17 @@
         interval_for(self.largest_domain_size())
     }
 
+    /// Time from a round of heartbeats to `sent_to` until the next: the interval, or less if other
+    /// VMs have become hubs since.
+    pub fn next_heartbeat_in(&self, sent_to: &[MemberRecord], now: Instant) -> Duration {
+        let recipients = self.heartbeat_recipients(now);
+        let is_new = |hub: &MemberRecord| sent_to.iter().all(|sent| sent.vm != hub.vm);
+        if recipients.iter().any(is_new) {
+            return NEW_HUB_DELAY;
+        }
+        self.heartbeat_interval()
+    }
+
     /// Interval between reports of this VM's jobs to coordinators, growing with the fleet's size.
     pub fn report_interval(&self) -> Duration {
         interval_for(self.domain_sizes().values().sum())
@@ -320,24 +383,38 @@
             .chain([&self.own])
     }
 
-    /// The VMs that decide on the engines that take requests, the owner of placement first, and
-    /// that read the store.
+    /// The VMs that decide on the engines that take requests, the owner of placement first.
     ///
-    /// Larger VMs rank first, ties are broken by a hash of the name. A failure domain gets a
-    /// second coordinator only after every domain has one. VMs that are leaving or suspect are
-    /// skipped.
+    /// Settled VMs rank before others, larger ones before smaller ones; ties are broken by a hash
+    /// of the name. A failure domain gets a second coordinator only after every domain has one. VMs
+    /// that are leaving or suspect are skipped.
     pub fn coordinators(&self, now: Instant) -> Vec<MemberRecord> {
-        self.spread_over_domains(now)
+        self.spread_over_domains(duty_rank, now)
             .into_iter()
             .take(COORDINATOR_COUNT)
             .cloned()
             .collect()
     }
 
+    /// The VMs to report this VM's jobs to: the owner of placement, its successor, and those that
+    /// take their places once they are settled.
+    pub fn job_report_recipients(&self, now: Instant) -> Vec<MemberRecord> {
+        let present = self.spread_over_domains(duty_rank, now);
+        let future = self.spread_over_domains(size_rank, now);
+        let recipients: BTreeMap<&VmName, &MemberRecord> = present
+            .into_iter()
+            .take(REPORTED_COORDINATORS)
+            .chain(future.into_iter().take(REPORTED_COORDINATORS))
+            .filter(|member| member.vm != self.own.vm)
+            .map(|member| (&member.vm, member))
+            .collect();
+        recipients.into_values().cloned().collect()
+    }
+
     /// Whether this VM is to read the store: it is among the first coordinators and successors
     /// whose own reads do not fail. With all of [`MAX_READERS_TRIED`] failing, they all read on.
     pub fn reads_store(&self, now: Instant) -> bool {
-        let mut readers = self.spread_over_domains(now);
+        let mut readers = self.spread_over_domains(duty_rank, now);
         readers.truncate(MAX_READERS_TRIED);
         readers.sort_by_key(|member| !member.store_reachable);
         readers
@@ -351,10 +428,14 @@
         self.live(now).iter().any(|member| !member.store_reachable)
     }
 
-    fn spread_over_domains(&self, now: Instant) -> Vec<&MemberRecord> {
+    fn spread_over_domains<K: Ord>(
+        &self,
+        rank: impl Fn(&MemberRecord) -> K,
+        now: Instant,
+    ) -> Vec<&MemberRecord> {
         let mut ranked = self.live(now);
         ranked.retain(|member| self.may_have_duty(member, now));
-        sort_by_rank(&mut ranked);
+        ranked.sort_by_cached_key(|member| rank(member));
         let mut domains = BTreeSet::new();
         let (mut first, others): (Vec<_>, Vec<_>) = ranked
             .into_iter()
@@ -380,7 +461,7 @@
             .into_values()
             .filter(|member| self.may_have_duty(member, now))
             .collect();
-        sort_by_rank(&mut ranked);
+        ranked.sort_by_cached_key(|member| duty_rank(member));
         let mut hubs: BTreeMap<&DomainName, Vec<&MemberRecord>> = BTreeMap::new();
         for member in ranked {
             let of_domain = hubs.entry(&member.domain).or_default();
@@ -590,9 +671,12 @@
     newest
 }
 
-fn sort_by_rank(members: &mut [&MemberRecord]) {
-    members.sort_by_cached_key(|member| {
-        let cpu_rank = (member.cpu_cores / CPU_RANK_STEP_CORES).round() as i64;
-        (Reverse(cpu_rank), xxh3_64(member.vm.as_str().as_bytes()))
-    });
+/// Order in which VMs take duties.
+fn duty_rank(member: &MemberRecord) -> impl Ord + use<> {
+    (!member.is_settled, size_rank(member))
+}
+
+fn size_rank(member: &MemberRecord) -> impl Ord + use<> {
+    let cpu_rank = (member.cpu_cores / CPU_RANK_STEP_CORES).round() as i64;
+    (Reverse(cpu_rank), xxh3_64(member.vm.as_str().as_bytes()))
 }
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -157,8 +157,7 @@
     let mut connection = match connect(node, plan, now).await {
         Ok(connection) => connection,
         Err(error) => {
-            let refused = error.is_refused();
-            node.record_target_failure(&plan.target.name, refused, &error.to_string());
+            node.record_exchange_failure(&plan.target.name, &error);
             return AttemptOutcome::NotRun {
                 reason: error.to_string(),
                 failed_target: None,
@@ -181,7 +180,7 @@
     match connection.exchange(head, &caller.body).await {
         Ok(head) => classify_response(node, caller, plan, head, connection).await,
         Err(error) => {
-            node.record_target_failure(&plan.target.name, false, &error.to_string());
+            node.record_exchange_failure(&plan.target.name, &error);
             AttemptOutcome::Unknown {
                 reason: error.to_string(),
             }
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 connections to targets: one request at a time, pooled only if no unread bytes can
 //! be left.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -21,6 +22,11 @@
 const IDLE_LIMIT_MARGIN: Duration = Duration::from_millis(700); // a target may close before the limit that it sent
 const MAX_IDLE_PER_TARGET: usize = 6;
 const INITIAL_BUFFER_BYTES: usize = 16 * 1024;
+const MAX_HEAD_BYTES: usize = 32 * 1024; // of one response, interim heads included
+const MAX_FRAMING_BYTES: usize = 16 * 1024; // of a chunked body, beyond as much as its content
+const MAX_BODY_BYTES: usize = 1024 * 1024; // of a response that is read in full
+const MAX_SMALL_BODY_BYTES: usize = 16 * 1024; // up to which a body is read even if large ones take all memory
+const MAX_LARGE_BODIES_BYTES: usize = 24 * 1024 * 1024; // of all responses together, beyond their small part
 
 /// Result of an exchange with a target.
 pub type Result<T> = std::result::Result<T, ExchangeError>;
@@ -47,6 +53,14 @@
     /// The received bytes are not an HTTP response.
     #[error("not an HTTP answer: {0}; the request may have run")]
     Malformed(String),
+    /// A part of the response is longer than responses are, so that it may have no end.
+    #[error("response exceeds {limit} bytes in its {part}; the request may have run")]
+    Oversized {
+        /// The part that is too long: `head`, `framing` or `body`.
+        part: &'static str,
+        /// Limit that it exceeds, in bytes.
+        limit: usize,
+    },
 }
 
 impl ExchangeError {
@@ -54,6 +68,47 @@
     pub fn is_refused(&self) -> bool {
         matches!(self, Self::Connect { refused: true, .. })
     }
+
+    /// The part of the response that is too long, if that is the error.
+    pub fn oversized_part(&self) -> Option<&'static str> {
+        match self {
+            Self::Oversized { part, .. } => Some(part),
+            _ => None,
+        }
+    }
+}
+
+/// Memory that all responses which are read in full share, beyond the first bytes of each.
+#[derive(Debug, Default)]
+pub struct BodyBudget {
+    used_bytes: Cell<usize>,
+}
+
+/// The share of one response in a [`BodyBudget`], given back when dropped.
+struct BudgetShare<'a> {
+    budget: &'a BodyBudget,
+    taken_bytes: usize,
+}
+
+impl BudgetShare<'_> {
+    /// Takes what a body of `body_bytes` needs, and returns whether it may grow to that size.
+    fn grow_to(&mut self, body_bytes: usize) -> bool {
+        let needed = body_bytes.saturating_sub(MAX_SMALL_BODY_BYTES);
+        let used = self.budget.used_bytes.get() - self.taken_bytes + needed;
+        let fits = body_bytes <= MAX_BODY_BYTES && (needed == 0 || used <= MAX_LARGE_BODIES_BYTES);
+        if fits {
+            self.budget.used_bytes.set(used);
+            self.taken_bytes = needed;
+        }
+        fits
+    }
+}
+
+impl Drop for BudgetShare<'_> {
+    fn drop(&mut self) {
+        let used = self.budget.used_bytes.get();
+        self.budget.used_bytes.set(used - self.taken_bytes);
+    }
 }
 
 /// What is read next from the connection.
@@ -70,6 +125,10 @@
     stream: TcpStream,
     received: BytesMut,
     state: ResponseState,
+    /// Bytes of the body's content returned so far.
+    content_bytes: usize,
+    /// Bytes of the body as received, with its framing.
+    body_bytes: usize,
     until_close: bool,
     request_fully_sent: bool,
     idle_limit: Option<Duration>,
@@ -99,6 +158,8 @@
             stream,
             received: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
             state: ResponseState::Done,
+            content_bytes: 0,
+            body_bytes: 0,
             until_close: false,
             request_fully_sent: true,
             idle_limit: None,
@@ -146,6 +207,8 @@
         let head = self.send_and_read_head(&out, &mut codec).await?;
         self.idle_limit = idle_limit(&head, codec.keep_alive());
         self.until_close = !is_framed(&head);
+        self.content_bytes = 0;
+        self.body_bytes = self.received.len();
         self.state = match codec.message_type() {
             _ if self.until_close => ResponseState::UntilClose,
             MessageType::None => ResponseState::Done,
@@ -164,12 +227,14 @@
         let write = writer.write_all(out);
         tokio::pin!(write);
         let mut writing = true;
+        let mut head_bytes = 0;
         loop {
             if let Some(head) = decode_final_head(codec, &mut self.received)? {
                 // After an early response, the rest of the request is not written.
                 self.request_fully_sent = !writing && self.request_fully_sent;
                 return Ok(head);
             }
+            check_size("head", head_bytes, MAX_HEAD_BYTES)?;
             tokio::select! {
                 written = &mut write, if writing => {
                     writing = false;
@@ -177,9 +242,11 @@
                     self.request_fully_sent = written.is_ok();
                 }
                 count = reader.read_buf(&mut self.received) => {
-                    if count? == 0 {
+                    let count = count?;
+                    if count == 0 {
                         return Err(ExchangeError::Truncated);
                     }
+                    head_bytes += count;
                 }
             }
         }
@@ -189,7 +256,8 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection closes before the end of the body or the framing is invalid.
+    /// Fails when the connection closes before the end of the body, or the framing is invalid or
+    /// out of proportion to the content.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
         loop {
             let codec = match &mut self.state {
@@ -199,21 +267,64 @@
             };
             match codec.decode(&mut self.received) {
                 Ok(Some(Some(chunk))) if chunk.is_empty() => {}
-                Ok(Some(Some(chunk))) => return Ok(Some(chunk)),
+                Ok(Some(Some(chunk))) => {
+                    self.content_bytes += chunk.len();
+                    self.check_framing()?;
+                    return Ok(Some(chunk));
+                }
                 Ok(Some(None)) => {
                     self.state = ResponseState::Done;
                     return Ok(None);
                 }
                 Ok(None) => {
-                    if self.stream.read_buf(&mut self.received).await? == 0 {
+                    self.check_framing()?;
+                    let count = self.stream.read_buf(&mut self.received).await?;
+                    if count == 0 {
                         return Err(ExchangeError::Truncated);
                     }
+                    self.body_bytes += count;
                 }
                 Err(error) => return Err(ExchangeError::Malformed(error.to_string())),
             }
         }
     }
 
+    /// Checks that the framing of the body so far is not much longer than its content: a chunk
+    /// extension may have no end, and chunks of one byte cost as much time as long ones.
+    fn check_framing(&self) -> Result<()> {
+        let decoded_bytes = self.body_bytes - self.received.len();
+        let framing_bytes = decoded_bytes.saturating_sub(self.content_bytes);
+        check_size(
+            "framing",
+            framing_bytes,
+            MAX_FRAMING_BYTES + self.content_bytes,
+        )
+    }
+
+    /// Reads the response's body to its end, with memory from `budget`.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::next_chunk`], and when the body is over 1 MiB or the budget is used up.
+    pub async fn read_body(&mut self, budget: &BodyBudget) -> Result<Bytes> {
+        let mut share = BudgetShare {
+            budget,
+            taken_bytes: 0,
+        };
+        let mut body = BytesMut::new();
+        while let Some(chunk) = self.next_chunk().await? {
+            if !share.grow_to(body.len() + chunk.len()) {
+                let limit = body.len();
+                return Err(ExchangeError::Oversized {
+                    part: "body",
+                    limit,
+                });
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    }
+
     /// Reads the next bytes of a body that ends when the connection closes; a reset is an error.
     async fn next_unframed(&mut self) -> Result<Option<Bytes>> {
         if self.received.is_empty() && self.stream.read_buf(&mut self.received).await? == 0 {
@@ -234,6 +345,13 @@
     }
 }
 
+fn check_size(part: &'static str, bytes: usize, limit: usize) -> Result<()> {
+    if bytes > limit {
+        return Err(ExchangeError::Oversized { part, limit });
+    }
+    Ok(())
+}
+
 /// Whether the head defines the body's length. The codec would take any other body for empty.
 fn is_framed(head: &ResponseHead) -> bool {
     let bodiless = matches!(
--- a/src/node/feeds.rs
+++ b/src/node/feeds.rs
@@ -22,7 +22,9 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200); // a config must be in force 2 s after its acknowledgement
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-const MEMBER_CHECK_INTERVAL: Duration = Duration::from_secs(20);
+const MEMBER_CHECK_INTERVAL: Duration = Duration::from_millis(1_000); // by then a VM that starts knows whether it is a hub
+const LONE_READ_INTERVAL: Duration = Duration::from_millis(2_000);
+const HUB_READ_INTERVAL: Duration = Duration::from_secs(20);
 
 /// A fleet of at most this many VMs reads the store on each of them.
 const SMALL_FLEET_VMS: usize = 8;
@@ -104,7 +106,7 @@
 /// that the fleet learns when they work again.
 fn reads_store(node: &NodeState, delay_share: f64) -> bool {
     let now = node.now();
-    let running_for = now.saturating_duration_since(node.started_at);
+    let running_for = node.running_for(now);
     let members = node.members.borrow();
     let known_count = members.known_count();
     let large_fleet_delay = FIRST_READ_DELAY_PER_VM * known_count as u32;
@@ -202,16 +204,22 @@
     }
 }
 
-/// Writes this VM's peer address to the store, and reads the other VMs' addresses from it: once,
-/// then again only while no other VM is live.
+/// Keeps addresses in the store at which VMs that know no other find the fleet: a hub writes its
+/// own. Hubs read the others now and then, so that parts of the fleet that lost sight of each
+/// other meet again; another VM reads them only while it knows no other.
 pub async fn member_loop(node: Rc<NodeState>, store: StoreClient) {
     let own_address = node.settings.addresses.peers.to_string();
     let key = node.settings.vm.to_string();
     let mut written = false;
     let mut read_at: Option<Instant> = None;
-    let mut retry_delay = MIN_RETRY_DELAY;
     loop {
-        if !written {
+        sleep(MEMBER_CHECK_INTERVAL.mul_f64(rand::random_range(0.8..1.2))).await;
+        let now = node.now();
+        let (is_hub, knows_no_peer) = {
+            let members = node.members.borrow();
+            (members.is_hub(now), members.knows_no_peer(now))
+        };
+        if is_hub && !written {
             match store
                 .append_item(MEMBER_TOPIC, &key, own_address.as_bytes())
                 .await
@@ -223,11 +231,13 @@
                 }
             }
         }
-        let now = node.now();
-        let sees_no_peer = node.members.borrow().live(now).len() == 1;
-        let read_due = read_at
-            .is_none_or(|at| sees_no_peer && now.saturating_duration_since(at) > retry_delay);
-        if read_due {
+        let read_interval = if knows_no_peer {
+            LONE_READ_INTERVAL
+        } else {
+            HUB_READ_INTERVAL
+        };
+        let read_due = read_at.is_none_or(|at| now.saturating_duration_since(at) >= read_interval);
+        if is_hub && read_due {
             match store.read_newest(MEMBER_TOPIC).await {
                 Ok(snapshot) => {
                     read_at = Some(now);
@@ -239,12 +249,6 @@
                 }
             }
         }
-        retry_delay = if written && read_at.is_some() && !sees_no_peer {
-            MEMBER_CHECK_INTERVAL
-        } else {
-            (retry_delay * 2).min(MAX_RETRY_DELAY * 2)
-        };
-        sleep(retry_delay).await;
     }
 }
 
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -7,7 +7,7 @@
 
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
 use actix_http::{Method, RequestHead, Response};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::stream::unfold;
 use tokio::time::timeout;
 
@@ -440,14 +440,19 @@
 ) -> StreamStart {
     let mut connection = target_response.connection;
     if !target_response.head.status.is_success() {
-        let mut body = BytesMut::new();
-        while let Ok(Some(chunk)) = connection.next_chunk().await {
-            body.extend_from_slice(&chunk);
-        }
+        let body = match connection.read_body(&node.body_budget).await {
+            Ok(body) => body,
+            Err(error) => {
+                node.record_exchange_failure(&placement.lead, &error);
+                return StreamStart::Unknown {
+                    reason: error.to_string(),
+                };
+            }
+        };
         node.connection_pool
             .borrow_mut()
             .put(connection, node.now());
-        let mut response = Response::with_body(target_response.head.status, body.freeze().boxed());
+        let mut response = Response::with_body(target_response.head.status, body.boxed());
         *response.headers_mut() = forwarded_headers(&target_response.head.headers);
         return StreamStart::Failed(response);
     }
@@ -456,7 +461,7 @@
         Ok(Some(chunk)) => buffer.push(&chunk),
         Ok(None) => {}
         Err(error) => {
-            node.record_target_failure(&placement.lead, false, &error.to_string());
+            node.record_exchange_failure(&placement.lead, &error);
             return StreamStart::Unknown {
                 reason: error.to_string(),
             };
@@ -589,11 +594,8 @@
         let body = Bytes::from(body);
         let exchanged = connection.exchange(head, &body).await;
         let response_head = exchanged.map_err(|error| error.to_string())?;
-        while let Some(_chunk) = connection
-            .next_chunk()
-            .await
-            .map_err(|error| error.to_string())?
-        {}
+        let body = connection.read_body(&node.body_budget).await;
+        body.map_err(|error| error.to_string())?;
         node.connection_pool
             .borrow_mut()
             .put(connection, node.now());
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -18,7 +18,7 @@
 use super::{feeds, peer_calls, peers, placement, request_handler};
 use crate::clock::TimeSource;
 use crate::fleet::catalog::RecordDecoder;
-use crate::fleet::members::MemberRecord;
+use crate::fleet::members::{MemberRecord, OwnState};
 use crate::fleet::settings::NodeSettings;
 use crate::platform::records::{decode_routes, decode_target, operator_record_kind};
 use crate::platform::store::StoreClient;
@@ -94,6 +94,7 @@
         ready: false,
         leaving: false,
         store_reachable: true,
+        is_settled: false,
     };
     let decoder = RecordDecoder {
         kind: operator_record_kind,
@@ -160,8 +161,14 @@
         let (was_ready, changed) = {
             let mut members = node.members.borrow_mut();
             let was_ready = members.own().ready;
-            let store_reachable = node.store_reachable.get();
-            let changed = members.update_own(ready, node.stopping.get(), store_reachable);
+            let now = node.now();
+            let is_settled = members.settles(node.running_for(now), now);
+            let changed = members.update_own(OwnState {
+                ready,
+                leaving: node.stopping.get(),
+                store_reachable: node.store_reachable.get(),
+                is_settled,
+            });
             (was_ready, changed)
         };
         if was_ready != ready {
@@ -195,10 +202,16 @@
 async fn shut_down(node: &Rc<NodeState>) {
     tracing::info!(in_flight = node.in_flight.get(), "stopping");
     node.stopping.set(true);
-    let store_reachable = node.store_reachable.get();
-    node.members
-        .borrow_mut()
-        .update_own(false, true, store_reachable);
+    {
+        let mut members = node.members.borrow_mut();
+        let is_settled = members.own().is_settled;
+        members.update_own(OwnState {
+            ready: false,
+            leaving: true,
+            store_reachable: node.store_reachable.get(),
+            is_settled,
+        });
+    }
     node.heartbeat_now.notify_one();
     let finish = async {
         sleep(ACCEPT_AFTER_STOP).await;
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -16,6 +16,8 @@
     pub known_roster_version: u64,
     /// Whether the sender knows no other VM, and needs the hubs of its domain.
     pub knows_no_peer: bool,
+    /// How long the sender knows the fleet to run, in milliseconds.
+    pub fleet_age_ms: u64,
     /// Offset after the sender's newest operator record.
     pub operator_end_offset: u64,
     /// Offset after the sender's newest target record.
@@ -32,6 +34,8 @@
     pub roster: RosterUpdate,
     /// Hubs that the sender may not know.
     pub contacts: Vec<MemberRecord>,
+    /// How long the receiver knows the fleet to run, in milliseconds.
+    pub fleet_age_ms: u64,
     /// Offset after the receiver's newest operator record.
     pub operator_end_offset: u64,
     /// Offset after the receiver's newest target record.
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -51,6 +51,13 @@
     pub const REACHES: [&'static str; 3] = ["same_domain", "other_domain", "unknown"];
 }
 
+/// Label of the counter of responses without an end.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PartLabel {
+    /// Part of the response that was too long: `head`, `framing`, `body` or `event`.
+    pub part: &'static str,
+}
+
 /// The metrics of one node, updated where the events occur.
 #[derive(Debug)]
 pub struct NodeMetrics {
@@ -83,6 +90,8 @@
     pub placed_alone: Counter,
     /// Log lines dropped since the start because the writer lagged behind.
     pub log_lines_dropped: Gauge,
+    /// Targets' responses given up because a part of them was too long.
+    pub oversized_responses: Family<PartLabel, Counter>,
     /// Calls that other nodes accepted.
     pub peer_calls: Family<PeerTrafficLabels, Counter>,
     /// Bytes of the bodies of these calls.
@@ -109,6 +118,7 @@
             failures: Family::default(),
             placed_alone: Counter::default(),
             log_lines_dropped: Gauge::default(),
+            oversized_responses: Family::default(),
             peer_calls: Family::default(),
             peer_sent_bytes: Family::default(),
             peer_received_bytes: Family::default(),
@@ -172,6 +182,11 @@
             "Log lines dropped by the bounded writer",
             self.log_lines_dropped.clone(),
         );
+        registry.register(
+            "oversized_responses",
+            "Responses of targets given up because a part was too long",
+            self.oversized_responses.clone(),
+        );
         self.register_peer_traffic();
     }
 
@@ -244,6 +259,13 @@
         self.answer_seconds.get_or_create(&label).observe(seconds);
     }
 
+    /// Counts a target's response that was given up because `part` of it was too long.
+    pub fn count_oversized_response(&self, part: &'static str) {
+        self.oversized_responses
+            .get_or_create(&PartLabel { part })
+            .inc();
+    }
+
     /// Counts a failed call to another VM or the store.
     pub fn count_failure(&self, dependency: &'static str) {
         self.failures
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -1,11 +1,12 @@
 //! Calls between nodes: heartbeats to the hubs, the records fetched after them, and the replies
 //! to peers' calls.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::{LocalBoxFuture, join_all};
+use futures_util::future::{LocalBoxFuture, join, join_all};
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
@@ -63,9 +64,11 @@
         heartbeat.operator_end_offset,
         heartbeat.target_end_offset,
     );
+    let running_for = node.running_for(now);
     let mut members = node.members.borrow_mut();
     let sender = heartbeat.sender;
     members.record_heartbeat(sender.clone(), now);
+    members.record_fleet_age(Duration::from_millis(heartbeat.fleet_age_ms), now);
     let scope = if sender.domain == members.own().domain {
         RosterScope::Fleet
     } else {
@@ -76,6 +79,7 @@
         receiver: members.own().clone(),
         roster: members.serve_roster(heartbeat.known_roster_version, scope, now),
         contacts: members.contacts_for(&sender, heartbeat.knows_no_peer, now),
+        fleet_age_ms: members.fleet_age(running_for, now).as_millis() as u64,
         operator_end_offset: catalog.operator_feed.end(),
         target_end_offset: catalog.target_feed.end(),
     }
@@ -154,14 +158,15 @@
 /// tried: the seeds and some more while no other VM is live, else by a hub one in some rounds.
 pub async fn heartbeat_loop(node: Rc<NodeState>) {
     loop {
-        let recipients = heartbeat_recipients(&node);
-        let heartbeats = recipients
-            .iter()
-            .map(|recipient| send_heartbeat(&node, recipient));
-        join_all(heartbeats).await;
+        let (hubs, tried) = heartbeat_recipients(&node);
+        let to_hubs = hubs.iter().map(|hub| send_heartbeat(&node, hub));
+        let to_addresses = tried.iter().map(|address| try_address(&node, *address));
+        join(join_all(to_hubs), join_all(to_addresses)).await;
+        let now = node.now();
         let (interval, live) = {
             let members = node.members.borrow();
-            (members.heartbeat_interval(), members.live(node.now()).len())
+            let interval = members.next_heartbeat_in(&hubs, now);
+            (interval, members.live(now).len())
         };
         let before = node.metrics.members_live.set(live as i64);
         if before != live as i64 {
@@ -175,51 +180,30 @@
     }
 }
 
-enum HeartbeatRecipient {
-    Member(MemberRecord),
-    Address(SocketAddr),
-}
-
-fn heartbeat_recipients(node: &Rc<NodeState>) -> Vec<HeartbeatRecipient> {
+/// The hubs and the other addresses to send heartbeats to in this round.
+fn heartbeat_recipients(node: &NodeState) -> (Vec<MemberRecord>, BTreeSet<SocketAddr>) {
     let now = node.now();
     let members = node.members.borrow();
     let tried = members.addresses_to_try(&node.settings.seeds, &mut rand::rng(), now);
-    members
-        .heartbeat_recipients(now)
-        .into_iter()
-        .map(HeartbeatRecipient::Member)
-        .chain(tried.into_iter().map(HeartbeatRecipient::Address))
-        .collect()
+    (members.heartbeat_recipients(now), tried)
 }
 
-async fn send_heartbeat(node: &Rc<NodeState>, recipient: &HeartbeatRecipient) {
-    match recipient {
-        HeartbeatRecipient::Member(member) => {
-            if let Err(error) = send_heartbeat_to_member(node, member).await {
-                tracing::info!(peer = %member.vm, %error, "hub did not answer");
-                node.metrics.count_failure("hub");
-                node.members
-                    .borrow_mut()
-                    .mark_suspect(&member.vm, node.now());
-            }
-        }
-        HeartbeatRecipient::Address(address) => {
-            if let Err(error) = exchange_heartbeat(node, *address, 0).await {
-                tracing::debug!(%address, %error, "no VM there");
-            }
-        }
-    }
-}
-
-async fn send_heartbeat_to_member(
-    node: &Rc<NodeState>,
-    member: &MemberRecord,
-) -> Result<(), CallError> {
+async fn send_heartbeat(node: &Rc<NodeState>, hub: &MemberRecord) {
     let roster_version = node
         .members
         .borrow()
-        .known_roster_version(&member.vm, member.incarnation);
-    exchange_heartbeat(node, member.peer_address, roster_version).await
+        .known_roster_version(&hub.vm, hub.incarnation);
+    if let Err(error) = exchange_heartbeat(node, hub.peer_address, roster_version).await {
+        tracing::info!(peer = %hub.vm, %error, "hub did not answer");
+        node.metrics.count_failure("hub");
+        node.members.borrow_mut().mark_suspect(&hub.vm, node.now());
+    }
+}
+
+async fn try_address(node: &Rc<NodeState>, address: SocketAddr) {
+    if let Err(error) = exchange_heartbeat(node, address, 0).await {
+        tracing::debug!(%address, %error, "no VM there");
+    }
 }
 
 async fn exchange_heartbeat(
@@ -250,6 +234,7 @@
         sender: members.own().clone(),
         known_roster_version,
         knows_no_peer: members.knows_no_peer(now),
+        fleet_age_ms: members.fleet_age(node.running_for(now), now).as_millis() as u64,
         operator_end_offset: catalog.operator_feed.end(),
         target_end_offset: catalog.target_feed.end(),
     }
@@ -262,6 +247,7 @@
         let mut members = node.members.borrow_mut();
         members.apply_roster(&member, reply.roster, now);
         members.record_contacts(reply.contacts, now);
+        members.record_fleet_age(Duration::from_millis(reply.fleet_age_ms), now);
         members.record_heartbeat(member.clone(), now);
     }
     fetch_if_behind(
--- a/src/node/placement.rs
+++ b/src/node/placement.rs
@@ -15,12 +15,12 @@
 use crate::wire::client::CallError;
 
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(100); // a round trip takes 2 ms, and a throttled VM pauses for up to 75 ms
-const MAX_OWNERS_TRIED: usize = 2;
+const MAX_OWNER_SEARCH: Duration = Duration::from_millis(200); // two owners that do not answer, or many that refuse connections
+const MAX_OWNERS_TRIED: usize = 8;
 const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 const DECISION_INTERVAL: Duration = Duration::from_millis(10); // a tenth of the shortest forward pass that matters
 const UPDATE_BATCH_DELAY: Duration = Duration::from_millis(3); // batches the updates of a burst
 const UPDATES_TIMEOUT: Duration = Duration::from_millis(300);
-const REPORTED_COORDINATORS: usize = 2; // the owner of placement and its successor
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400); // a throttled VM pauses for up to 75 ms
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -60,11 +60,14 @@
 
 /// Has a request placed, and waits until its dispatcher places or refuses it.
 ///
-/// Asks two owners at most, then decides here. An owner that does not answer is marked suspect,
-/// so that the next coordinator in rank becomes the owner.
+/// An owner that does not answer is marked suspect, so that the next coordinator in rank becomes
+/// the owner; after [`MAX_OWNER_SEARCH`] without one, this VM decides.
 pub async fn place(node: &Rc<NodeState>, request: &PlacementRequest) -> PlacementOutcome {
+    let asked_at = node.now();
     let mut tried = 0;
-    while tried < MAX_OWNERS_TRIED {
+    while tried < MAX_OWNERS_TRIED
+        && node.now().saturating_duration_since(asked_at) < MAX_OWNER_SEARCH
+    {
         let owner = {
             let members = node.members.borrow();
             members.coordinators(node.now()).into_iter().next()
@@ -305,9 +308,7 @@
             continue;
         }
         reported_any = !jobs.is_empty();
-        let mut coordinators = node.members.borrow().coordinators(now);
-        coordinators.truncate(REPORTED_COORDINATORS);
-        coordinators.retain(|coordinator| coordinator.vm != node.settings.vm);
+        let coordinators = node.members.borrow().job_report_recipients(now);
         let call = NodeCall::ReportJobs(JobsReport {
             vm: node.settings.vm.clone(),
             jobs,
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -17,7 +17,7 @@
 use crate::policy::dispatch::{DispatchAnswer, PlacementRequest};
 
 const EVENT_TIMEOUT_SHARE: f64 = 0.7; // of the time after which the caller gives up; the rest is left to resume elsewhere
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 32 * 1024; // of an event with an id, and all that precedes it
 
 /// The error with which a stream ends early, so that the caller sees that it is incomplete.
 #[derive(Debug, Error)]
@@ -28,6 +28,10 @@
 #[derive(Debug, Default)]
 pub struct EventBuffer {
     bytes: BytesMut,
+    /// Bytes at the start that hold no event's end.
+    scanned: usize,
+    /// Start of the line at `scanned`.
+    line_start: usize,
 }
 
 /// One complete server-sent event.
@@ -60,7 +64,7 @@
     /// assert!(buffer.next_event().is_none());
     /// ```
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let end = event_end(&self.bytes)?;
+        let end = self.find_event_end()?;
         let bytes = self.bytes.split_to(end).freeze();
         let id = bytes
             .split(|byte| *byte == b'\n')
@@ -69,22 +73,26 @@
             .find_map(|value| value.trim().parse().ok());
         Some(StreamEvent { id, bytes })
     }
-}
 
-/// Length of the first event, which ends with an empty line.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        if line_start > 0 && (line.is_empty() || line == b"\r") {
-            return Some(index + 1);
+    /// Finds the end of the first event, an empty line, among the bytes not searched before.
+    fn find_event_end(&mut self) -> Option<usize> {
+        while let Some(length) = self.bytes[self.scanned..]
+            .iter()
+            .position(|byte| *byte == b'\n')
+        {
+            let line_end = self.scanned + length;
+            let line = &self.bytes[self.line_start..line_end];
+            let is_end = self.line_start > 0 && (line.is_empty() || line == b"\r");
+            self.scanned = line_end + 1;
+            self.line_start = self.scanned;
+            if is_end {
+                (self.scanned, self.line_start) = (0, 0);
+                return Some(line_end + 1);
+            }
         }
-        line_start = index + 1;
+        self.scanned = self.bytes.len();
+        None
     }
-    None
 }
 
 /// Result of one read from a stream.
@@ -123,6 +131,8 @@
     runs: u32,
     /// Events with an id that were passed to the caller.
     numbered_events: u64,
+    /// Bytes received since the last event with an id.
+    bytes_since_event: usize,
     first_event_at: Instant,
     last_event_at: Instant,
     longest_gap: Duration,
@@ -152,6 +162,7 @@
             resumed: false,
             runs,
             numbered_events: 0,
+            bytes_since_event: 0,
             first_event_at,
             last_event_at: first_event_at,
             longest_gap: Duration::ZERO,
@@ -200,6 +211,7 @@
         }
         self.last_event_id = Some(id);
         self.numbered_events += 1;
+        self.bytes_since_event = self.buffer.bytes.len();
         let now = self.node.now();
         self.longest_gap = self.longest_gap.max(now - self.last_event_at);
         self.last_event_at = now;
@@ -213,13 +225,16 @@
     async fn read(&mut self) -> Result<ReadOutcome, String> {
         let now = self.node.now();
         let left = self.caller.time_left(now);
-        // A stream that cannot be resumed elsewhere is not ended for silence alone.
+        // A stream that cannot be resumed elsewhere is not ended for silence alone. Bytes without
+        // an event do not end a silence.
+        let silence = now.saturating_duration_since(self.last_event_at);
+        let max_silence = self
+            .caller
+            .route
+            .event_timeout()
+            .mul_f64(EVENT_TIMEOUT_SHARE);
         let read_timeout = if self.may_resume(now) {
-            self.caller
-                .route
-                .event_timeout()
-                .mul_f64(EVENT_TIMEOUT_SHARE)
-                .min(left)
+            max_silence.saturating_sub(silence).min(left)
         } else {
             left
         };
@@ -229,16 +244,25 @@
         match timeout(read_timeout, stream.connection.next_chunk()).await {
             Ok(Ok(Some(chunk))) => {
                 self.buffer.push(&chunk);
-                if self.buffer.bytes.len() > MAX_EVENT_BYTES {
-                    return Err("an event is longer than 1 MiB".to_owned());
+                self.bytes_since_event += chunk.len();
+                if self.bytes_since_event > MAX_EVENT_BYTES {
+                    self.node.metrics.count_oversized_response("event");
+                    return Err(format!(
+                        "response exceeds {MAX_EVENT_BYTES} bytes without an event that has an id"
+                    ));
                 }
                 Ok(ReadOutcome::More)
             }
             Ok(Ok(None)) if self.buffer.is_empty() => Ok(ReadOutcome::End),
             Ok(Ok(None)) => Err("the response ended inside an event".to_owned()),
-            Ok(Err(error)) => Err(error.to_string()),
+            Ok(Err(error)) => {
+                if let Some(part) = error.oversized_part() {
+                    self.node.metrics.count_oversized_response(part);
+                }
+                Err(error.to_string())
+            }
             Err(_) if read_timeout == left => Err("the request's time is over".to_owned()),
-            Err(_) => Ok(ReadOutcome::Silent(read_timeout)),
+            Err(_) => Ok(ReadOutcome::Silent(max_silence)),
         }
     }
 
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -7,7 +7,7 @@
 use actix_http::body::{BoxBody, MessageBody};
 use actix_http::header::HeaderMap;
 use actix_http::{Response, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use tokio::time::timeout;
 
 use super::attempt::{
@@ -230,17 +230,13 @@
     response: TargetResponse,
 ) -> BufferedOutcome {
     let mut connection = response.connection;
-    let mut body = BytesMut::new();
-    loop {
-        match connection.next_chunk().await {
-            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
-            Ok(None) => break,
-            Err(error) => {
-                node.record_target_failure(&target.name, false, &error.to_string());
-                return BufferedOutcome::Unknown(error.to_string());
-            }
+    let body = match connection.read_body(&node.body_budget).await {
+        Ok(body) => body,
+        Err(error) => {
+            node.record_exchange_failure(&target.name, &error);
+            return BufferedOutcome::Unknown(error.to_string());
         }
-    }
+    };
     node.connection_pool
         .borrow_mut()
         .put(connection, node.now());
@@ -254,7 +250,7 @@
     BufferedOutcome::Buffered(BufferedResponse {
         status: response.head.status,
         headers: forwarded_headers(&response.head.headers),
-        body: body.freeze(),
+        body,
     })
 }
 
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -8,7 +8,7 @@
 
 use tokio::sync::{Notify, oneshot};
 
-use super::connection::ConnectionPool;
+use super::connection::{BodyBudget, ConnectionPool, ExchangeError};
 use super::messages::JobUpdate;
 use super::metrics::NodeMetrics;
 use super::packed_records::RecordPacker;
@@ -42,6 +42,8 @@
     pub peer_clients: RefCell<HashMap<SocketAddr, Rc<PeerClient>>>,
     /// Idle connections to targets.
     pub connection_pool: RefCell<ConnectionPool>,
+    /// Memory for responses that are read in full.
+    pub body_budget: BodyBudget,
     /// Load, requests in flight and results of attempts at each target: those of this node, and
     /// failures that peers reported.
     pub target_health: RefCell<HashMap<TargetName, TargetHealth>>,
@@ -100,6 +102,7 @@
             placement_waiters: RefCell::default(),
             peer_clients: RefCell::default(),
             connection_pool: RefCell::default(),
+            body_budget: BodyBudget::default(),
             target_health: RefCell::default(),
             retry_shares: RefCell::default(),
             pending_updates: RefCell::default(),
@@ -126,6 +129,11 @@
         self.clock.now()
     }
 
+    /// How long the process has run at `now`.
+    pub fn running_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started_at)
+    }
+
     /// Returns an id for a new job; ids of other VMs and earlier processes differ.
     pub fn new_job_id(&self) -> JobId {
         let id = self.next_job_id.get();
@@ -227,6 +235,14 @@
         self.refresh_dispatchers();
     }
 
+    /// Records an exchange that failed after or before the request was sent, as a failed attempt.
+    pub fn record_exchange_failure(&self, target: &TargetName, error: &ExchangeError) {
+        if let Some(part) = error.oversized_part() {
+            self.metrics.count_oversized_response(part);
+        }
+        self.record_target_failure(target, error.is_refused(), &error.to_string());
+    }
+
     /// Records that a peer reported a failed attempt at a target.
     pub fn record_peer_reported_failure(&self, target: &TargetName, refused: bool) {
         let now = self.now();
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -11,7 +11,7 @@
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500); // responses take a few ms, 60 times as long on slow days
 const LONG_POLL_MARGIN: Duration = Duration::from_millis(1_500); // added to the time for which the store may hold a long-polling read
-const MAX_RESPONSE_BYTES: usize = 64 << 20;
+const MAX_RESPONSE_BYTES: usize = 8 << 20; // the store sends at most 1 MiB of records at a time, a third more in base64
 const READ_HEADER_BYTES: usize = 16; // the topic's end and first offset, not used here
 
 /// Result of a call to the store.
--- a/tests/core/fixtures.rs
+++ b/tests/core/fixtures.rs
@@ -202,5 +202,6 @@
         ready: true,
         leaving: false,
         store_reachable: true,
+        is_settled: true,
     }
 }
--- a/tests/core/hubs.rs
+++ b/tests/core/hubs.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use plantainnotch::fleet::members::{MemberRecord, MemberTable, RosterScope};
+use plantainnotch::fleet::members::{MemberRecord, MemberTable, OwnState, RosterScope};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -23,11 +23,19 @@
     table: MemberTable,
     end_offset: u64,
     behind_since: Option<Instant>,
+    started_at: Instant,
     next_heartbeat: Instant,
     is_up: bool,
     is_paused: bool,
 }
 
+impl SimulatedVm {
+    fn fleet_age(&self, now: Instant) -> Duration {
+        let running_for = now.saturating_duration_since(self.started_at);
+        self.table.fleet_age(running_for, now)
+    }
+}
+
 #[derive(Default)]
 struct TrafficCount {
     heartbeats: usize,
@@ -75,6 +83,7 @@
     fn started_vm(&mut self, number: u8, incarnation: u64) -> SimulatedVm {
         let own = MemberRecord {
             incarnation,
+            is_settled: false,
             ..member(number, self.domains)
         };
         let delay = Duration::from_millis(self.rng.random_range(0..START_SPREAD_MS));
@@ -82,6 +91,7 @@
             table: MemberTable::new(own),
             end_offset: 0,
             behind_since: None,
+            started_at: self.now + delay,
             next_heartbeat: self.now + delay,
             is_up: true,
             is_paused: false,
@@ -108,6 +118,16 @@
 
     fn send_heartbeats(&mut self, sender: usize) {
         let now = self.now;
+        let vm = &mut self.vms[sender];
+        let is_settled = vm
+            .table
+            .settles(now.saturating_duration_since(vm.started_at), now);
+        vm.table.update_own(OwnState {
+            ready: true,
+            leaving: false,
+            store_reachable: true,
+            is_settled,
+        });
         let table = &self.vms[sender].table;
         let tried = table.addresses_to_try(&self.seeds, &mut self.rng, now);
         let hubs = table.heartbeat_recipients(now);
@@ -126,7 +146,7 @@
             };
             self.exchange_heartbeat(sender, receiver);
         }
-        let interval = self.vms[sender].table.heartbeat_interval();
+        let interval = self.vms[sender].table.next_heartbeat_in(&hubs, now);
         let jitter = self.rng.random_range(0.8..1.2);
         self.vms[sender].next_heartbeat = now + interval.mul_f64(jitter);
     }
@@ -144,8 +164,11 @@
         let known_version =
             sender_table.known_roster_version(&receiver_record.vm, receiver_record.incarnation);
         let knows_no_peer = sender_table.knows_no_peer(now);
+        let sender_age = self.vms[sender].fleet_age(now);
+        let receiver_age = self.vms[receiver].fleet_age(now);
         let table = &mut self.vms[receiver].table;
         table.record_heartbeat(sender_record.clone(), now);
+        table.record_fleet_age(sender_age, now);
         let scope = if crosses {
             RosterScope::Domain
         } else {
@@ -156,6 +179,7 @@
         let table = &mut self.vms[sender].table;
         table.apply_roster(&receiver_record, roster, now);
         table.record_contacts(contacts, now);
+        table.record_fleet_age(receiver_age, now);
         table.record_heartbeat(receiver_record, now);
         self.fetch_if_behind(sender, receiver);
     }
@@ -441,6 +465,35 @@
     }
 }
 
+/// While the VMs that restarted learn what runs, the others agree on an owner among themselves.
+#[test]
+fn an_owner_that_restarts_is_replaced_by_one_that_all_agree_on() {
+    let mut fleet = settled_fleet(60, 3, 40);
+    let owner_of = |fleet: &SimulatedFleet, index: usize| {
+        let coordinators = fleet.vms[index].table.coordinators(fleet.now);
+        coordinators[0].vm.clone()
+    };
+    let first = owner_of(&fleet, 0);
+    let owner = fleet
+        .vms
+        .iter()
+        .position(|vm| vm.table.own().vm == first)
+        .expect("a VM of the fleet");
+    fleet.vms[owner].is_up = false;
+    fleet.run_for(Duration::from_millis(500));
+    fleet.restart(owner);
+
+    fleet.run_for(Duration::from_millis(1_500));
+    let meanwhile: BTreeSet<String> = (0..60)
+        .map(|index| owner_of(&fleet, index).to_string())
+        .collect();
+    fleet.run_for(JOIN_LIMIT);
+
+    assert_eq!(meanwhile.len(), 1, "{meanwhile:?}");
+    assert!(!meanwhile.contains(first.as_str()));
+    assert!((0..60).all(|index| owner_of(&fleet, index) == first));
+}
+
 /// Whatever happens, no VM's records go back within its lifetime, and all agree again soon after.
 #[test]
 fn the_fleet_agrees_again_after_random_failures() {
--- a/tests/core/members.rs
+++ b/tests/core/members.rs
@@ -5,8 +5,8 @@
 use std::time::{Duration, Instant};
 
 use plantainnotch::fleet::members::{
-    COORDINATOR_COUNT, HUBS_PER_DOMAIN, MAX_READERS_TRIED, MemberRecord, MemberTable, RosterScope,
-    RosterUpdate,
+    COORDINATOR_COUNT, HUBS_PER_DOMAIN, MAX_READERS_TRIED, MemberRecord, MemberTable, OwnState,
+    RosterScope, RosterUpdate,
 };
 use plantainnotch::ids::{DomainName, VmName};
 
@@ -103,7 +103,12 @@
         ..first.clone()
     };
     if first.vm == VmName::new("vm-0") {
-        table.update_own(false, true, true);
+        table.update_own(OwnState {
+            ready: false,
+            leaving: true,
+            store_reachable: true,
+            is_settled: true,
+        });
     } else {
         table.record_heartbeat(leaving, now);
     }
@@ -362,3 +367,73 @@
     }
     assert_eq!(tried.len(), MAX_READERS_TRIED);
 }
+
+/// An owner of placement that restarts knows no requests, and would send new ones to engines that
+/// are full.
+#[test]
+fn a_restarted_vm_takes_its_duties_back_only_once_it_is_settled() {
+    let now = Instant::now();
+    let all: Vec<u8> = (1..=30).collect();
+    let mut table = table(0, &all, now);
+    let owner = table.coordinators(now)[0].clone();
+    let restarted = MemberRecord {
+        incarnation: 2,
+        is_settled: false,
+        ..owner.clone()
+    };
+
+    table.record_heartbeat(restarted.clone(), now);
+
+    let is_owner = |member: &MemberRecord| member.vm == owner.vm;
+    assert!(!table.coordinators(now).iter().any(is_owner));
+    let hubs = table.hubs(now);
+    assert!(!hubs[&owner.domain].iter().any(|hub| is_owner(hub)));
+    let informed = table.job_report_recipients(now);
+    assert!(
+        informed.iter().any(is_owner),
+        "it learns of the requests meanwhile"
+    );
+
+    table.record_heartbeat(
+        MemberRecord {
+            is_settled: true,
+            revision: 1,
+            ..restarted
+        },
+        now,
+    );
+
+    assert!(is_owner(&table.coordinators(now)[0]));
+}
+
+#[test]
+fn vms_of_a_fleet_that_starts_settle_together_and_a_joining_one_later() {
+    let now = Instant::now();
+    let (soon, late) = (Duration::from_millis(100), Duration::from_millis(2_600));
+    let mut starting = MemberTable::new(member(0, 3));
+    starting.record_fleet_age(Duration::from_millis(300), now);
+    let mut joining = MemberTable::new(member(0, 3));
+    joining.record_fleet_age(Duration::from_secs(60), now);
+    let lone = MemberTable::new(member(0, 3));
+
+    assert!(starting.settles(soon, now));
+    assert!(!joining.settles(soon, now));
+    assert!(joining.settles(late, now));
+    assert!(!lone.settles(soon, now), "it may hear of a fleet yet");
+    assert!(lone.settles(Duration::from_millis(1_100), now));
+}
+
+/// In a herd that restarts, a VM may hear of another young one first.
+#[test]
+fn a_vm_that_learns_of_an_older_fleet_is_not_settled_any_more() {
+    let now = Instant::now();
+    let running_for = Duration::from_millis(200);
+    let mut joining = MemberTable::new(member(0, 3));
+    joining.record_fleet_age(Duration::from_millis(150), now);
+    assert!(joining.settles(running_for, now));
+
+    joining.record_fleet_age(Duration::from_secs(60), now);
+    joining.record_fleet_age(Duration::from_millis(150), now);
+
+    assert!(!joining.settles(running_for, now));
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod support;
 
 mod answers;
+mod endless;
 mod members;
 mod records;
 mod streams;
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -160,6 +160,22 @@
         std::fs::read_to_string(self.config.work_dir.join("node.log")).unwrap_or_default()
     }
 
+    /// Most memory that the process held so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
+            .expect("the process runs");
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))
+            .expect("the kernel reports the peak");
+        let kib: u64 = line
+            .trim()
+            .trim_end_matches(" kB")
+            .parse()
+            .expect("a number of kB");
+        kib * 1024
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         Command::new("kill").args(["-s", name, &id]).status().ok();
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -33,8 +33,76 @@
     Fails,
     /// Responds before it has read the body.
     Early,
+    /// Sends a part of a response without end, until the connection is closed.
+    Endless(EndlessPart, FloodPace),
 }
 
+/// The part of a response that never ends.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum EndlessPart {
+    StatusLine,
+    HeaderLine,
+    Headers,
+    InterimHeads,
+    Body,
+    ChunkSize,
+    ChunkExtension,
+    OneByteChunks,
+    Trailers,
+    Event,
+    Comments,
+    /// A complete response, followed by further bytes.
+    Surplus,
+}
+
+impl EndlessPart {
+    pub const ALL: [Self; 12] = [
+        Self::StatusLine,
+        Self::HeaderLine,
+        Self::Headers,
+        Self::InterimHeads,
+        Self::Body,
+        Self::ChunkSize,
+        Self::ChunkExtension,
+        Self::OneByteChunks,
+        Self::Trailers,
+        Self::Event,
+        Self::Comments,
+        Self::Surplus,
+    ];
+
+    /// The bytes before the endless part, given a response's headers, and the bytes that repeat.
+    fn encode(self, headers: &str) -> (String, &'static str) {
+        let ok = format!("HTTP/1.1 200 X\r\n{headers}");
+        let chunked = format!("{ok}transfer-encoding: chunked\r\n\r\n");
+        match self {
+            Self::StatusLine => ("HTTP/1.1 200 ".to_owned(), "X"),
+            Self::HeaderLine => (format!("{ok}x-endless: "), "x"),
+            Self::Headers => (ok, "x-endless: x\r\n"),
+            Self::InterimHeads => (String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n"),
+            Self::Body => (format!("{ok}\r\n"), "x"),
+            Self::ChunkSize => (chunked, "0"),
+            Self::ChunkExtension => (format!("{chunked}5;"), "x"),
+            Self::OneByteChunks => (chunked, "1\r\nx\r\n"),
+            Self::Trailers => (format!("{chunked}5\r\nhello\r\n0\r\n"), "x-trailer: x\r\n"),
+            Self::Event => (format!("{chunked}40\r\nid: 1\ndata: "), "x"),
+            Self::Comments => (chunked, "3\r\n:c\n\r\n"),
+            Self::Surplus => (format!("{ok}content-length: 5\r\n\r\nhello"), "x"),
+        }
+    }
+}
+
+/// How fast an endless part is sent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum FloodPace {
+    /// As fast as the socket takes it.
+    Fast,
+    /// One repetition in a second.
+    Slow,
+}
+
+const FLOOD_BLOCK_BYTES: usize = 64 * 1024;
+
 /// One request that a target ran.
 #[derive(Debug, Clone)]
 pub struct RunRecord {
@@ -195,7 +263,9 @@
             id: id.clone(),
             completed: false,
         };
-        if self.is_engine && !matches!(mode, TargetMode::Fails | TargetMode::Hangs) {
+        if let TargetMode::Endless(part, pace) = mode {
+            self.send_endless(&id, part, pace, &steps).await;
+        } else if self.is_engine && !matches!(mode, TargetMode::Fails | TargetMode::Hangs) {
             self.send_stream(&request, &id, mode, &steps).await;
         } else {
             self.send_plain(&id, mode, &steps).await;
@@ -257,15 +327,43 @@
             TargetMode::Fails => vec![ResponseStep::Write(encode_response(
                 500, &headers, b"failed",
             ))],
-            TargetMode::Healthy | TargetMode::Full | TargetMode::Early => {
-                vec![ResponseStep::Write(whole)]
-            }
+            TargetMode::Healthy
+            | TargetMode::Full
+            | TargetMode::Early
+            | TargetMode::Endless(..) => vec![ResponseStep::Write(whole)],
         };
         for step in response_steps {
             steps.send(step).await.ok();
         }
     }
 
+    async fn send_endless(&self, id: &str, part: EndlessPart, pace: FloodPace, steps: &StepSender) {
+        let headers = format!(
+            "x-plantainnotch-request-id: {id}\r\nx-plantainnotch-replica-seal: seal-{}-{id}\r\n",
+            self.id
+        );
+        let (start, repeated) = part.encode(&headers);
+        steps
+            .send(ResponseStep::Write(start.into_bytes()))
+            .await
+            .ok();
+        let (block, pause) = match pace {
+            FloodPace::Fast => (
+                repeated.repeat(FLOOD_BLOCK_BYTES / repeated.len()),
+                Duration::ZERO,
+            ),
+            FloodPace::Slow => (repeated.to_owned(), Duration::from_secs(1)),
+        };
+        loop {
+            let step = ResponseStep::Write(block.clone().into_bytes());
+            if steps.send(step).await.is_err()
+                || steps.send(ResponseStep::Wait(pause)).await.is_err()
+            {
+                return;
+            }
+        }
+    }
+
     async fn send_stream(
         &self,
         request: &ReceivedRequest,
