--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -23,8 +23,9 @@
 const MAX_IDLE_PER_TARGET: usize = 6;
 const INITIAL_BUFFER_BYTES: usize = 16 * 1024;
 const MAX_HEAD_BYTES: usize = 32 * 1024; // of one response, interim heads included
+const MAX_INTERIM_HEADS: usize = 8; // of one response; each takes as much time to decode as a final one
 const MAX_FRAMING_BYTES: usize = 16 * 1024; // of a chunked body, beyond as much as its content
-const MAX_BODY_BYTES: usize = 1024 * 1024; // of a response that is read in full
+const MAX_BODY_BYTES: usize = 256 * 1024; // of a response that is read in full; 64 of 1 MiB at once delay other requests
 const MAX_SMALL_BODY_BYTES: usize = 16 * 1024; // up to which a body is read even if large ones take all memory
 const MAX_LARGE_BODIES_BYTES: usize = 24 * 1024 * 1024; // of all responses together, beyond their small part
 
@@ -61,6 +62,9 @@
         /// Limit that it exceeds, in bytes.
         limit: usize,
     },
+    /// More interim heads than any response has, so that they may have no end.
+    #[error("response exceeds {MAX_INTERIM_HEADS} interim heads; the request may have run")]
+    TooManyInterimHeads,
 }
 
 impl ExchangeError {
@@ -73,6 +77,7 @@
     pub fn oversized_part(&self) -> Option<&'static str> {
         match self {
             Self::Oversized { part, .. } => Some(part),
+            Self::TooManyInterimHeads => Some("head"),
             _ => None,
         }
     }
@@ -228,8 +233,10 @@
         tokio::pin!(write);
         let mut writing = true;
         let mut head_bytes = 0;
+        let mut interim_heads = 0;
         loop {
-            if let Some(head) = decode_final_head(codec, &mut self.received)? {
+            let head = decode_final_head(codec, &mut self.received, &mut interim_heads)?;
+            if let Some(head) = head {
                 // After an early response, the rest of the request is not written.
                 self.request_fully_sent = !writing && self.request_fully_sent;
                 return Ok(head);
@@ -305,7 +312,7 @@
     ///
     /// # Errors
     ///
-    /// Fails like [`Self::next_chunk`], and when the body is over 1 MiB or the budget is used up.
+    /// Fails like [`Self::next_chunk`], and when the body is over 256 KiB or the budget is used up.
     pub async fn read_body(&mut self, budget: &BodyBudget) -> Result<Bytes> {
         let mut share = BudgetShare {
             budget,
@@ -363,17 +370,24 @@
         || head.headers.contains_key("transfer-encoding")
 }
 
+/// Decodes the final head, after interim (1xx) ones, which are counted in `interim_heads`.
 fn decode_final_head(
     codec: &mut ClientCodec,
     received: &mut BytesMut,
+    interim_heads: &mut usize,
 ) -> Result<Option<ResponseHead>> {
     loop {
         let head = codec
             .decode(received)
             .map_err(|error| ExchangeError::Malformed(error.to_string()))?;
         match head {
-            // Interim (1xx) responses precede the final one.
-            Some(head) if head.status.is_informational() => *codec = ClientCodec::default(),
+            Some(head) if head.status.is_informational() => {
+                *interim_heads += 1;
+                if *interim_heads > MAX_INTERIM_HEADS {
+                    return Err(ExchangeError::TooManyInterimHeads);
+                }
+                *codec = ClientCodec::default();
+            }
             other => return Ok(other),
         }
     }
