Log every failed read of the store and measure how old the feeds are

The log had only the first failure of a series, so that a read that hangs for its time limit could not be told from a long back-off. Each failure is logged with its duration, the first success with the time that the topic was not read, and feed_age_seconds grows while a feed hangs. Logic is unchanged.

The fake store leaves reads unanswered that wait when it falls silent, as the platform's does.

--- a/src/node/feeds.rs
+++ b/src/node/feeds.rs
@@ -72,9 +72,13 @@
     loop {
         if !reads_store(&node, delay_share) {
             next_offset = None;
+            if node.feed_reads.borrow_mut().remove(feed.topic()).is_some() {
+                node.metrics.remove_feed_age(feed.topic());
+            }
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
+        let started_at = node.now();
         match read_once(&node, &store, feed, next_offset).await {
             Ok(from) => {
                 record_store_success(&node, feed, failures);
@@ -92,7 +96,8 @@
                 next_offset = None;
             }
             Err(error) => {
-                record_store_failure(&node, feed, &error, failures);
+                let elapsed = node.now().saturating_duration_since(started_at);
+                record_store_failure(&node, feed, &error, elapsed, failures);
                 failures += 1;
                 let retry_delay = MIN_RETRY_DELAY * 2_u32.pow(failures.min(4) - 1);
                 let jitter = rand::random_range(0.7..1.3);
@@ -170,19 +175,36 @@
 
 fn record_store_success(node: &NodeState, feed: FeedKind, failures: u32) {
     node.store_reachable.set(true);
+    let now = node.now();
+    let last_read_at = node.feed_reads.borrow_mut().insert(feed.topic(), now);
     if failures == 0 && !node.store_unavailable.get() {
         return;
     }
-    tracing::info!(topic = feed.topic(), failures, "store answers again");
+    let unread_for = last_read_at.map(|at| now.saturating_duration_since(at));
+    tracing::info!(
+        topic = feed.topic(),
+        failures,
+        unread_ms = unread_for.map(|unread| unread.as_millis() as u64),
+        "store answers again"
+    );
     if node.store_unavailable.replace(false) {
         node.store_recovered_at.set(Some(node.now()));
     }
 }
 
-fn record_store_failure(node: &NodeState, feed: FeedKind, error: &StoreError, failures: u32) {
+fn record_store_failure(
+    node: &NodeState,
+    feed: FeedKind,
+    error: &StoreError,
+    elapsed: Duration,
+    failures: u32,
+) {
+    let (topic, elapsed_ms) = (feed.topic(), elapsed.as_millis() as u64);
     node.metrics.count_failure("store");
     if failures == 0 {
-        tracing::warn!(topic = feed.topic(), %error, "store lost: last known records stay in force");
+        tracing::warn!(topic, elapsed_ms, %error, "store lost: last known records stay in force");
+    } else {
+        tracing::info!(topic, elapsed_ms, failures, %error, "store read failed again");
     }
     node.store_unavailable.set(true);
     if failures + 1 >= FAILURES_UNTIL_REPLACED {
@@ -190,12 +212,16 @@
     }
 }
 
-/// Removes lapsed targets and connections past their idle limit, and updates the dispatchers and
-/// the state of the store, every 100 ms.
+/// Removes lapsed targets and connections past their idle limit, and updates the dispatchers, the
+/// state of the store and the age of the feeds, every 100 ms.
 pub async fn maintenance_loop(node: Rc<NodeState>) {
     loop {
         sleep(Duration::from_millis(100)).await;
         let now = node.now();
+        for (topic, read_at) in node.feed_reads.borrow().iter() {
+            let age = now.saturating_duration_since(*read_at);
+            node.metrics.set_feed_age(topic, age.as_secs_f64());
+        }
         node.update_store_outage(now);
         let changes = node.catalog.borrow_mut().remove_lapsed(now);
         node.handle_catalog_changes(&changes, "lapse");
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -1,5 +1,7 @@
 //! A node's metrics, and their text form for collectors.
 
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -37,6 +39,13 @@
     pub dependency: &'static str,
 }
 
+/// Label of metrics that are kept for each topic of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TopicLabel {
+    /// Name of the topic.
+    pub topic: &'static str,
+}
+
 /// Labels of the metrics of calls to other nodes.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PeerTrafficLabels {
@@ -85,6 +94,8 @@
     pub members_live: Gauge,
     /// Failed calls to other VMs and the store, by dependency.
     pub failures: Family<DependencyLabel, Counter>,
+    /// Seconds since the last successful read of each topic that this node follows.
+    pub feed_age_seconds: Family<TopicLabel, Gauge<f64, AtomicU64>>,
     /// Placements, refusals included, that this node decided after an owner of placement did not
     /// answer.
     pub placed_alone: Counter,
@@ -116,6 +127,7 @@
             config_version: Gauge::default(),
             members_live: Gauge::default(),
             failures: Family::default(),
+            feed_age_seconds: Family::default(),
             placed_alone: Counter::default(),
             log_lines_dropped: Gauge::default(),
             oversized_responses: Family::default(),
@@ -172,6 +184,11 @@
             "Failed calls by dependency",
             self.failures.clone(),
         );
+        registry.register(
+            "feed_age_seconds",
+            "Time since the last successful read of a topic of the store",
+            self.feed_age_seconds.clone(),
+        );
         registry.register(
             "placed_alone",
             "Placements without a coordinator",
@@ -266,6 +283,18 @@
             .inc();
     }
 
+    /// Sets the seconds since the last successful read of a topic.
+    pub fn set_feed_age(&self, topic: &'static str, seconds: f64) {
+        self.feed_age_seconds
+            .get_or_create(&TopicLabel { topic })
+            .set(seconds);
+    }
+
+    /// Removes the metric of a topic that this node no longer follows.
+    pub fn remove_feed_age(&self, topic: &'static str) {
+        self.feed_age_seconds.remove(&TopicLabel { topic });
+    }
+
     /// Counts a failed call to another VM or the store.
     pub fn count_failure(&self, dependency: &'static str) {
         self.failures
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -74,6 +74,8 @@
     pub record_packer: RefCell<RecordPacker>,
     /// When the store last responded again after an outage, here or at another VM.
     pub store_recovered_at: Cell<Option<Instant>>,
+    /// When each topic that this node follows was last read, by topic.
+    pub feed_reads: RefCell<BTreeMap<&'static str, Instant>>,
     /// Whether the last read of the store by a feed failed.
     pub store_unavailable: Cell<bool>,
     /// Whether reads of the store did not fail repeatedly; told to the other VMs.
@@ -117,6 +119,7 @@
             behind_since: Cell::new(None),
             record_packer: RefCell::default(),
             store_recovered_at: Cell::new(None),
+            feed_reads: RefCell::default(),
             store_unavailable: Cell::new(false),
             store_reachable: Cell::new(true),
             store_fails_anywhere: Cell::new(false),
--- a/tests/platform/records.rs
+++ b/tests/platform/records.rs
@@ -151,3 +151,31 @@
         },
     );
 }
+
+#[test]
+fn failed_reads_of_the_store_are_logged_and_age_the_feeds() {
+    let bed = TestBed::start(1);
+    let node = &bed.nodes[0];
+    let logged = |message: &str, field: &str| {
+        let log = node.log();
+        log.lines()
+            .any(|line| line.contains(message) && line.contains(field))
+    };
+
+    bed.store.set_mode(StoreMode::Busy);
+    wait_until(Duration::from_secs(8), "a second failure is logged", || {
+        logged("store read failed again", "elapsed_ms")
+    });
+    let request = CallerRequest::new("", "GET", "/metrics");
+    let page = send(node.config.metrics, &request).expect("a page");
+    bed.store.set_mode(StoreMode::Healthy);
+
+    let page = String::from_utf8_lossy(&page.body);
+    for topic in ["keyed.op", "keyed.servers"] {
+        let metric = format!("notch_node_feed_age_seconds{{topic=\"{topic}\"}}");
+        assert!(page.contains(&metric), "{metric} is missing in\n{page}");
+    }
+    wait_until(Duration::from_secs(5), "the end is logged", || {
+        logged("store answers again", "unread_ms")
+    });
+}
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -136,7 +136,13 @@
         let topic = request.query("topic").unwrap_or_default().to_owned();
         let response = match request.path.split('?').next().unwrap_or_default() {
             "/api/log-newest" => self.handle_newest(&topic),
-            "/api/log-read" => self.handle_read(&request, &topic).await,
+            "/api/log-read" => match self.handle_read(&request, &topic).await {
+                Some(response) => response,
+                None => {
+                    steps.send(ResponseStep::Silence).await.ok();
+                    return;
+                }
+            },
             "/api/log-append" => {
                 self.append(&topic, &request.body);
                 if mode == StoreMode::LosesWrites {
@@ -172,7 +178,9 @@
         )
     }
 
-    async fn handle_read(&self, request: &ReceivedRequest, topic: &str) -> Vec<u8> {
+    /// Waits for records; `None` for a read that waits when the store falls silent, which is never
+    /// answered.
+    async fn handle_read(&self, request: &ReceivedRequest, topic: &str) -> Option<Vec<u8>> {
         let query_number = |name: &str| -> u64 {
             request
                 .query(name)
@@ -186,14 +194,17 @@
         let mut changes = self.changed.subscribe();
         let deadline = tokio::time::Instant::now() + wait;
         loop {
+            if self.lock().mode == StoreMode::Silent {
+                return None;
+            }
             if let Some(response) = self.read_available(topic, from) {
-                return response;
+                return Some(response);
             }
             let waited = tokio::time::timeout_at(deadline, changes.changed()).await;
             if waited.is_err() {
                 let mut empty = from.to_be_bytes().to_vec();
                 empty.extend(0_u64.to_be_bytes());
-                return encode_response(200, &[], &empty);
+                return Some(encode_response(200, &[], &empty));
             }
         }
     }
