--- a/tests/platform/records.rs
+++ b/tests/platform/records.rs
@@ -11,6 +11,8 @@
 use crate::support::store::StoreMode;
 
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// From the end of a store outage on, changes that were acknowledged since are due this late.
+const STABLE_TIME: Duration = Duration::from_secs(3);
 
 fn with_route(version: u64, path: &str) -> serde_json::Value {
     let mut changed = config(version);
@@ -152,6 +154,61 @@
     );
 }
 
+/// Lets the store fall silent just after all nodes have begun to wait for its next records.
+fn silence_store(bed: &TestBed, silent_for: Duration) {
+    bed.put_config(&config(2));
+    bed.put_target(4, "draining");
+    std::thread::sleep(Duration::from_millis(600));
+    bed.store.set_mode(StoreMode::Silent);
+    std::thread::sleep(silent_for);
+    bed.store.set_mode(StoreMode::Healthy);
+}
+
+fn assert_change_in_force_when_stable(bed: &TestBed) {
+    bed.put_config(&with_route(3, "/added/"));
+    wait_until(STABLE_TIME, "all nodes serve the added route", || {
+        (0..3).all(|node| status_of(bed, node, "/added/1") == 200)
+    });
+}
+
+#[test]
+fn a_change_is_in_force_once_the_store_is_stable_after_a_long_silence() {
+    let bed = TestBed::start(3);
+
+    silence_store(&bed, Duration::from_secs(8));
+
+    assert_change_in_force_when_stable(&bed);
+}
+
+#[test]
+fn a_change_is_in_force_once_the_store_is_stable_after_waiting_reads_were_lost() {
+    let bed = TestBed::start(3);
+
+    silence_store(&bed, Duration::from_millis(200));
+
+    assert_change_in_force_when_stable(&bed);
+}
+
+#[test]
+fn a_leaving_target_gets_no_requests_once_the_store_is_stable_after_a_silence() {
+    let bed = TestBed::start(3);
+    silence_store(&bed, Duration::from_secs(8));
+
+    bed.put_target(3, "draining");
+    std::thread::sleep(STABLE_TIME);
+
+    assert_no_requests_reach(&bed, "replica-0", 30);
+}
+
+fn assert_no_requests_reach(bed: &TestBed, target: &str, requests: usize) {
+    for request in 0..requests {
+        let id = format!("late-{request}");
+        bed.lookup(request % 3, &id);
+        let runs = bed.runs(&id);
+        assert!(runs.iter().all(|run| run.target != target), "{runs:?}");
+    }
+}
+
 #[test]
 fn failed_reads_of_the_store_are_logged_and_age_the_feeds() {
     let bed = TestBed::start(1);
