--- a/tests/platform/records.rs
+++ b/tests/platform/records.rs
@@ -13,6 +13,7 @@
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(2);
 /// From the end of a store outage on, changes that were acknowledged since are due this late.
 const STABLE_TIME: Duration = Duration::from_secs(3);
+const DRAIN_TIME: Duration = Duration::from_secs(2);
 
 fn with_route(version: u64, path: &str) -> serde_json::Value {
     let mut changed = config(version);
@@ -200,6 +201,20 @@
     assert_no_requests_reach(&bed, "replica-0", 30);
 }
 
+#[test]
+fn a_removed_target_gets_no_requests_after_its_drain_time_while_the_store_turns_a_node_away() {
+    let bed = TestBed::start(3);
+    bed.store_proxies[1].set(ProxyFault::Reset);
+    std::thread::sleep(Duration::from_millis(2_500));
+    bed.put_target(4, "draining");
+    std::thread::sleep(Duration::from_millis(50)); // the next read begins a batch delay later
+
+    bed.store.put("keyed.servers", "replica-0", b"");
+    std::thread::sleep(DRAIN_TIME);
+
+    assert_no_requests_reach(&bed, "replica-0", 60);
+}
+
 fn assert_no_requests_reach(bed: &TestBed, target: &str, requests: usize) {
     for request in 0..requests {
         let id = format!("late-{request}");
