Read the store without waiting until it answers, and bound waiting reads by stable_ms

Cause: after a failed read a feed sent a waiting read at once. One sent while the store is silent is never answered, and held its feed for 5 s of waiting and 1.5 s of margin, up to 6.5 s after the store had returned. A silence loses the reads of all VMs at the same moment, so that they time out in step and peers have nothing to give. A read that was waiting when the silence began is the same case.

Ruled out: back-off alone (at most 1.56 s) and a late relay (no VM had the records).

The time limit of a response applies to its head and to each part of its body, so that a long one is not cut off.

--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -23,6 +23,8 @@
 pub struct NodeBounds {
     /// Time between the platform's stop signal and its kill.
     pub stop_grace: Duration,
+    /// How long after the end of a disturbance the deployment's time limits hold again.
+    pub stable_after: Duration,
     /// Retries allowed per request within the retry window.
     pub retry_ratio: f64,
     /// Sliding window over which requests and retries are counted.
--- a/src/node/feeds.rs
+++ b/src/node/feeds.rs
@@ -11,16 +11,13 @@
 use crate::fleet::catalog::KeyedItem;
 use crate::platform::records::{MEMBER_TOPIC, OPERATOR_TOPIC, TARGET_TOPIC};
 use crate::platform::store::{StoreClient, StoreError};
+use crate::policy::read_pacing::ReadPacing;
 
 /// How long a target whose record was removed stays usable after a store outage. Targets
 /// cannot renew their records during an outage, and need this time to write them again.
 pub const REMOVAL_GRACE: Duration = Duration::from_secs(2);
 
-const OPERATOR_POLL_TIMEOUT: Duration = Duration::from_secs(5); // a connection without a response is noticed after this long
-const TARGET_POLL_TIMEOUT: Duration = Duration::from_secs(5);
 const TARGET_BATCH_DELAY: Duration = Duration::from_millis(350); // batches records; a change must take effect within 2 s
-const MIN_RETRY_DELAY: Duration = Duration::from_millis(150);
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_200); // a config must be in force 2 s after its acknowledgement
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 const MEMBER_CHECK_INTERVAL: Duration = Duration::from_millis(1_000); // by then a VM that starts knows whether it is a hub
 const LONE_READ_INTERVAL: Duration = Duration::from_millis(2_000);
@@ -67,7 +64,7 @@
 
 async fn follow_topic(node: Rc<NodeState>, store: StoreClient, feed: FeedKind) {
     let mut next_offset: Option<u64> = None;
-    let mut failures = 0_u32;
+    let mut pacing = ReadPacing::new(node.settings.bounds.stable_after);
     let delay_share = rand::random_range(0.0..1.0);
     loop {
         if !reads_store(&node, delay_share) {
@@ -79,10 +76,10 @@
             continue;
         }
         let started_at = node.now();
-        match read_once(&node, &store, feed, next_offset).await {
+        match read_once(&node, &store, feed, &pacing, next_offset).await {
             Ok(from) => {
-                record_store_success(&node, feed, failures);
-                failures = 0;
+                record_store_success(&node, feed, pacing.failures());
+                pacing.record_success();
                 next_offset = Some(from);
                 if feed == FeedKind::Target {
                     sleep(TARGET_BATCH_DELAY).await;
@@ -97,11 +94,8 @@
             }
             Err(error) => {
                 let elapsed = node.now().saturating_duration_since(started_at);
-                record_store_failure(&node, feed, &error, elapsed, failures);
-                failures += 1;
-                let retry_delay = MIN_RETRY_DELAY * 2_u32.pow(failures.min(4) - 1);
-                let jitter = rand::random_range(0.7..1.3);
-                sleep(retry_delay.min(MAX_RETRY_DELAY).mul_f64(jitter)).await;
+                record_store_failure(&node, feed, &error, elapsed, pacing.failures());
+                sleep(pacing.record_failure(rand::random_range(0.0..1.0))).await;
             }
         }
     }
@@ -129,6 +123,7 @@
     node: &Rc<NodeState>,
     store: &StoreClient,
     feed: FeedKind,
+    pacing: &ReadPacing,
     next_offset: Option<u64>,
 ) -> Result<u64, StoreError> {
     let topic = feed.topic();
@@ -139,11 +134,9 @@
         apply_items(node, feed, &items);
         return Ok(snapshot.end);
     };
-    let poll_timeout = match feed {
-        FeedKind::Operator => OPERATOR_POLL_TIMEOUT,
-        FeedKind::Target => TARGET_POLL_TIMEOUT,
-    };
-    let tail = store.read_from(topic, from, poll_timeout).await?;
+    let tail = store
+        .read_from(topic, from, pacing.next_wait(), pacing.answer_time())
+        .await?;
     apply_items(node, feed, &tail.items);
     Ok(tail.next)
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -15,6 +15,8 @@
 /// Environment variable with the path of the settings file.
 pub const SETTINGS_PATH_VARIABLE: &str = "PLANTAINNOTCH_SETTINGS";
 
+const MS_PER_S: f64 = 1000.0;
+
 /// Result of reading the settings.
 pub type Result<T> = std::result::Result<T, SettingsError>;
 
@@ -76,6 +78,8 @@
 #[derive(Debug, Deserialize)]
 struct BoundsSection {
     grace_s: f64,
+    #[serde(default = "three_seconds_in_ms")]
+    stable_ms: f64,
     retry_budget_ratio: f64,
     budget_window_s: f64,
     retry_slack: f64,
@@ -83,6 +87,10 @@
     ttl_max_s: f64,
 }
 
+fn three_seconds_in_ms() -> f64 {
+    3_000.0
+}
+
 #[derive(Debug, Deserialize)]
 struct PlatformSection {
     address: String,
@@ -136,6 +144,7 @@
     let positive_settings = [
         ("limits.cpu_share", file.limits.cpu_share),
         ("bounds.grace_s", file.bounds.grace_s),
+        ("bounds.stable_ms", file.bounds.stable_ms),
         ("bounds.budget_window_s", file.bounds.budget_window_s),
         ("bounds.ttl_max_s", file.bounds.ttl_max_s),
     ];
@@ -172,6 +181,7 @@
         cpu_cores: file.limits.cpu_share * file.limits.cores,
         bounds: NodeBounds {
             stop_grace: Duration::from_secs_f64(file.bounds.grace_s),
+            stable_after: Duration::from_secs_f64(file.bounds.stable_ms / MS_PER_S),
             retry_ratio: file.bounds.retry_budget_ratio,
             retry_window: Duration::from_secs_f64(file.bounds.budget_window_s),
             retry_slack: file.bounds.retry_slack,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -4,13 +4,14 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use futures_util::StreamExt;
 use serde::Deserialize;
 use thiserror::Error;
 
 use crate::fleet::catalog::KeyedItem;
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500); // responses take a few ms, 60 times as long on slow days
-const LONG_POLL_MARGIN: Duration = Duration::from_millis(1_500); // added to the time for which the store may hold a long-polling read
+const BODY_TIMEOUT: Duration = Duration::from_secs(5); // a page of 1 MiB takes half a second on the smallest link
 const MAX_RESPONSE_BYTES: usize = 8 << 20; // the store sends at most 1 MiB of records at a time, a third more in base64
 const READ_HEADER_BYTES: usize = 16; // the topic's end and first offset, not used here
 
@@ -117,7 +118,9 @@
                 url.push_str("&after=");
                 url.push_str(&percent_encode(key));
             }
-            let bytes = self.fetch("log-newest", &url, CALL_TIMEOUT).await?;
+            let bytes = self
+                .fetch("log-newest", &url, Duration::ZERO, CALL_TIMEOUT)
+                .await?;
             let page: NewestPage =
                 serde_json::from_slice(&bytes).map_err(|error| StoreError::Unreadable {
                     call: "log-newest",
@@ -150,21 +153,26 @@
         }
     }
 
-    /// Reads records from offset `from` on, waiting up to `wait` for the first one.
+    /// Reads records from offset `from` on, waiting up to `wait` for the first one and up to
+    /// `answer_time` longer for the response, and as long for each part of its body.
     ///
     /// # Errors
     ///
     /// Fails when the store does not respond, refuses the call, sends malformed records, or no
     /// longer keeps the requested ones.
-    pub async fn read_from(&self, topic: &str, from: u64, wait: Duration) -> Result<RecordsFrom> {
+    pub async fn read_from(
+        &self,
+        topic: &str,
+        from: u64,
+        wait: Duration,
+        answer_time: Duration,
+    ) -> Result<RecordsFrom> {
         let url = format!(
             "{}/log-read?topic={topic}&part=0&from={from}&wait_ms={}",
             self.base,
             wait.as_millis()
         );
-        let bytes = self
-            .fetch("log-read", &url, wait + LONG_POLL_MARGIN)
-            .await?;
+        let bytes = self.fetch("log-read", &url, wait, answer_time).await?;
         decode_records_from(&bytes, from)
     }
 
@@ -182,26 +190,45 @@
         check_status("log-append", response.status().as_u16())
     }
 
-    async fn fetch(&self, call: &'static str, url: &str, time_limit: Duration) -> Result<Vec<u8>> {
-        let request = self.http.get(url).timeout(time_limit);
-        let read = async {
-            let mut response = request
-                .send()
-                .await
-                .map_err(|error| no_response(call, &error))?;
-            check_status(call, response.status().as_u16())?;
-            let bytes = response.body().limit(MAX_RESPONSE_BYTES).await;
-            bytes
-                .map(|bytes| bytes.to_vec())
-                .map_err(|error| no_response(call, &error))
+    async fn fetch(
+        &self,
+        call: &'static str,
+        url: &str,
+        wait: Duration,
+        answer_time: Duration,
+    ) -> Result<Vec<u8>> {
+        let head_timeout = wait + answer_time;
+        let request = self.http.get(url).timeout(head_timeout).send();
+        let response = within(call, head_timeout, request).await?;
+        let mut response = response.map_err(|error| no_response(call, &error))?;
+        check_status(call, response.status().as_u16())?;
+        let read_body = async {
+            let mut body = Vec::new();
+            while let Some(chunk) = within(call, answer_time, response.next()).await? {
+                let chunk = chunk.map_err(|error| no_response(call, &error))?;
+                if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
+                    return Err(no_response(call, &"the response is too large"));
+                }
+                body.extend_from_slice(&chunk);
+            }
+            Ok(body)
         };
-        // The HTTP client's own timeout covers only the head of the response.
-        tokio::time::timeout(time_limit, read)
-            .await
-            .map_err(|error| no_response(call, &error))?
+        within(call, BODY_TIMEOUT, read_body).await?
     }
 }
 
+/// Waits for a part of an exchange with the store. The HTTP client's own timeout covers the head
+/// of a response only.
+async fn within<T>(
+    call: &'static str,
+    time_limit: Duration,
+    part: impl Future<Output = T>,
+) -> Result<T> {
+    tokio::time::timeout(time_limit, part)
+        .await
+        .map_err(|error| no_response(call, &error))
+}
+
 fn no_response(call: &'static str, error: &dyn std::fmt::Display) -> StoreError {
     StoreError::NoResponse {
         call,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 pub mod estimate;
 pub mod lane;
 pub mod placement;
+pub mod read_pacing;
 pub mod retry;
 pub mod retry_share;
 pub mod target_choice;
--- a/tests/core/adapter.rs
+++ b/tests/core/adapter.rs
@@ -58,6 +58,7 @@
 
     assert_eq!(settings.domain, DomainName::new("a"));
     assert_eq!(settings.bounds.stop_grace, Duration::from_secs(8));
+    assert_eq!(settings.bounds.stable_after, Duration::from_secs(3));
     assert_eq!(settings.addresses.peers.port(), 1);
 }
 
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -22,6 +22,7 @@
 mod packed_records;
 mod placement_owner;
 mod queue;
+mod read_pacing;
 mod routes;
 mod steward;
 mod untrusted_input;
