Take a removed target for lapsed only where the reader's own reads failed

Cause: a removal was kept as a lapse for 2 s, counted from when it was read, while any VM of the fleet said that its reads fail. VMs that read the store well thus kept targets that had really left.

Ruled out: a late record, a request that waited after its placement (sent within 5 ms).

Now a VM judges by its own reads: a removal read during an outage or up to 2 s after is marked as a lapse, peers relay the mark, and only VMs that do not read the store well themselves follow it. All other removals apply at once. The tests of the catalog mark the lapses that they mean; their checks are the same, and a new one holds that an unmarked removal applies at once.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -19,6 +19,9 @@
     pub offset: u64,
     /// Value as the platform encodes it; `None` for a tombstone.
     pub value: Option<Vec<u8>>,
+    /// Whether a tombstone was read during a store outage or just after, when the records of live
+    /// targets expire.
+    pub lapsed: bool,
 }
 
 /// Subject of an operator's record, determined by its key.
@@ -115,6 +118,7 @@
                 key: item.key.clone(),
                 offset: end.saturating_sub(1).max(item.offset + 1),
                 value: None,
+                lapsed: false,
             })
             .collect()
     }
@@ -280,13 +284,13 @@
 
     /// Applies targets' records and returns what changed; outdated records are ignored.
     ///
-    /// With `keep_removed_until`, a deleted target is retained until then: the store expires the
-    /// records of live targets during an outage, and those targets publish them again.
+    /// A target whose record lapsed is retained until `retain_until`, so that it can publish the
+    /// record again.
     pub fn apply_target_items(
         &mut self,
         items: &[KeyedItem],
         now: Instant,
-        keep_removed_until: Option<Instant>,
+        retain_until: Option<Instant>,
     ) -> Vec<CatalogChange> {
         let mut changes = Vec::new();
         for item in items {
@@ -295,7 +299,10 @@
             }
             let change = match &item.value {
                 Some(value) => self.apply_target(&item.key, value, now),
-                None => self.remove_target(&item.key, now, keep_removed_until),
+                None => {
+                    let retain_until = retain_until.filter(|_| item.lapsed);
+                    self.remove_target(&item.key, now, retain_until)
+                }
             };
             // Targets publish their record again without a change; peers are not sent those.
             if change.is_some() || item.value.is_none() {
@@ -342,10 +349,10 @@
         &mut self,
         key: &str,
         now: Instant,
-        keep_removed_until: Option<Instant>,
+        retain_until: Option<Instant>,
     ) -> Option<CatalogChange> {
         let target = TargetName::new(key);
-        let retained_until = keep_removed_until.filter(|until| now < *until);
+        let retained_until = retain_until.filter(|until| now < *until);
         let state = self.targets.get_mut(&target)?;
         if let Some(until) = retained_until
             && !state.record.draining
--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -423,11 +423,6 @@
             .any(|member| member.vm == self.own.vm)
     }
 
-    /// Whether any VM considered alive says that its reads of the store fail.
-    pub fn store_fails_anywhere(&self, now: Instant) -> bool {
-        self.live(now).iter().any(|member| !member.store_reachable)
-    }
-
     fn spread_over_domains<K: Ord>(
         &self,
         rank: impl Fn(&MemberRecord) -> K,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,3 +4,4 @@
 pub mod members;
 pub mod routes;
 pub mod settings;
+pub mod store_outage;
--- a/src/node/feeds.rs
+++ b/src/node/feeds.rs
@@ -13,10 +13,6 @@
 use crate::platform::store::{StoreClient, StoreError};
 use crate::policy::read_pacing::ReadPacing;
 
-/// How long a target whose record was removed stays usable after a store outage. Targets
-/// cannot renew their records during an outage, and need this time to write them again.
-pub const REMOVAL_GRACE: Duration = Duration::from_secs(2);
-
 const TARGET_BATCH_DELAY: Duration = Duration::from_millis(350); // batches records; a change must take effect within 2 s
 const READER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 const MEMBER_CHECK_INTERVAL: Duration = Duration::from_millis(1_000); // by then a VM that starts knows whether it is a hub
@@ -131,13 +127,13 @@
         let snapshot = store.read_newest(topic).await?;
         let mut items = snapshot.items;
         items.extend(tombstones(node, feed, &items, snapshot.end));
-        apply_items(node, feed, &items);
+        apply_items(node, feed, items);
         return Ok(snapshot.end);
     };
     let tail = store
         .read_from(topic, from, pacing.next_wait(), pacing.answer_time())
         .await?;
-    apply_items(node, feed, &tail.items);
+    apply_items(node, feed, tail.items);
     Ok(tail.next)
 }
 
@@ -149,14 +145,17 @@
     }
 }
 
-fn apply_items(node: &Rc<NodeState>, feed: FeedKind, items: &[KeyedItem]) {
+fn apply_items(node: &Rc<NodeState>, feed: FeedKind, mut items: Vec<KeyedItem>) {
     let now = node.now();
+    let retain_until = node.store_outage.borrow().retain_until(now);
+    for item in &mut items {
+        item.lapsed = item.value.is_none() && retain_until.is_some();
+    }
     let changes = {
-        let keep_removed_until = node.keep_removed_until(now, REMOVAL_GRACE);
         let mut catalog = node.catalog.borrow_mut();
         match feed {
-            FeedKind::Operator => catalog.apply_operator_items(items),
-            FeedKind::Target => catalog.apply_target_items(items, now, keep_removed_until),
+            FeedKind::Operator => catalog.apply_operator_items(&items),
+            FeedKind::Target => catalog.apply_target_items(&items, now, retain_until),
         }
     };
     node.handle_catalog_changes(&changes, "store");
@@ -170,9 +169,10 @@
     node.store_reachable.set(true);
     let now = node.now();
     let last_read_at = node.feed_reads.borrow_mut().insert(feed.topic(), now);
-    if failures == 0 && !node.store_unavailable.get() {
+    if failures == 0 && !node.store_outage.borrow().is_failing() {
         return;
     }
+    node.store_outage.borrow_mut().record_success(now);
     let unread_for = last_read_at.map(|at| now.saturating_duration_since(at));
     tracing::info!(
         topic = feed.topic(),
@@ -180,9 +180,6 @@
         unread_ms = unread_for.map(|unread| unread.as_millis() as u64),
         "store answers again"
     );
-    if node.store_unavailable.replace(false) {
-        node.store_recovered_at.set(Some(node.now()));
-    }
 }
 
 fn record_store_failure(
@@ -199,14 +196,14 @@
     } else {
         tracing::info!(topic, elapsed_ms, failures, %error, "store read failed again");
     }
-    node.store_unavailable.set(true);
+    node.store_outage.borrow_mut().record_failure();
     if failures + 1 >= FAILURES_UNTIL_REPLACED {
         node.store_reachable.set(false);
     }
 }
 
-/// Removes lapsed targets and connections past their idle limit, and updates the dispatchers, the
-/// state of the store and the age of the feeds, every 100 ms.
+/// Removes lapsed targets and connections past their idle limit, and updates the dispatchers and the
+/// age of the feeds, every 100 ms.
 pub async fn maintenance_loop(node: Rc<NodeState>) {
     loop {
         sleep(Duration::from_millis(100)).await;
@@ -215,7 +212,6 @@
             let age = now.saturating_duration_since(*read_at);
             node.metrics.set_feed_age(topic, age.as_secs_f64());
         }
-        node.update_store_outage(now);
         let changes = node.catalog.borrow_mut().remove_lapsed(now);
         node.handle_catalog_changes(&changes, "lapse");
         node.connection_pool.borrow_mut().prune(now);
--- a/src/node/packed_records.rs
+++ b/src/node/packed_records.rs
@@ -73,7 +73,7 @@
 /// ```
 /// use plantainnotch::fleet::catalog::KeyedItem;
 /// use plantainnotch::node::packed_records::{FetchedRecords, pack_records, unpack_records};
-/// let item = KeyedItem { key: "a".to_owned(), offset: 7, value: None };
+/// let item = KeyedItem { key: "a".to_owned(), offset: 7, value: None, lapsed: true };
 /// let records = FetchedRecords { operator_items: vec![item], target_items: Vec::new() };
 /// assert_eq!(unpack_records(&pack_records(&records)).unwrap(), records);
 /// ```
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -10,7 +10,6 @@
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
-use super::feeds::REMOVAL_GRACE;
 use super::messages::{HeartbeatMessage, HeartbeatReply, NodeCall, NodeReply, RecordsRequest};
 use super::packed_records::unpack_records;
 use super::peer_calls::call_node;
@@ -141,13 +140,16 @@
     let NodeReply::Records(packed) = reply else {
         return Err(CallError::Status(http::StatusCode::BAD_GATEWAY));
     };
-    let items = unpack_records(&packed)?;
+    let mut items = unpack_records(&packed)?;
     let now = node.now();
+    let retain_until = node.retain_until_by_peer(now);
+    for item in &mut items.target_items {
+        item.lapsed &= retain_until.is_some();
+    }
     let changes = {
-        let keep_removed_until = node.keep_removed_until(now, REMOVAL_GRACE);
         let mut catalog = node.catalog.borrow_mut();
         let mut changes = catalog.apply_operator_items(&items.operator_items);
-        changes.extend(catalog.apply_target_items(&items.target_items, now, keep_removed_until));
+        changes.extend(catalog.apply_target_items(&items.target_items, now, retain_until));
         changes
     };
     node.handle_catalog_changes(&changes, "peer");
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -16,7 +16,9 @@
 use crate::fleet::catalog::{CatalogChange, FleetCatalog, RecordDecoder, TargetState};
 use crate::fleet::members::{MemberRecord, MemberTable};
 use crate::fleet::settings::NodeSettings;
+use crate::fleet::store_outage::{LAPSE_GRACE, StoreOutage};
 use crate::ids::TargetName;
+use crate::platform::records::TARGET_TOPIC;
 use crate::policy::dispatch::{DispatchAnswer, EngineDispatcher, EngineTarget, JobId};
 use crate::policy::retry_share::RetryShare;
 use crate::policy::target_choice::TargetHealth;
@@ -72,16 +74,12 @@
     pub behind_since: Cell<Option<Instant>>,
     /// Packs records for peers.
     pub record_packer: RefCell<RecordPacker>,
-    /// When the store last responded again after an outage, here or at another VM.
-    pub store_recovered_at: Cell<Option<Instant>>,
     /// When each topic that this node follows was last read, by topic.
     pub feed_reads: RefCell<BTreeMap<&'static str, Instant>>,
-    /// Whether the last read of the store by a feed failed.
-    pub store_unavailable: Cell<bool>,
+    /// Outages of the store as the feeds' reads show them.
+    pub store_outage: RefCell<StoreOutage>,
     /// Whether reads of the store did not fail repeatedly; told to the other VMs.
     pub store_reachable: Cell<bool>,
-    /// Whether the store fails for this VM or another one.
-    pub store_fails_anywhere: Cell<bool>,
     next_job_id: Cell<u64>,
 }
 
@@ -118,11 +116,9 @@
             fetching_records: Cell::new(false),
             behind_since: Cell::new(None),
             record_packer: RefCell::default(),
-            store_recovered_at: Cell::new(None),
             feed_reads: RefCell::default(),
-            store_unavailable: Cell::new(false),
+            store_outage: RefCell::default(),
             store_reachable: Cell::new(true),
-            store_fails_anywhere: Cell::new(false),
             next_job_id: Cell::new(first_job_id),
         }
     }
@@ -308,27 +304,12 @@
             .count_request(now);
     }
 
-    /// Updates whether the store fails for this VM or another one, and when that ended.
-    pub fn update_store_outage(&self, now: Instant) {
-        let fails = self.store_unavailable.get() || self.members.borrow().store_fails_anywhere(now);
-        if self.store_fails_anywhere.replace(fails) && !fails {
-            self.store_recovered_at.set(Some(now));
-        }
-    }
-
-    /// Until when targets stay usable whose records are removed now: `grace` from now during a
-    /// store outage, `grace` from its end afterwards, `None` otherwise.
-    ///
-    /// An outage that only other VMs see counts as well: they fetch the records that this VM
-    /// applies.
-    pub fn keep_removed_until(&self, now: Instant, grace: Duration) -> Option<Instant> {
-        if self.store_unavailable.get() || self.store_fails_anywhere.get() {
-            return Some(now + grace);
-        }
-        self.store_recovered_at
-            .get()
-            .map(|at| at + grace)
-            .filter(|until| now < *until)
+    /// Until when targets stay usable that a peer read to have lapsed; `None` while this VM reads
+    /// the targets' records well itself, and knows of no outage.
+    pub fn retain_until_by_peer(&self, now: Instant) -> Option<Instant> {
+        let reads_well = self.feed_reads.borrow().contains_key(TARGET_TOPIC)
+            && self.store_outage.borrow().retain_until(now).is_none();
+        (!reads_well).then(|| now + LAPSE_GRACE)
     }
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -142,6 +142,7 @@
                     key: item.key,
                     offset: item.offset,
                     value: Some(value),
+                    lapsed: false,
                 });
             }
             if !page.has_more || last_key.is_none() {
@@ -324,6 +325,7 @@
             key: key.to_owned(),
             offset,
             value: (!value.is_empty()).then(|| value.to_vec()),
+            lapsed: false,
         });
     }
     Ok(records)
--- a/tests/core/catalog.rs
+++ b/tests/core/catalog.rs
@@ -1,16 +1,15 @@
 //! The catalog never goes back to an older record, from any source and in any order.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use plantainnotch::fleet::catalog::{CatalogChange, FleetCatalog, KeyedItem, RecordDecoder};
+use plantainnotch::fleet::store_outage::{LAPSE_GRACE, StoreOutage};
 use plantainnotch::ids::{DomainName, TargetName};
 use plantainnotch::platform::records::{decode_routes, decode_target, operator_record_kind};
 use serde_json::{Value, json};
 
 use crate::fixtures::check;
 
-const REMOVAL_GRACE: Duration = Duration::from_secs(2);
-
 fn catalog() -> FleetCatalog {
     FleetCatalog::new(RecordDecoder {
         kind: operator_record_kind,
@@ -40,6 +39,7 @@
         key: key.to_owned(),
         offset,
         value: Some(value.to_string().into_bytes()),
+        lapsed: false,
     }
 }
 
@@ -48,6 +48,14 @@
         key: key.to_owned(),
         offset,
         value: None,
+        lapsed: false,
+    }
+}
+
+fn lapsed(key: &str, offset: u64) -> KeyedItem {
+    KeyedItem {
+        lapsed: true,
+        ..tombstone(key, offset)
     }
 }
 
@@ -190,21 +198,49 @@
     let mut catalog = catalog();
     catalog.apply_target_items(&[item("i-1", 1, &target("ready", 1))], now, None);
 
-    catalog.apply_target_items(&[tombstone("i-1", 2)], now, Some(now + REMOVAL_GRACE));
+    catalog.apply_target_items(&[lapsed("i-1", 2)], now, Some(now + LAPSE_GRACE));
 
-    assert_eq!(usable(&catalog, now + REMOVAL_GRACE / 2), 1);
-    assert_eq!(usable(&catalog, now + REMOVAL_GRACE), 0);
-    catalog.remove_lapsed(now + REMOVAL_GRACE);
+    assert_eq!(usable(&catalog, now + LAPSE_GRACE / 2), 1);
+    assert_eq!(usable(&catalog, now + LAPSE_GRACE), 0);
+    catalog.remove_lapsed(now + LAPSE_GRACE);
     assert!(catalog.target(&TargetName::new("i-1")).is_none());
 }
 
+#[test]
+fn a_removal_that_a_sound_reader_saw_is_applied_at_once() {
+    let now = Instant::now();
+    let mut catalog = catalog();
+    catalog.apply_target_items(&[item("i-1", 1, &target("ready", 1))], now, None);
+
+    catalog.apply_target_items(&[tombstone("i-1", 2)], now, Some(now + LAPSE_GRACE));
+
+    assert_eq!(usable(&catalog, now), 0);
+}
+
+#[test]
+fn removals_count_as_lapses_during_an_outage_and_for_the_grace_after_it() {
+    let now = Instant::now();
+    let mut outage = StoreOutage::default();
+    let before = outage.retain_until(now);
+    outage.record_failure();
+    let during = outage.retain_until(now);
+    outage.record_success(now);
+    outage.record_success(now + LAPSE_GRACE / 2);
+    let after = outage.retain_until(now + LAPSE_GRACE / 2);
+
+    assert_eq!(before, None);
+    assert_eq!(during, Some(now + LAPSE_GRACE));
+    assert_eq!(after, Some(now + LAPSE_GRACE));
+    assert_eq!(outage.retain_until(now + LAPSE_GRACE), None);
+}
+
 #[test]
 fn draining_targets_do_not_lapse() {
     let now = Instant::now();
     let mut catalog = catalog();
     catalog.apply_target_items(&[item("i-1", 1, &target("draining", 1))], now, None);
 
-    catalog.apply_target_items(&[tombstone("i-1", 2)], now, Some(now + REMOVAL_GRACE));
+    catalog.apply_target_items(&[lapsed("i-1", 2)], now, Some(now + LAPSE_GRACE));
 
     assert!(catalog.target(&TargetName::new("i-1")).is_none());
 }
--- a/tests/core/packed_records.rs
+++ b/tests/core/packed_records.rs
@@ -10,7 +10,13 @@
 use crate::fixtures::check;
 
 fn item(key: String, offset: u64, value: Option<Vec<u8>>) -> KeyedItem {
-    KeyedItem { key, offset, value }
+    let lapsed = value.is_none() && offset % 2 == 0;
+    KeyedItem {
+        key,
+        offset,
+        value,
+        lapsed,
+    }
 }
 
 fn catalog() -> FleetCatalog {
