Let a steward go on reading the log while lost reads wait for their time limit

Operators' changes took up to 7 s more to be in force after the log had been silent for 3 s: requests still reached a domain 5 s after it was taken out of service.

The limit now holds as many reads as intervals fit into their time limit, so that one is sent at each interval; a shorter time limit would end the reads of a slow log.

a_domain_goes_out_in_time_after_the_log_was_silent failed before and passes now, twice.

--- a/src/steward/actor.rs
+++ b/src/steward/actor.rs
@@ -33,7 +33,7 @@
 use crate::wire::{PeerCall, PeerClient, PeerReply};
 
 const LOG_READ_INTERVAL: Duration = Duration::from_millis(400);
-const MAX_READS_IN_FLIGHT: usize = 6;
+const MAX_READS_IN_FLIGHT: usize = 30; // one for each interval until a lost read times out after 10 s, and some for appends
 
 /// Members that read the log at every interval; the others rely on their heartbeats.
 const LOG_READER_COUNT: usize = 16;
--- a/tests/processes/operators.rs
+++ b/tests/processes/operators.rs
@@ -81,6 +81,38 @@
     });
 }
 
+#[test]
+fn a_domain_goes_out_in_time_after_the_log_was_silent() {
+    run_test(async || {
+        // Arrange
+        let fleet = TestFleet::start().await;
+        let load_plan = fleet.load_plan(Duration::from_secs(16), 202);
+        let load_task = actix_rt::spawn(load::run(load_plan.clone()));
+        sleep(Duration::from_secs(2)).await;
+
+        // Act
+        let silence = json!({ "delay_ms": 60_000 });
+        post_json(&fleet.platform, "/v1/fake/faults", &silence);
+        sleep(Duration::from_secs(3)).await;
+        post_json(&fleet.platform, "/v1/fake/faults", &json!({}));
+        let out_at = unix_ms();
+        let out = fleet.run_ctl("operator", "domain out rw-b");
+        load_task.await.expect("the load ends");
+
+        // Assert
+        let propagated_at = out_at + MAX_PROPAGATION_TIME.as_millis() as u64;
+        let arrivals_while_out: usize = fleet.engines[2..4]
+            .iter()
+            .map(|engine| arrivals_after(engine, propagated_at))
+            .sum();
+        assert!(out.status.success(), "{out:?}");
+        assert_eq!(
+            arrivals_while_out, 0,
+            "requests sent to a domain that is out of service"
+        );
+    });
+}
+
 #[test]
 fn a_change_is_in_force_within_the_bound_while_the_log_answers_slowly() {
     run_test(async || {
