Read the shared parts of prompts, and log those of requests that lost their engine

The log now says what the requests have in common that were on them: the parts of each prompt but the last, which no other request has. Logic is unchanged.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -62,6 +62,10 @@
     /// The author of a change to the table: an operator or an owner of targets.
     AuthorName
 );
+name_type!(
+    /// A part of a prompt that requests may share, such as its system prompt.
+    PartName
+);
 name_type!(
     /// One run of a target's process; a restart changes it.
     InstanceId
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -20,7 +20,7 @@
 use super::service::{NodeResponse, ServedResponse};
 use super::state::NodeState;
 use crate::fleet::catalog::TargetRecord;
-use crate::ids::TargetName;
+use crate::ids::{PartName, TargetName};
 use crate::platform::callers::{SplitHelper, forwarded_headers};
 use crate::platform::orders::{ORDER_PATH, encode_memory_release, encode_memory_reserve};
 use crate::policy::dispatch::{DispatchAnswer, EnginePlacement, PlacementRequest};
@@ -305,7 +305,8 @@
             }
             StreamStart::Unknown { reason } => {
                 runs += 1;
-                tracing::info!(id = caller.parsed_headers.id, replica = %placement.lead, reason, "send without an answer");
+                let parts = part_names(&caller.parsed_headers.shared_parts);
+                tracing::info!(id = caller.parsed_headers.id, replica = %placement.lead, reason, parts, "send without an answer");
                 last_failure = Some(NodeResponse::unknown(reason));
                 if !caller.route.rerun_policy.allows_rerun() {
                     break;
@@ -333,6 +334,11 @@
     names.join(" ")
 }
 
+fn part_names(parts: &[PartName]) -> String {
+    let names: Vec<&str> = parts.iter().map(PartName::as_str).collect();
+    names.join(" ")
+}
+
 fn new_placement_request(node: &NodeState, caller: &CallerRequest) -> PlacementRequest {
     let now = node.now();
     PlacementRequest {
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -5,7 +5,7 @@
 
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 
-use crate::ids::{TargetName, TeamName};
+use crate::ids::{PartName, TargetName, TeamName};
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-plantainnotch-request-id");
 const DEADLINE: HeaderName = HeaderName::from_static("x-plantainnotch-deadline");
@@ -14,6 +14,7 @@
 const TARGET: HeaderName = HeaderName::from_static("x-plantainnotch-target-replica");
 const TOKEN_COUNT: HeaderName = HeaderName::from_static("x-plantainnotch-token-count");
 const TARGET_PRIORITY: HeaderName = HeaderName::from_static("x-plantainnotch-request-priority");
+const PROMPT_PARTS: HeaderName = HeaderName::from_static("x-plantainnotch-prefix-hash");
 const HELPERS: HeaderName = HeaderName::from_static("x-plantainnotch-helpers");
 const SEAL: HeaderName = HeaderName::from_static("x-plantainnotch-replica-seal");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-plantainnotch-not-executed");
@@ -21,6 +22,9 @@
 const FAILED_TARGET: HeaderName = HeaderName::from_static("at-server");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
+/// Most parts of a prompt that are recorded, so that one request's parts take bounded memory.
+const MAX_SHARED_PARTS: usize = 32;
+
 /// Headers dropped in both directions: hop-by-hop headers, and headers that only this system sets.
 const UNFORWARDED_HEADERS: [&str; 14] = [
     "connection",
@@ -52,6 +56,8 @@
     pub prompt_tokens: u64,
     /// Largest number of tokens to generate; 0 if not given.
     pub output_tokens: u64,
+    /// Parts of the prompt in order, without the last one, which no other request has.
+    pub shared_parts: Vec<PartName>,
     /// Id of the last event that the caller received of this stream.
     pub last_event: Option<u64>,
 }
@@ -79,10 +85,26 @@
         key: header_text(headers, &TEAM_KEY).map(str::to_owned),
         prompt_tokens: tokens.next().unwrap_or(0),
         output_tokens: tokens.next().unwrap_or(0),
+        shared_parts: decode_shared_parts(headers),
         last_event: header_text(headers, &LAST_EVENT).and_then(|value| value.parse().ok()),
     }
 }
 
+/// Reads the names from a list of `NAME:TOKENS`.
+fn decode_shared_parts(headers: &HeaderMap) -> Vec<PartName> {
+    let list = header_text(headers, &PROMPT_PARTS).unwrap_or_default();
+    let Some((shared, _own)) = list.rsplit_once(',') else {
+        return Vec::new();
+    };
+    shared
+        .split(',')
+        .map(|part| part.split_once(':').map_or(part, |(name, _)| name).trim())
+        .filter(|name| !name.is_empty())
+        .take(MAX_SHARED_PARTS)
+        .map(PartName::new)
+        .collect()
+}
+
 /// A target that prefills a part of a prompt, and the memory reservation for it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SplitHelper {
--- a/tests/core/adapter.rs
+++ b/tests/core/adapter.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
-use plantainnotch::ids::{DomainName, TargetName, TeamName};
+use plantainnotch::ids::{DomainName, PartName, TargetName, TeamName};
 use plantainnotch::platform::callers::{
     SplitHelper, TargetHeaders, decode_caller_headers, decode_response_headers,
     encode_target_headers,
@@ -186,6 +186,27 @@
     assert_eq!(split, "10.0.0.2:8/t");
 }
 
+#[test]
+fn shared_parts_are_those_before_the_last() {
+    let parts_of = |list: &'static str| {
+        let caller = decode_caller_headers(&headers(&[("x-plantainnotch-prefix-hash", list)]));
+        let names: Vec<String> = caller
+            .shared_parts
+            .iter()
+            .map(PartName::to_string)
+            .collect();
+        names.join(" ")
+    };
+
+    assert_eq!(
+        parts_of("5c1e07a2:800, 91bd3f06:410,e4402b7d:250"),
+        "5c1e07a2 91bd3f06"
+    );
+    assert_eq!(parts_of("e4402b7d:250"), "");
+    assert_eq!(parts_of(",,:7,a,b:"), "a");
+    assert_eq!(parts_of(""), "");
+}
+
 #[test]
 fn headers_of_callers_and_targets_are_decoded() {
     let caller = decode_caller_headers(&headers(&[
