--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod support;
 
 mod answers;
+mod crashing_parts;
 mod endless;
 mod members;
 mod records;
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -102,6 +103,7 @@
 }
 
 const FLOOD_BLOCK_BYTES: usize = 64 * 1024;
+const RESTART_TIME: Duration = Duration::from_millis(300);
 
 /// One request that a target ran.
 #[derive(Debug, Clone)]
@@ -167,6 +169,10 @@
     pub event_count: u64,
     delay: Arc<Mutex<Duration>>,
     mode: Arc<Mutex<TargetMode>>,
+    /// Part of a prompt on which it crashes when it begins to respond.
+    crashing_part: Arc<Mutex<Option<String>>>,
+    crashed_at: Arc<Mutex<Option<Instant>>>,
+    crashes: Arc<AtomicU64>,
     ledger: SharedRunLedger,
 }
 
@@ -195,6 +201,9 @@
             event_count: 8,
             delay: Arc::new(Mutex::new(Duration::from_millis(15))),
             mode: Arc::new(Mutex::new(TargetMode::Healthy)),
+            crashing_part: Arc::default(),
+            crashed_at: Arc::default(),
+            crashes: Arc::default(),
             ledger,
         };
         let served_target = target.clone();
@@ -211,6 +220,45 @@
         *self.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
     }
 
+    /// Makes the target crash on each request whose prompt has `part`.
+    pub fn crash_on(&self, part: &str) {
+        let mut crashing_part = self
+            .crashing_part
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *crashing_part = Some(part.to_owned());
+    }
+
+    fn crashes_on(&self, request: &ReceivedRequest) -> bool {
+        let crashing_part = self
+            .crashing_part
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let parts = request
+            .header("x-plantainnotch-prefix-hash")
+            .unwrap_or_default();
+        crashing_part
+            .as_ref()
+            .is_some_and(|part| parts.contains(&format!("{part}:")))
+    }
+
+    fn crash(&self) {
+        let mut crashed_at = self
+            .crashed_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *crashed_at = Some(Instant::now());
+        self.crashes.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn is_restarting(&self) -> bool {
+        let crashed_at = *self
+            .crashed_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        crashed_at.is_some_and(|at| at.elapsed() < RESTART_TIME)
+    }
+
     /// Sets the time before each event of a stream, or before a plain response.
     pub fn set_delay(&self, delay: Duration) {
         *self.delay.lock().unwrap_or_else(PoisonError::into_inner) = delay;
@@ -245,6 +293,10 @@
             steps.send(ResponseStep::Write(response)).await.ok();
             return;
         }
+        if self.is_restarting() {
+            steps.send(ResponseStep::Reset).await.ok();
+            return;
+        }
         let mode = *self.mode.lock().unwrap_or_else(PoisonError::into_inner);
         if mode == TargetMode::Full {
             let headers = [
@@ -379,9 +431,22 @@
         let head = format!(
             "HTTP/1.1 200 X\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-replica-seal: {seal}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
         );
+        let crashes_before = self.crashes.load(Ordering::Relaxed);
         let mut unsent_head = Some(head);
         for event in from..=self.event_count {
             steps.send(ResponseStep::Wait(self.delay())).await.ok();
+            if self.crashes_on(request) {
+                let head = unsent_head.take().unwrap_or_default();
+                steps
+                    .send(ResponseStep::Write(head.into_bytes()))
+                    .await
+                    .ok();
+                self.crash();
+            }
+            if self.crashes.load(Ordering::Relaxed) != crashes_before {
+                steps.send(ResponseStep::Reset).await.ok();
+                return;
+            }
             let text = format!("id: {event}\ndata: {id} {event}\n\n");
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
             let mut bytes = unsent_head.take().unwrap_or_default();
