Ban the parts of prompts on which engines crash

Cause: nodes passed on the parts of prompts without reading them, so that each crash was the failure of one engine only. The request was sent on at once and its caller returned.

Evidence: the logged parts of requests that lost their engine. Ruled out: a chance series of crashes. Banning all parts of a crash's requests, or a part by its number of crashes alone, would ban the first parts of sound requests.

Now the owner of placement hears what became of each request with shared parts, and blames the part with the most crashes since it was last served. Three separate crashes ban it on all VMs; a served request ends the ban. Requests with it are refused at once, with the time that is left. Messages between nodes changed.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -101,6 +101,8 @@
     Unknown {
         /// The cause, for logs and the caller.
         reason: String,
+        /// Whether the connection was lost, as it is when the target crashes.
+        connection_lost: bool,
     },
 }
 
@@ -183,6 +185,7 @@
             node.record_exchange_failure(&plan.target.name, &error);
             AttemptOutcome::Unknown {
                 reason: error.to_string(),
+                connection_lost: error.is_lost_connection(),
             }
         }
     }
@@ -220,6 +223,7 @@
         node.record_target_failure(&plan.target.name, false, "answer to another request");
         return AttemptOutcome::Unknown {
             reason: format!("answer to request {:?}", parsed_headers.id),
+            connection_lost: false,
         };
     }
     if let Some(load) = parsed_headers.load {
@@ -250,11 +254,13 @@
         );
         return AttemptOutcome::Unknown {
             reason: "success without the target's mark".to_owned(),
+            connection_lost: false,
         };
     }
     if !parsed_headers.has_seal {
         return AttemptOutcome::Unknown {
             reason: format!("target answered {status} without its mark"),
+            connection_lost: false,
         };
     }
     AttemptOutcome::Responded(Box::new(TargetResponse {
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -73,6 +73,11 @@
         matches!(self, Self::Connect { refused: true, .. })
     }
 
+    /// Whether an established connection was lost.
+    pub fn is_lost_connection(&self) -> bool {
+        matches!(self, Self::Broken(_) | Self::Truncated)
+    }
+
     /// The part of the response that is too long, if that is the error.
     pub fn oversized_part(&self) -> Option<&'static str> {
         match self {
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -15,6 +15,7 @@
     AttemptOutcome, AttemptPlan, CallerRequest, TargetInFlightGuard, TargetResponse, send_attempt,
 };
 use super::connection::open_connection;
+use super::crashing_parts::{refuse_banned, report_broken};
 use super::placement::{JobGuard, place};
 use super::relay::{EventBuffer, StreamRelay, TargetStream};
 use super::service::{NodeResponse, ServedResponse};
@@ -191,7 +192,11 @@
     let mut next_is_retry = false;
     let mut last_failure: Option<NodeResponse> = None;
     let mut excluded_targets: Vec<TargetName> = Vec::new();
+    let parts = &caller.parsed_headers.shared_parts;
     loop {
+        if let Some(refusal) = refuse_banned(node, parts) {
+            return ServedResponse::Node(last_failure.filter(|_| runs > 0).unwrap_or(refusal));
+        }
         let now = node.now();
         placement_request.objective = caller.objective_left(now);
         placement_request.give_up_after = first_event_time_left(caller, now);
@@ -227,6 +232,9 @@
             }
         };
         let job = JobGuard::new(node.clone(), placement_request.job);
+        if let Some(refusal) = refuse_banned(node, parts) {
+            return ServedResponse::Node(last_failure.filter(|_| runs > 0).unwrap_or(refusal));
+        }
         // An attempt after one that reached no target does not count as a retry.
         if next_is_retry && !node.try_take_retry(&caller.service) {
             tracing::info!(
@@ -410,11 +418,13 @@
     job: JobGuard,
 ) -> StreamStart {
     let in_flight = TargetInFlightGuard::new(node, &placement.lead);
+    let parts = &caller.parsed_headers.shared_parts;
     let (outcome, reservations) = send_placed(node, caller, placement, None).await;
     match outcome {
         AttemptOutcome::Responded(target_response) => {
             read_first_chunk(
                 node,
+                parts,
                 placement,
                 *target_response,
                 job,
@@ -432,12 +442,21 @@
             reason,
             failed_target: failed_target.map(TargetName::new),
         },
-        AttemptOutcome::Unknown { reason } => StreamStart::Unknown { reason },
+        AttemptOutcome::Unknown {
+            reason,
+            connection_lost,
+        } => {
+            if connection_lost {
+                report_broken(node, parts, &placement.lead);
+            }
+            StreamStart::Unknown { reason }
+        }
     }
 }
 
 async fn read_first_chunk(
     node: &Rc<NodeState>,
+    parts: &[PartName],
     placement: &EnginePlacement,
     target_response: TargetResponse,
     job: JobGuard,
@@ -468,6 +487,9 @@
         Ok(None) => {}
         Err(error) => {
             node.record_exchange_failure(&placement.lead, &error);
+            if error.is_lost_connection() {
+                report_broken(node, parts, &placement.lead);
+            }
             return StreamStart::Unknown {
                 reason: error.to_string(),
             };
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -4,8 +4,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::members::{MemberRecord, RosterUpdate};
-use crate::ids::{TargetName, VmName};
+use crate::ids::{PartName, TargetName, VmName};
 use crate::policy::dispatch::{DispatchAnswer, JobId, JobReport, PlacementRequest};
+use crate::policy::part_guard::PartBan;
 
 /// A heartbeat to a hub.
 #[derive(Debug, Serialize, Deserialize)]
@@ -22,6 +23,8 @@
     pub operator_end_offset: u64,
     /// Offset after the sender's newest target record.
     pub target_end_offset: u64,
+    /// Parts of prompts whose requests the sender refuses, and those acquitted since.
+    pub part_bans: Vec<PartBan>,
 }
 
 /// The state of a heartbeat's receiver, from which the sender learns of other VMs and of records
@@ -40,6 +43,8 @@
     pub operator_end_offset: u64,
     /// Offset after the receiver's newest target record.
     pub target_end_offset: u64,
+    /// Parts of prompts whose requests the receiver refuses, and those acquitted since.
+    pub part_bans: Vec<PartBan>,
 }
 
 /// All requests of a VM that are placed at engines, from which a coordinator corrects its own
@@ -77,6 +82,20 @@
     FirstEvent(JobId),
     /// The request ended, successfully or not.
     Ended(JobId),
+    /// A request with these shared parts got its first event from a target.
+    PartsServed {
+        /// The request's shared parts, possibly none.
+        parts: Vec<PartName>,
+        /// The target that serves it.
+        target: TargetName,
+    },
+    /// A request with these shared parts lost its connection to a target before its first event.
+    PartsBroken {
+        /// The request's shared parts.
+        parts: Vec<PartName>,
+        /// The target that it was sent to.
+        target: TargetName,
+    },
     /// A target did not accept or answer a request.
     TargetFailed {
         /// The target that failed.
@@ -99,16 +118,19 @@
     FetchRecords(RecordsRequest),
     /// Reports the sender's jobs to a coordinator.
     ReportJobs(JobsReport),
+    /// Announces parts of prompts whose requests are refused from now on, or no longer.
+    AnnounceBans(Vec<PartBan>),
 }
 
 impl NodeCall {
     /// The values that [`Self::kind`] may return.
-    pub const KINDS: [&'static str; 5] = [
+    pub const KINDS: [&'static str; 6] = [
         "heartbeat",
         "place",
         "updates",
         "fetch_records",
         "report_jobs",
+        "announce_bans",
     ];
 
     /// Name of the kind of call, for metrics.
@@ -119,6 +141,7 @@
             Self::Updates(_) => "updates",
             Self::FetchRecords(_) => "fetch_records",
             Self::ReportJobs(_) => "report_jobs",
+            Self::AnnounceBans(_) => "announce_bans",
         }
     }
 }
@@ -130,7 +153,8 @@
     Heartbeat(HeartbeatReply),
     /// The placement or its refusal, in reply to [`NodeCall::Place`].
     Placed(DispatchAnswer),
-    /// The call was applied, in reply to [`NodeCall::Updates`] and [`NodeCall::ReportJobs`].
+    /// The call was applied, in reply to [`NodeCall::Updates`], [`NodeCall::ReportJobs`] and
+    /// [`NodeCall::AnnounceBans`].
     Acknowledged,
     /// The records, in reply to [`NodeCall::FetchRecords`].
     Records(PackedRecords),
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -94,6 +94,8 @@
     pub members_live: Gauge,
     /// Failed calls to other VMs and the store, by dependency.
     pub failures: Family<DependencyLabel, Counter>,
+    /// Combinations of prompt parts whose requests are refused.
+    pub banned_parts: Gauge,
     /// Seconds since the last successful read of each topic that this node follows.
     pub feed_age_seconds: Family<TopicLabel, Gauge<f64, AtomicU64>>,
     /// Placements, refusals included, that this node decided after an owner of placement did not
@@ -127,6 +129,7 @@
             config_version: Gauge::default(),
             members_live: Gauge::default(),
             failures: Family::default(),
+            banned_parts: Gauge::default(),
             feed_age_seconds: Family::default(),
             placed_alone: Counter::default(),
             log_lines_dropped: Gauge::default(),
@@ -184,6 +187,11 @@
             "Failed calls by dependency",
             self.failures.clone(),
         );
+        registry.register(
+            "banned_parts",
+            "Combinations of prompt parts whose requests are refused",
+            self.banned_parts.clone(),
+        );
         registry.register(
             "feed_age_seconds",
             "Time since the last successful read of a topic of the store",
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
+use super::crashing_parts::import_bans;
 use super::messages::{HeartbeatMessage, HeartbeatReply, NodeCall, NodeReply, RecordsRequest};
 use super::packed_records::unpack_records;
 use super::peer_calls::call_node;
@@ -45,6 +46,10 @@
                 let mut packer = node.record_packer.borrow_mut();
                 NodeReply::Records(packer.pack(&node.catalog.borrow(), &request))
             }
+            NodeCall::AnnounceBans(bans) => {
+                import_bans(&node, &bans);
+                NodeReply::Acknowledged
+            }
             NodeCall::ReportJobs(report) => {
                 for dispatcher in node.dispatchers.borrow_mut().values_mut() {
                     dispatcher.reconcile_jobs_of(&report.vm, &report.jobs, node.now());
@@ -57,6 +62,7 @@
 
 fn answer_heartbeat(node: &Rc<NodeState>, heartbeat: HeartbeatMessage) -> HeartbeatReply {
     let now = node.now();
+    import_bans(node, &heartbeat.part_bans);
     fetch_if_behind(
         node,
         &heartbeat.sender,
@@ -81,6 +87,7 @@
         fleet_age_ms: members.fleet_age(running_for, now).as_millis() as u64,
         operator_end_offset: catalog.operator_feed.end(),
         target_end_offset: catalog.target_feed.end(),
+        part_bans: node.part_guard.borrow().export_bans(now),
     }
 }
 
@@ -239,11 +246,13 @@
         fleet_age_ms: members.fleet_age(node.running_for(now), now).as_millis() as u64,
         operator_end_offset: catalog.operator_feed.end(),
         target_end_offset: catalog.target_feed.end(),
+        part_bans: node.part_guard.borrow().export_bans(now),
     }
 }
 
 fn apply_heartbeat_reply(node: &Rc<NodeState>, reply: HeartbeatReply) {
     let now = node.now();
+    import_bans(node, &reply.part_bans);
     let member = reply.receiver;
     {
         let mut members = node.members.borrow_mut();
--- a/src/node/placement.rs
+++ b/src/node/placement.rs
@@ -7,6 +7,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{interval, sleep};
 
+use super::crashing_parts::{apply_broken, apply_served};
 use super::messages::{JobUpdate, JobsReport, NodeCall, NodeReply};
 use super::peer_calls::call_node;
 use super::state::NodeState;
@@ -175,13 +176,17 @@
 /// of it as the owner of placement, an equal part among the live VMs otherwise, since each of them
 /// may be deciding alone.
 fn cold_limit_share(node: &NodeState) -> f64 {
-    let members = node.members.borrow();
-    let now = node.now();
-    let owner = members.coordinators(now).into_iter().next();
-    if owner.is_some_and(|owner| owner.vm == node.settings.vm) {
+    if owns_placement(node) {
         return 1.0;
     }
-    1.0 / members.live(now).len().max(1) as f64
+    1.0 / node.members.borrow().live(node.now()).len().max(1) as f64
+}
+
+/// Whether this node is the owner of placement.
+pub fn owns_placement(node: &NodeState) -> bool {
+    let members = node.members.borrow();
+    let owner = members.coordinators(node.now()).into_iter().next();
+    owner.is_some_and(|owner| owner.vm == node.settings.vm)
 }
 
 /// Takes a job out of the queue if its caller stops waiting before a decision.
@@ -244,6 +249,8 @@
             }
         }
         JobUpdate::Ended(job) => end_job(node, *job),
+        JobUpdate::PartsServed { parts, target } => apply_served(node, parts, target),
+        JobUpdate::PartsBroken { parts, target } => apply_broken(node, parts, target),
         JobUpdate::TargetFailed { target, refused } => {
             node.record_peer_reported_failure(target, *refused);
         }
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -9,6 +9,7 @@
 
 use super::attempt::{AttemptOutcome, CallerRequest, TargetInFlightGuard};
 use super::connection::TargetConnection;
+use super::crashing_parts::{report_broken, report_served};
 use super::generation::{Reservations, send_placed};
 use super::placement::{JobGuard, place};
 use super::state::NodeState;
@@ -211,6 +212,12 @@
         }
         self.last_event_id = Some(id);
         self.numbered_events += 1;
+        if self.numbered_events == 1
+            && let Some(stream) = &self.stream
+        {
+            let parts = &self.caller.parsed_headers.shared_parts;
+            report_served(&self.node, parts, &stream.target);
+        }
         self.bytes_since_event = self.buffer.bytes.len();
         let now = self.node.now();
         self.longest_gap = self.longest_gap.max(now - self.last_event_at);
@@ -256,6 +263,10 @@
             Ok(Ok(None)) if self.buffer.is_empty() => Ok(ReadOutcome::End),
             Ok(Ok(None)) => Err("the response ended inside an event".to_owned()),
             Ok(Err(error)) => {
+                if self.numbered_events == 0 && error.is_lost_connection() {
+                    let parts = &self.caller.parsed_headers.shared_parts;
+                    report_broken(&self.node, parts, &stream.target);
+                }
                 if let Some(part) = error.oversized_part() {
                     self.node.metrics.count_oversized_response(part);
                 }
@@ -414,7 +425,7 @@
                 "{failure}; not resumed: status {}",
                 target_response.head.status
             )),
-            AttemptOutcome::NotRun { reason, .. } | AttemptOutcome::Unknown { reason } => {
+            AttemptOutcome::NotRun { reason, .. } | AttemptOutcome::Unknown { reason, .. } => {
                 Err(format!("{failure}; {reason}"))
             }
         }
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -219,7 +219,7 @@
             reason,
             reached_target,
         },
-        AttemptOutcome::Unknown { reason } => BufferedOutcome::Unknown(reason),
+        AttemptOutcome::Unknown { reason, .. } => BufferedOutcome::Unknown(reason),
         AttemptOutcome::Responded(response) => read_buffered(node, target, *response).await,
     }
 }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -20,6 +20,7 @@
 use crate::ids::TargetName;
 use crate::platform::records::TARGET_TOPIC;
 use crate::policy::dispatch::{DispatchAnswer, EngineDispatcher, EngineTarget, JobId};
+use crate::policy::part_guard::PartGuard;
 use crate::policy::retry_share::RetryShare;
 use crate::policy::target_choice::TargetHealth;
 use crate::wire::PeerClient;
@@ -49,6 +50,8 @@
     /// Load, requests in flight and results of attempts at each target: those of this node, and
     /// failures that peers reported.
     pub target_health: RefCell<HashMap<TargetName, TargetHealth>>,
+    /// Parts of prompts on which engines crash: bans and, at the owner of placement, evidence.
+    pub part_guard: RefCell<PartGuard>,
     /// Retry budget of each service.
     pub retry_shares: RefCell<HashMap<String, RetryShare>>,
     /// Job updates not yet sent to the owner of placement.
@@ -104,6 +107,7 @@
             connection_pool: RefCell::default(),
             body_budget: BodyBudget::default(),
             target_health: RefCell::default(),
+            part_guard: RefCell::default(),
             retry_shares: RefCell::default(),
             pending_updates: RefCell::default(),
             updates_ready: Notify::new(),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -4,6 +4,7 @@
 pub mod engine_model;
 pub mod estimate;
 pub mod lane;
+pub mod part_guard;
 pub mod placement;
 pub mod read_pacing;
 pub mod retry;
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -20,6 +20,7 @@
 mod model_table;
 mod orders;
 mod packed_records;
+mod part_guard;
 mod placement_owner;
 mod queue;
 mod read_pacing;
