--- a/tests/core/packed_records.rs
+++ b/tests/core/packed_records.rs
@@ -10,7 +10,7 @@
 use crate::fixtures::check;
 
 fn item(key: String, offset: u64, value: Option<Vec<u8>>) -> KeyedItem {
-    let lapsed = value.is_none() && offset % 2 == 0;
+    let lapsed = value.is_none() && offset.is_multiple_of(2);
     KeyedItem {
         key,
         offset,
--- a/tests/core/part_guard.rs
+++ b/tests/core/part_guard.rs
@@ -88,7 +88,7 @@
                 day.send_request();
             }
             day.answer_requests();
-            if fault == DayFault::LostDomains && day.now.as_millis() % 7_000 == 0 {
+            if fault == DayFault::LostDomains && day.now.as_millis().is_multiple_of(7_000) {
                 (0..5).for_each(|engine| day.crash(engine));
             }
             let bans = day.guard.settle(day.instant());
@@ -293,7 +293,7 @@
     let now = Instant::now();
     let (mut guard, ban, now) = banned_guard(now);
     let mut other = PartGuard::default();
-    other.import_bans(&[ban.clone()], now);
+    other.import_bans(std::slice::from_ref(&ban), now);
     let before = other.banned_for(&[part("dead")], now);
 
     let acquittals = guard.record_served(&[part("dead")], &target("e-4"), now);
