Take a stream without length or chunks for broken if it ends before its first event

Callers got an empty stream that looked complete when an engine closed its connection after the head of an unframed response, as one that crashes does. Cause: the end of the connection counted as the end of the stream wherever no event was cut. Every stream has an event; so an end before the first one is a lost connection: the request goes elsewhere where it may, and counts against its shared parts.

streams_delimited_by_connection_close_that_end_early_are_continued_elsewhere failed before (200, complete, no event) and passes now; complete ones, and those that end inside an event, were right already.

--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -264,6 +264,12 @@
         }
     }
 
+    /// Whether the body of the current response has neither a length nor chunks, so that its end
+    /// does not show that it is complete.
+    pub fn ends_with_connection(&self) -> bool {
+        self.until_close
+    }
+
     /// Reads the next bytes of the response's body; `None` at its end.
     ///
     /// # Errors
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -17,7 +17,7 @@
 use super::connection::open_connection;
 use super::crashing_parts::{refuse_banned, report_broken};
 use super::placement::{JobGuard, place};
-use super::relay::{EventBuffer, StreamRelay, TargetStream};
+use super::relay::{ENDED_BEFORE_FIRST_EVENT, EventBuffer, StreamRelay, TargetStream};
 use super::service::{NodeResponse, ServedResponse};
 use super::state::NodeState;
 use crate::fleet::catalog::TargetRecord;
@@ -484,6 +484,13 @@
     let mut buffer = EventBuffer::default();
     match connection.next_chunk().await {
         Ok(Some(chunk)) => buffer.push(&chunk),
+        Ok(None) if connection.ends_with_connection() => {
+            report_broken(node, parts, &placement.lead);
+            node.record_target_failure(&placement.lead, false, ENDED_BEFORE_FIRST_EVENT);
+            return StreamStart::Unknown {
+                reason: ENDED_BEFORE_FIRST_EVENT.to_owned(),
+            };
+        }
         Ok(None) => {}
         Err(error) => {
             node.record_exchange_failure(&placement.lead, &error);
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -96,6 +96,9 @@
     }
 }
 
+/// Reason of a failure: every stream has an event.
+pub const ENDED_BEFORE_FIRST_EVENT: &str = "the response ended before its first event";
+
 /// Result of one read from a stream.
 enum ReadOutcome {
     /// Bytes were buffered.
@@ -260,8 +263,17 @@
                 }
                 Ok(ReadOutcome::More)
             }
-            Ok(Ok(None)) if self.buffer.is_empty() => Ok(ReadOutcome::End),
-            Ok(Ok(None)) => Err("the response ended inside an event".to_owned()),
+            Ok(Ok(None)) if !self.buffer.is_empty() => {
+                Err("the response ended inside an event".to_owned())
+            }
+            Ok(Ok(None))
+                if self.numbered_events == 0 && stream.connection.ends_with_connection() =>
+            {
+                let parts = &self.caller.parsed_headers.shared_parts;
+                report_broken(&self.node, parts, &stream.target);
+                Err(ENDED_BEFORE_FIRST_EVENT.to_owned())
+            }
+            Ok(Ok(None)) => Ok(ReadOutcome::End),
             Ok(Err(error)) => {
                 if self.numbered_events == 0 && error.is_lost_connection() {
                     let parts = &self.caller.parsed_headers.shared_parts;
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -53,6 +53,40 @@
     assert!(resumed, "no stream was resumed");
 }
 
+#[test]
+fn streams_delimited_by_connection_close_are_complete() {
+    let bed = TestBed::start(1);
+    bed.set_engines(TargetMode::Unframed);
+
+    let stream = bed.stream("unframed", "/single/a");
+    let response = send(bed.node_configs[0].callers, &stream).expect("a response");
+
+    assert!(response.complete);
+    assert_eq!(response.event_ids(), ALL_EVENT_IDS);
+}
+
+#[test]
+fn streams_delimited_by_connection_close_that_end_early_are_continued_elsewhere() {
+    for mode in [TargetMode::UnframedInsideEvent, TargetMode::UnframedEmpty] {
+        let bed = TestBed::start(1);
+        bed.engines[0].set_mode(mode);
+        bed.engines[1].set_mode(mode);
+        for request in 0..6 {
+            let id = format!("early-{mode:?}-{request}");
+
+            let stream = bed.stream(&id, "/resumable/a");
+            let response = send(bed.node_configs[0].callers, &stream).expect("a response");
+
+            let ids = response.event_ids();
+            assert_eq!(ids, ALL_EVENT_IDS[..ids.len()], "{mode:?}");
+            assert!(
+                response.status != 200 || !response.complete || ids.len() == ALL_EVENT_IDS.len(),
+                "{mode:?}: {ids:?} looks complete"
+            );
+        }
+    }
+}
+
 #[test]
 fn non_resumable_streams_end_incomplete_after_a_failure() {
     let bed = TestBed::start(1);
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -30,6 +30,10 @@
     Unframed,
     /// Sends part of a response without a length and resets the connection.
     UnframedReset,
+    /// Sends a stream without a length or chunks, and closes the connection inside an event.
+    UnframedInsideEvent,
+    /// Sends the head of a stream without a length or chunks, and closes the connection.
+    UnframedEmpty,
     /// Responds with an error of its own, seal included.
     Fails,
     /// Responds before it has read the body.
@@ -382,6 +386,8 @@
             TargetMode::Healthy
             | TargetMode::Full
             | TargetMode::Early
+            | TargetMode::UnframedInsideEvent
+            | TargetMode::UnframedEmpty
             | TargetMode::Endless(..) => vec![ResponseStep::Write(whole)],
         };
         for step in response_steps {
@@ -428,9 +434,26 @@
             .and_then(|value| value.parse::<u64>().ok())
             .map_or(1, |last| last + 1);
         let seal = format!("seal-{}-{id}", self.id);
+        let is_framed = !matches!(
+            mode,
+            TargetMode::Unframed | TargetMode::UnframedInsideEvent | TargetMode::UnframedEmpty
+        );
+        let framing = if is_framed {
+            "transfer-encoding: chunked\r\n"
+        } else {
+            ""
+        };
         let head = format!(
-            "HTTP/1.1 200 X\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-replica-seal: {seal}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+            "HTTP/1.1 200 X\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-replica-seal: {seal}\r\ncontent-type: text/event-stream\r\n{framing}\r\n"
         );
+        if mode == TargetMode::UnframedEmpty {
+            steps
+                .send(ResponseStep::Write(head.into_bytes()))
+                .await
+                .ok();
+            steps.send(ResponseStep::Close).await.ok();
+            return;
+        }
         let crashes_before = self.crashes.load(Ordering::Relaxed);
         let mut unsent_head = Some(head);
         for event in from..=self.event_count {
@@ -448,20 +471,30 @@
                 return;
             }
             let text = format!("id: {event}\ndata: {id} {event}\n\n");
-            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            let chunk = if is_framed {
+                format!("{:x}\r\n{text}\r\n", text.len())
+            } else {
+                text
+            };
             let mut bytes = unsent_head.take().unwrap_or_default();
             bytes.push_str(&chunk);
             let breaks_here = event == self.event_count / 2;
-            if breaks_here && matches!(mode, TargetMode::Truncates | TargetMode::ResetsAfterRun) {
+            let is_cut = matches!(
+                mode,
+                TargetMode::Truncates
+                    | TargetMode::ResetsAfterRun
+                    | TargetMode::UnframedInsideEvent
+            );
+            if breaks_here && is_cut {
                 let cut_at = bytes.len() - 9;
                 steps
                     .send(ResponseStep::Write(bytes.as_bytes()[..cut_at].to_vec()))
                     .await
                     .ok();
-                let end = if mode == TargetMode::Truncates {
-                    ResponseStep::Close
-                } else {
+                let end = if mode == TargetMode::ResetsAfterRun {
                     ResponseStep::Reset
+                } else {
+                    ResponseStep::Close
                 };
                 steps.send(end).await.ok();
                 return;
@@ -474,6 +507,10 @@
                 return;
             }
         }
+        if !is_framed {
+            steps.send(ResponseStep::Close).await.ok();
+            return;
+        }
         let mut end = unsent_head.take().unwrap_or_default();
         end.push_str("0\r\n\r\n");
         steps.send(ResponseStep::Write(end.into_bytes())).await.ok();
