Send nothing to a target whose response says that it leaves

Responses were passed on without reading the header, so that only the store's record counted.

Any response counts, to requests and to orders. The target counts as draining for that process, also when its record is published again; a new process at that name takes requests. The owner of placement is told. A placement on a target that the VM knows to leave is placed again, so that an owner that learns later than the VM does no harm.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -10,6 +10,8 @@
 use super::routes::RouteTable;
 use crate::ids::{DomainName, TargetName};
 
+const MAX_LEAVING: usize = 1_024; // those that left long ago are never removed otherwise
+
 /// A record of a keyed topic before it is decoded; one without a value is a tombstone for its key.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct KeyedItem {
@@ -189,6 +191,9 @@
     table: Option<Rc<RouteTable>>,
     out_of_service: BTreeSet<DomainName>,
     targets: BTreeMap<TargetName, TargetState>,
+    /// Targets whose responses say that they are shutting down, with the start of the process that
+    /// said so. Their records may say otherwise for a while.
+    leaving: BTreeMap<TargetName, u64>,
 }
 
 impl FleetCatalog {
@@ -201,6 +206,7 @@
             table: None,
             out_of_service: BTreeSet::new(),
             targets: BTreeMap::new(),
+            leaving: BTreeMap::new(),
         }
     }
 
@@ -314,7 +320,7 @@
     }
 
     fn apply_target(&mut self, key: &str, value: &[u8], now: Instant) -> Option<CatalogChange> {
-        let record = match (self.decoder.target)(key, value) {
+        let mut record = match (self.decoder.target)(key, value) {
             Ok(record) => record,
             Err(error) => {
                 self.targets.remove(key);
@@ -325,6 +331,13 @@
             }
         };
         let name = record.name.clone();
+        match self.leaving.get(&name) {
+            Some(started_ms) if *started_ms == record.started_ms => record.draining = true,
+            Some(_) => {
+                self.leaving.remove(&name);
+            }
+            None => {}
+        }
         let state = if record.draining { "draining" } else { "ready" };
         let known = self.targets.get(&name);
         let unchanged = known.is_some_and(|known| {
@@ -345,6 +358,24 @@
         })
     }
 
+    /// Records that a response of the target's process that started at `started_ms` said that it is
+    /// shutting down; returns the change, if that is news.
+    pub fn record_leaving(&mut self, name: &TargetName, started_ms: u64) -> Option<CatalogChange> {
+        let state = self.targets.get_mut(name)?;
+        if state.record.started_ms != started_ms || state.record.draining {
+            return None;
+        }
+        state.record.draining = true;
+        self.leaving.insert(name.clone(), started_ms);
+        if self.leaving.len() > MAX_LEAVING {
+            self.leaving.pop_first();
+        }
+        Some(CatalogChange::Target {
+            target: name.clone(),
+            state: "draining",
+        })
+    }
+
     fn remove_target(
         &mut self,
         key: &str,
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -216,6 +216,9 @@
     connection: TargetConnection,
 ) -> AttemptOutcome {
     let parsed_headers = decode_response_headers(&head.headers);
+    if parsed_headers.leaving {
+        node.record_target_leaving(plan.target);
+    }
     let status = head.status.as_u16();
     if parsed_headers.id != caller.parsed_headers.id {
         // The response belongs to another request, so the connection's framing is out of step;
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -22,7 +22,7 @@
 use super::state::NodeState;
 use crate::fleet::catalog::TargetRecord;
 use crate::ids::{PartName, TargetName};
-use crate::platform::callers::{SplitHelper, forwarded_headers};
+use crate::platform::callers::{SplitHelper, decode_response_headers, forwarded_headers};
 use crate::platform::orders::{ORDER_PATH, encode_memory_release, encode_memory_reserve};
 use crate::policy::dispatch::{DispatchAnswer, EnginePlacement, PlacementRequest};
 
@@ -538,13 +538,15 @@
     last_event_id: Option<u64>,
 ) -> (AttemptOutcome, Reservations) {
     let target_gone = |name: &TargetName| AttemptOutcome::NotRun {
-        reason: format!("target {name} is gone"),
+        reason: format!("target {name} is gone or leaves"),
         failed_target: Some(name.to_string()),
         reached_target: false,
     };
     let target_record = |name: &TargetName| {
         let catalog = node.catalog.borrow();
-        catalog.target(name).map(|target| target.record.clone())
+        let target = catalog.target(name).map(|target| target.record.clone());
+        // The owner of placement may not know yet that it leaves.
+        target.filter(|target| !target.draining)
     };
     let Some(lead) = target_record(&placement.lead) else {
         return (target_gone(&placement.lead), Reservations::default());
@@ -629,6 +631,9 @@
         let body = Bytes::from(body);
         let exchanged = connection.exchange(head, &body).await;
         let response_head = exchanged.map_err(|error| error.to_string())?;
+        if decode_response_headers(&response_head.headers).leaving {
+            node.record_target_leaving(target);
+        }
         let body = connection.read_body(&node.body_budget).await;
         body.map_err(|error| error.to_string())?;
         node.connection_pool
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -96,6 +96,13 @@
         /// The target that it was sent to.
         target: TargetName,
     },
+    /// A target's response said that it is shutting down.
+    TargetLeaving {
+        /// The target.
+        target: TargetName,
+        /// Start of its process in Unix milliseconds.
+        started_ms: u64,
+    },
     /// A target did not accept or answer a request.
     TargetFailed {
         /// The target that failed.
--- a/src/node/placement.rs
+++ b/src/node/placement.rs
@@ -249,6 +249,9 @@
             }
         }
         JobUpdate::Ended(job) => end_job(node, *job),
+        JobUpdate::TargetLeaving { target, started_ms } => {
+            node.apply_target_leaving(target, *started_ms, "peer");
+        }
         JobUpdate::PartsServed { parts, target } => apply_served(node, parts, target),
         JobUpdate::PartsBroken { parts, target } => apply_broken(node, parts, target),
         JobUpdate::TargetFailed { target, refused } => {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -13,7 +13,9 @@
 use super::metrics::NodeMetrics;
 use super::packed_records::RecordPacker;
 use crate::clock::TimeSource;
-use crate::fleet::catalog::{CatalogChange, FleetCatalog, RecordDecoder, TargetState};
+use crate::fleet::catalog::{
+    CatalogChange, FleetCatalog, RecordDecoder, TargetRecord, TargetState,
+};
 use crate::fleet::members::{MemberRecord, MemberTable};
 use crate::fleet::settings::NodeSettings;
 use crate::fleet::store_outage::{LAPSE_GRACE, StoreOutage};
@@ -215,6 +217,26 @@
             .is_none_or(|health| !health.is_suspended(now))
     }
 
+    /// Records that a target's response said that it is shutting down, and tells the owner of
+    /// placement.
+    pub fn record_target_leaving(&self, target: &TargetRecord) {
+        if self.apply_target_leaving(&target.name, target.started_ms, "answer") {
+            let update = JobUpdate::TargetLeaving {
+                target: target.name.clone(),
+                started_ms: target.started_ms,
+            };
+            self.pending_updates.borrow_mut().push(update);
+            self.updates_ready.notify_one();
+        }
+    }
+
+    /// Takes no new requests to a target that is shutting down; returns whether that is news.
+    pub fn apply_target_leaving(&self, name: &TargetName, started_ms: u64, source: &str) -> bool {
+        let change = self.catalog.borrow_mut().record_leaving(name, started_ms);
+        self.handle_catalog_changes(change.as_slice(), source);
+        change.is_some()
+    }
+
     /// Records a failed attempt at a target; if this suspends the target, reports it to the owner
     /// of placement. `refused` means that the connection was refused.
     pub fn record_target_failure(&self, target: &TargetName, refused: bool, reason: &str) {
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -20,6 +20,7 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("x-plantainnotch-not-executed");
 const TARGET_LOAD: HeaderName = HeaderName::from_static("x-plantainnotch-replica-load");
 const FAILED_TARGET: HeaderName = HeaderName::from_static("at-server");
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
 /// Most parts of a prompt that are recorded, so that one request's parts take bounded memory.
@@ -202,6 +203,8 @@
     pub load: Option<TargetLoad>,
     /// Name of the target that failed to prefill its part of a split prompt.
     pub failed_target: Option<String>,
+    /// Whether the target is shutting down and takes no new requests.
+    pub leaving: bool,
 }
 
 /// Load that a target reports with its responses.
@@ -235,6 +238,7 @@
             .is_some_and(|value| !value.eq_ignore_ascii_case("identity")),
         load,
         failed_target: header_text(headers, &FAILED_TARGET).map(str::to_owned),
+        leaving: header_text(headers, &LEAVING) == Some("1"),
     }
 }
 
--- a/tests/core/catalog.rs
+++ b/tests/core/catalog.rs
@@ -234,6 +234,27 @@
     assert_eq!(outage.retain_until(now + LAPSE_GRACE), None);
 }
 
+#[test]
+fn a_target_that_said_it_leaves_stays_out_until_it_starts_again() {
+    let now = Instant::now();
+    let mut catalog = catalog();
+    let name = TargetName::new("i-1");
+    catalog.apply_target_items(&[item("i-1", 1, &target("ready", 7))], now, None);
+
+    let of_earlier_process = catalog.record_leaving(&name, 6);
+    let news = catalog.record_leaving(&name, 7);
+    let repeated = catalog.record_leaving(&name, 7);
+    catalog.apply_target_items(&[item("i-1", 2, &target("ready", 7))], now, None);
+    let same_process = usable(&catalog, now);
+    catalog.apply_target_items(&[item("i-1", 3, &target("ready", 8))], now, None);
+
+    assert_eq!(of_earlier_process, None);
+    assert!(news.is_some());
+    assert_eq!(repeated, None);
+    assert_eq!(same_process, 0);
+    assert_eq!(usable(&catalog, now), 1);
+}
+
 #[test]
 fn draining_targets_do_not_lapse() {
     let now = Instant::now();
--- a/tests/platform/records.rs
+++ b/tests/platform/records.rs
@@ -215,6 +215,44 @@
     assert_no_requests_reach(&bed, "replica-0", 60);
 }
 
+#[test]
+fn a_target_that_says_it_leaves_in_an_answer_gets_no_requests_after_its_drain_time() {
+    let bed = TestBed::start(1);
+    for index in [0, 3] {
+        bed.target(index).announce_leaving();
+    }
+    for request in 0..12 {
+        let id = format!("before-{request}");
+        bed.lookup(0, &id);
+        send(bed.node_configs[0].callers, &bed.stream(&id, "/single/a"));
+    }
+    let seen = |target: &str| {
+        let ledger = bed.ledger();
+        ledger
+            .runs
+            .iter()
+            .filter(|run| run.target == target)
+            .count()
+    };
+    assert!(
+        seen("replica-0") > 0 && seen("engine-0") > 0,
+        "both answered"
+    );
+
+    // The store's records still say that they are ready.
+    bed.put_target(0, "ready");
+    bed.put_target(3, "ready");
+    std::thread::sleep(DRAIN_TIME);
+    let before = (seen("replica-0"), seen("engine-0"));
+    for request in 0..30 {
+        let id = format!("after-{request}");
+        bed.lookup(0, &id);
+        send(bed.node_configs[0].callers, &bed.stream(&id, "/single/a"));
+    }
+
+    assert_eq!((seen("replica-0"), seen("engine-0")), before);
+}
+
 fn assert_no_requests_reach(bed: &TestBed, target: &str, requests: usize) {
     for request in 0..requests {
         let id = format!("late-{request}");
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -177,6 +177,8 @@
     crashing_part: Arc<Mutex<Option<String>>>,
     crashed_at: Arc<Mutex<Option<Instant>>>,
     crashes: Arc<AtomicU64>,
+    /// Whether its responses say that it leaves.
+    leaving: Arc<AtomicBool>,
     ledger: SharedRunLedger,
 }
 
@@ -208,6 +210,7 @@
             crashing_part: Arc::default(),
             crashed_at: Arc::default(),
             crashes: Arc::default(),
+            leaving: Arc::default(),
             ledger,
         };
         let served_target = target.clone();
@@ -224,6 +227,19 @@
         *self.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
     }
 
+    /// Makes the target say in its responses to requests that it leaves.
+    pub fn announce_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    fn leaving_header(&self) -> &'static str {
+        if self.leaving.load(Ordering::Relaxed) {
+            "server-leaving: 1\r\n"
+        } else {
+            ""
+        }
+    }
+
     /// Makes the target crash on each request whose prompt has `part`.
     pub fn crash_on(&self, part: &str) {
         let mut crashing_part = self
@@ -357,6 +373,10 @@
         let body = format!("answer to {id} from {}", self.id);
         let body = body.as_bytes();
         steps.send(ResponseStep::Wait(self.delay())).await.ok();
+        let mut headers = headers.to_vec();
+        if !self.leaving_header().is_empty() {
+            headers.push(("server-leaving", "1"));
+        }
         let whole = encode_response(200, &headers, body);
         let unframed = format!(
             "HTTP/1.1 200 X\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-replica-seal: {seal}\r\n\r\n"
@@ -444,7 +464,8 @@
             ""
         };
         let head = format!(
-            "HTTP/1.1 200 X\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-replica-seal: {seal}\r\ncontent-type: text/event-stream\r\n{framing}\r\n"
+            "HTTP/1.1 200 X\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-replica-seal: {seal}\r\ncontent-type: text/event-stream\r\n{}{framing}\r\n",
+            self.leaving_header()
         );
         if mode == TargetMode::UnframedEmpty {
             steps
