Leave targets alone for as long as they ask when they refuse

The header was not read, so that a full target was asked again as soon as it looked least busy.

The VM that was refused sends that process nothing for the time asked, up to a fifth longer so that VMs do not return together, and a minute at most; absent, zero and malformed values change nothing. Such targets are excluded from its placements and choices; a request that only they could serve is refused at once with the time until the first of them may be asked.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -5,7 +5,7 @@
 
 use actix_http::ResponseHead;
 use actix_http::header::HeaderMap;
-use actix_http::{Method, Uri};
+use actix_http::{Method, StatusCode, Uri};
 use bytes::Bytes;
 
 use super::connection::{ExchangeError, TargetConnection, open_connection, target_request_head};
@@ -235,6 +235,11 @@
             health.record_load(load.running + load.waiting, now);
         }
     }
+    if status == StatusCode::SERVICE_UNAVAILABLE.as_u16()
+        && let Some(pause) = parsed_headers.pause
+    {
+        node.record_pause(plan.target, pause);
+    }
     if parsed_headers.not_run || status == MISDIRECTED_REQUEST {
         drain_body(node, connection).await;
         if status == MISDIRECTED_REQUEST {
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::body::{BodyStream, BoxBody, MessageBody};
-use actix_http::{Method, RequestHead, Response};
+use actix_http::{Method, RequestHead, Response, StatusCode};
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use tokio::time::timeout;
@@ -197,11 +197,15 @@
         if let Some(refusal) = refuse_banned(node, parts) {
             return ServedResponse::Node(last_failure.filter(|_| runs > 0).unwrap_or(refusal));
         }
+        if let Some(pause) = node.service_pause(&caller.service) {
+            let refusal = NodeResponse::paused(pause);
+            return ServedResponse::Node(last_failure.filter(|_| runs > 0).unwrap_or(refusal));
+        }
         let now = node.now();
         placement_request.objective = caller.objective_left(now);
         placement_request.give_up_after = first_event_time_left(caller, now);
         placement_request.job = node.new_job_id();
-        placement_request.excluded_targets = node.suspended_targets();
+        placement_request.excluded_targets = node.avoided_targets();
         placement_request
             .excluded_targets
             .extend(excluded_targets.iter().cloned());
@@ -538,15 +542,15 @@
     last_event_id: Option<u64>,
 ) -> (AttemptOutcome, Reservations) {
     let target_gone = |name: &TargetName| AttemptOutcome::NotRun {
-        reason: format!("target {name} is gone or leaves"),
+        reason: format!("target {name} is gone, leaves or wants a pause"),
         failed_target: Some(name.to_string()),
         reached_target: false,
     };
     let target_record = |name: &TargetName| {
         let catalog = node.catalog.borrow();
         let target = catalog.target(name).map(|target| target.record.clone());
-        // The owner of placement may not know yet that it leaves.
-        target.filter(|target| !target.draining)
+        // The owner of placement may not know yet.
+        target.filter(|target| !target.draining && !node.is_quiet(target))
     };
     let Some(lead) = target_record(&placement.lead) else {
         return (target_gone(&placement.lead), Reservations::default());
@@ -631,9 +635,15 @@
         let body = Bytes::from(body);
         let exchanged = connection.exchange(head, &body).await;
         let response_head = exchanged.map_err(|error| error.to_string())?;
-        if decode_response_headers(&response_head.headers).leaving {
+        let parsed_headers = decode_response_headers(&response_head.headers);
+        if parsed_headers.leaving {
             node.record_target_leaving(target);
         }
+        if response_head.status == StatusCode::SERVICE_UNAVAILABLE
+            && let Some(pause) = parsed_headers.pause
+        {
+            node.record_pause(target, pause);
+        }
         let body = connection.read_body(&node.body_budget).await;
         body.map_err(|error| error.to_string())?;
         node.connection_pool
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -94,6 +94,8 @@
     pub members_live: Gauge,
     /// Failed calls to other VMs and the store, by dependency.
     pub failures: Family<DependencyLabel, Counter>,
+    /// Refusals of targets that asked for a pause.
+    pub pauses: Counter,
     /// Combinations of prompt parts whose requests are refused.
     pub banned_parts: Gauge,
     /// Seconds since the last successful read of each topic that this node follows.
@@ -129,6 +131,7 @@
             config_version: Gauge::default(),
             members_live: Gauge::default(),
             failures: Family::default(),
+            pauses: Counter::default(),
             banned_parts: Gauge::default(),
             feed_age_seconds: Family::default(),
             placed_alone: Counter::default(),
@@ -187,6 +190,11 @@
             "Failed calls by dependency",
             self.failures.clone(),
         );
+        registry.register(
+            "pauses",
+            "Refusals of targets that asked for a pause",
+            self.pauses.clone(),
+        );
         registry.register(
             "banned_parts",
             "Combinations of prompt parts whose requests are refused",
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -385,7 +385,7 @@
         if !self.may_resume(now) || !self.node.try_take_retry(&self.caller.service) {
             return Err(failure.to_owned());
         }
-        self.placement_request.excluded_targets = self.node.suspended_targets();
+        self.placement_request.excluded_targets = self.node.avoided_targets();
         self.placement_request
             .excluded_targets
             .extend(failed_target.cloned());
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// All targets of the service want nothing from this VM for `pause`: 503 with `Retry-After`.
+    pub fn paused(pause: Duration) -> Self {
+        Self::not_run("paused", "all targets asked for a pause", pause)
+    }
+
     /// The request may have been executed: 502.
     pub fn unknown(reason: impl Into<String>) -> Self {
         Self {
@@ -106,6 +111,11 @@
             break;
         }
         let Some(target) = choose_service_target(node, caller, &excluded_targets) else {
+            if runs == 0
+                && let Some(pause) = node.service_pause(&caller.service)
+            {
+                node_response = NodeResponse::paused(pause);
+            }
             break;
         };
         // An attempt after one that reached no target does not count as a retry.
@@ -264,7 +274,9 @@
     let health = node.target_health.borrow();
     let options: Vec<TargetCandidate<'_>> = catalog
         .usable_targets(&caller.service, now)
-        .filter(|target| !excluded_targets.contains(&target.record.name))
+        .filter(|target| {
+            !excluded_targets.contains(&target.record.name) && !node.is_quiet(&target.record)
+        })
         .map(|target| TargetCandidate {
             name: &target.record.name,
             domain: &target.record.domain,
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -23,6 +23,7 @@
 use crate::platform::records::TARGET_TOPIC;
 use crate::policy::dispatch::{DispatchAnswer, EngineDispatcher, EngineTarget, JobId};
 use crate::policy::part_guard::PartGuard;
+use crate::policy::quiet_targets::QuietTargets;
 use crate::policy::retry_share::RetryShare;
 use crate::policy::target_choice::TargetHealth;
 use crate::wire::PeerClient;
@@ -54,6 +55,8 @@
     pub target_health: RefCell<HashMap<TargetName, TargetHealth>>,
     /// Parts of prompts on which engines crash: bans and, at the owner of placement, evidence.
     pub part_guard: RefCell<PartGuard>,
+    /// Targets that asked this VM to send them nothing for a time.
+    pub quiet_targets: RefCell<QuietTargets>,
     /// Retry budget of each service.
     pub retry_shares: RefCell<HashMap<String, RetryShare>>,
     /// Job updates not yet sent to the owner of placement.
@@ -110,6 +113,7 @@
             body_budget: BodyBudget::default(),
             target_health: RefCell::default(),
             part_guard: RefCell::default(),
+            quiet_targets: RefCell::default(),
             retry_shares: RefCell::default(),
             pending_updates: RefCell::default(),
             updates_ready: Notify::new(),
@@ -283,19 +287,59 @@
         }
     }
 
-    /// Names of the suspended targets, sorted.
-    pub fn suspended_targets(&self) -> Vec<TargetName> {
+    /// Names of the targets that are suspended or asked for a pause, sorted.
+    pub fn avoided_targets(&self) -> Vec<TargetName> {
         let now = self.now();
         let health = self.target_health.borrow();
-        let mut names: Vec<TargetName> = health
+        let quiet = self.quiet_targets.borrow();
+        let suspended = health
             .iter()
             .filter(|(_, health)| health.is_suspended(now))
-            .map(|(name, _)| name.clone())
-            .collect();
+            .map(|(name, _)| name);
+        let mut names: Vec<TargetName> = suspended.chain(quiet.names(now)).cloned().collect();
         names.sort();
+        names.dedup();
         names
     }
 
+    /// Records that a target refused a request and wants nothing from this VM for `pause`.
+    pub fn record_pause(&self, target: &TargetRecord, pause: Duration) {
+        if pause.is_zero() {
+            return;
+        }
+        tracing::info!(replica = %target.name, pause_ms = pause.as_millis() as u64, "target asked for a pause");
+        self.metrics.pauses.inc();
+        self.quiet_targets.borrow_mut().record(
+            &target.name,
+            target.started_ms,
+            pause,
+            rand::random(),
+            self.now(),
+        );
+    }
+
+    /// Whether a target wants nothing from this VM now.
+    pub fn is_quiet(&self, target: &TargetRecord) -> bool {
+        let quiet = self.quiet_targets.borrow();
+        quiet.is_quiet(&target.name, target.started_ms, self.now())
+    }
+
+    /// Time until the first target of `service` may be sent requests again; `None` unless all of
+    /// them want nothing now.
+    pub fn service_pause(&self, service: &str) -> Option<Duration> {
+        let now = self.now();
+        let catalog = self.catalog.borrow();
+        let mut targets = catalog.usable_targets(service, now).peekable();
+        targets.peek()?;
+        if targets.any(|target| !self.is_quiet(&target.record)) {
+            return None;
+        }
+        let names = catalog
+            .usable_targets(service, now)
+            .map(|target| &target.record.name);
+        self.quiet_targets.borrow().first_end(names, now)
+    }
+
     /// Records that a target served a request.
     pub fn record_target_success(&self, target: &TargetName) {
         if let Some(health) = self.target_health.borrow_mut().get_mut(target) {
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 
 use crate::ids::{PartName, TargetName, TeamName};
 
@@ -23,6 +23,7 @@
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
+const MAX_SECONDS: f64 = 86_400.0;
 /// Most parts of a prompt that are recorded, so that one request's parts take bounded memory.
 const MAX_SHARED_PARTS: usize = 32;
 
@@ -205,6 +206,8 @@
     pub failed_target: Option<String>,
     /// Whether the target is shutting down and takes no new requests.
     pub leaving: bool,
+    /// How long the target wants nothing more from this VM, if it refused the request.
+    pub pause: Option<Duration>,
 }
 
 /// Load that a target reports with its responses.
@@ -239,9 +242,16 @@
         load,
         failed_target: header_text(headers, &FAILED_TARGET).map(str::to_owned),
         leaving: header_text(headers, &LEAVING) == Some("1"),
+        pause: header_text(headers, &RETRY_AFTER).and_then(decode_seconds),
     }
 }
 
+/// Decodes a number of seconds; a malformed or negative one counts as missing, a huge one as a day.
+fn decode_seconds(text: &str) -> Option<Duration> {
+    let seconds: f64 = text.parse().ok()?;
+    (seconds >= 0.0).then(|| Duration::from_secs_f64(seconds.min(MAX_SECONDS)))
+}
+
 /// Selects the headers of a target's response that are forwarded to the caller.
 pub fn forwarded_headers(response: &HeaderMap) -> HeaderMap {
     let mut headers = HeaderMap::with_capacity(response.len());
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,6 +6,7 @@
 pub mod lane;
 pub mod part_guard;
 pub mod placement;
+pub mod quiet_targets;
 pub mod read_pacing;
 pub mod retry;
 pub mod retry_share;
--- a/tests/core/adapter.rs
+++ b/tests/core/adapter.rs
@@ -186,6 +186,22 @@
     assert_eq!(split, "10.0.0.2:8/t");
 }
 
+#[test]
+fn pauses_are_seconds_and_malformed_ones_are_ignored() {
+    let pause_of = |text: &'static str| {
+        let response = headers(&[("retry-after", text)]);
+        decode_response_headers(&response).pause
+    };
+
+    assert_eq!(pause_of("2"), Some(Duration::from_secs(2)));
+    assert_eq!(pause_of("0.25"), Some(Duration::from_millis(250)));
+    assert_eq!(pause_of("0"), Some(Duration::ZERO));
+    assert_eq!(pause_of("1e300"), Some(Duration::from_secs(86_400)));
+    for malformed in ["", "-1", "soon", "NaN", "Fri, 04 Dec 2026 12:00:00 GMT"] {
+        assert_eq!(pause_of(malformed), None, "{malformed}");
+    }
+}
+
 #[test]
 fn shared_parts_are_those_before_the_last() {
     let parts_of = |list: &'static str| {
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -23,6 +23,7 @@
 mod part_guard;
 mod placement_owner;
 mod queue;
+mod quiet_targets;
 mod read_pacing;
 mod routes;
 mod steward;
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -1,6 +1,8 @@
 //! Requests to services that are not model engines: what their callers receive and how often
 //! targets execute them.
 
+use std::time::{Duration, Instant};
+
 use crate::support::bed::TestBed;
 use crate::support::caller::{CallerRequest, send};
 use crate::support::target::TargetMode;
@@ -111,6 +113,63 @@
     }
 }
 
+#[test]
+fn targets_that_ask_for_a_pause_get_no_requests_for_that_time() {
+    const PAUSE: Duration = Duration::from_secs(3);
+    let bed = TestBed::start(1);
+    bed.engines[0].refuse_for(PAUSE);
+    bed.replicas[0].refuse_for(PAUSE);
+    let started_at = Instant::now();
+
+    while started_at.elapsed() < PAUSE {
+        let id = format!("pause-{}", started_at.elapsed().as_millis());
+        let looked_up = bed.lookup(0, &id).expect("a response");
+        let stream = bed.stream(&id, "/single/a");
+        let streamed = send(bed.node_configs[0].callers, &stream).expect("a response");
+        assert_eq!((looked_up.status, streamed.status), (200, 200), "{id}");
+    }
+
+    for target in ["engine-0", "replica-0"] {
+        let ledger = bed.ledger();
+        let refusals = ledger.refusals.iter().filter(|(name, ..)| name == target);
+        let times: Vec<Instant> = refusals.map(|(.., at)| *at).collect();
+        let first = *times.first().expect("the target was asked once");
+        let grace = Duration::from_millis(500);
+        let late = times.iter().filter(|at| **at > first + grace).count();
+        assert!(late <= 2, "{target} was asked {late} times more");
+    }
+}
+
+#[test]
+fn requests_are_refused_at_once_while_all_targets_ask_for_a_pause() {
+    let bed = TestBed::start(1);
+    for target in bed.engines.iter().chain(&bed.replicas) {
+        target.refuse_for(Duration::from_secs(5));
+    }
+    for request in 0..4 {
+        let id = format!("all-{request}");
+        bed.lookup(0, &id);
+        send(bed.node_configs[0].callers, &bed.stream(&id, "/single/a"));
+    }
+    let asked = bed.ledger().refusals.len();
+
+    let started_at = Instant::now();
+    let looked_up = bed.lookup(0, "refused").expect("a response");
+    let stream = bed.stream("refused", "/single/a");
+    let streamed = send(bed.node_configs[0].callers, &stream).expect("a response");
+
+    assert!(started_at.elapsed() < Duration::from_millis(500));
+    assert_eq!(bed.ledger().refusals.len(), asked);
+    for response in [looked_up, streamed] {
+        assert_eq!(response.status, 503);
+        let retry_after: f64 = response
+            .header("retry-after")
+            .and_then(|seconds| seconds.parse().ok())
+            .expect("a time to return at");
+        assert!((3.0..8.0).contains(&retry_after), "{retry_after}");
+    }
+}
+
 #[test]
 fn bodies_delimited_by_connection_close_are_complete() {
     let bed = TestBed::start(1);
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -137,6 +137,8 @@
 #[derive(Default)]
 pub struct RunLedger {
     pub runs: Vec<RunRecord>,
+    /// Requests that targets refused for lack of capacity: target, request and time.
+    pub refusals: Vec<(String, String, Instant)>,
     pub reservations: BTreeMap<String, MemoryReservation>,
     pub released: usize,
     /// Ids of requests whose sender closed the connection while they ran.
@@ -179,6 +181,8 @@
     crashes: Arc<AtomicU64>,
     /// Whether its responses say that it leaves.
     leaving: Arc<AtomicBool>,
+    /// Milliseconds in the `Retry-After` of its refusals, 0 for none.
+    retry_after_ms: Arc<AtomicU64>,
     ledger: SharedRunLedger,
 }
 
@@ -211,6 +215,7 @@
             crashed_at: Arc::default(),
             crashes: Arc::default(),
             leaving: Arc::default(),
+            retry_after_ms: Arc::default(),
             ledger,
         };
         let served_target = target.clone();
@@ -232,6 +237,13 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Makes the target refuse all requests and ask for a pause.
+    pub fn refuse_for(&self, pause: Duration) {
+        let pause_ms = pause.as_millis() as u64;
+        self.retry_after_ms.store(pause_ms, Ordering::Relaxed);
+        self.set_mode(TargetMode::Full);
+    }
+
     fn leaving_header(&self) -> &'static str {
         if self.leaving.load(Ordering::Relaxed) {
             "server-leaving: 1\r\n"
@@ -319,10 +331,16 @@
         }
         let mode = *self.mode.lock().unwrap_or_else(PoisonError::into_inner);
         if mode == TargetMode::Full {
-            let headers = [
+            self.record_refusal(&id);
+            let pause_ms = self.retry_after_ms.load(Ordering::Relaxed);
+            let retry_after = format!("{}", pause_ms as f64 / 1000.0);
+            let mut headers = vec![
                 ("x-plantainnotch-request-id", id.as_str()),
                 ("x-plantainnotch-not-executed", "1"),
             ];
+            if pause_ms > 0 {
+                headers.push(("retry-after", retry_after.as_str()));
+            }
             steps
                 .send(ResponseStep::Write(encode_response(503, &headers, b"")))
                 .await
@@ -345,6 +363,12 @@
         guard.completed = true;
     }
 
+    fn record_refusal(&self, id: &str) {
+        let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+        let refusal = (self.id.clone(), id.to_owned(), Instant::now());
+        ledger.refusals.push(refusal);
+    }
+
     fn record_run(&self, request: &ReceivedRequest, id: &str) {
         let text = |name: &str| request.header(name).map(str::to_owned);
         let record = RunRecord {
