--- a/src/node/crashing_parts.rs
+++ b/src/node/crashing_parts.rs
@@ -79,6 +79,12 @@
     });
 }
 
+/// The names of parts as one text, for logs.
+pub fn part_names(parts: &[PartName]) -> String {
+    let names: Vec<&str> = parts.iter().map(PartName::as_str).collect();
+    names.join(" ")
+}
+
 /// Takes over bans that a peer knows.
 pub fn import_bans(node: &NodeState, bans: &[PartBan]) {
     let imported = node.part_guard.borrow_mut().import_bans(bans, node.now());
@@ -114,8 +120,7 @@
 
 fn log_bans(node: &NodeState, bans: &[PartBan], source: &str) {
     for ban in bans {
-        let parts: Vec<&str> = ban.parts.iter().map(PartName::as_str).collect();
-        let (parts, ban_ms) = (parts.join(" "), ban.left_ms);
+        let (parts, ban_ms) = (part_names(&ban.parts), ban.left_ms);
         if ban_ms == 0 {
             tracing::info!(parts, source, "prompt parts no longer banned");
         } else {
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -15,7 +15,7 @@
     AttemptOutcome, AttemptPlan, CallerRequest, TargetInFlightGuard, TargetResponse, send_attempt,
 };
 use super::connection::open_connection;
-use super::crashing_parts::{refuse_banned, report_broken};
+use super::crashing_parts::{part_names, refuse_banned, report_broken};
 use super::placement::{JobGuard, place};
 use super::relay::{ENDED_BEFORE_FIRST_EVENT, EventBuffer, StreamRelay, TargetStream};
 use super::service::{NodeResponse, ServedResponse};
@@ -195,11 +195,10 @@
     let parts = &caller.parsed_headers.shared_parts;
     loop {
         if let Some(refusal) = refuse_banned(node, parts) {
-            return ServedResponse::Node(last_failure.filter(|_| runs > 0).unwrap_or(refusal));
+            return refuse(last_failure, runs, refusal);
         }
         if let Some(pause) = node.service_pause(&caller.service) {
-            let refusal = NodeResponse::paused(pause);
-            return ServedResponse::Node(last_failure.filter(|_| runs > 0).unwrap_or(refusal));
+            return refuse(last_failure, runs, NodeResponse::paused(pause));
         }
         let now = node.now();
         placement_request.objective = caller.objective_left(now);
@@ -227,17 +226,14 @@
                     decided_by = outcome.decided_by,
                     "placement refused"
                 );
-                return ServedResponse::Node(match last_failure {
-                    Some(response) if runs > 0 => response,
-                    _ => {
-                        NodeResponse::not_run(reason.as_str(), "refused by placement", retry_after)
-                    }
-                });
+                let refusal =
+                    NodeResponse::not_run(reason.as_str(), "refused by placement", retry_after);
+                return refuse(last_failure, runs, refusal);
             }
         };
         let job = JobGuard::new(node.clone(), placement_request.job);
         if let Some(refusal) = refuse_banned(node, parts) {
-            return ServedResponse::Node(last_failure.filter(|_| runs > 0).unwrap_or(refusal));
+            return refuse(last_failure, runs, refusal);
         }
         // An attempt after one that reached no target does not count as a retry.
         if next_is_retry && !node.try_take_retry(&caller.service) {
@@ -346,9 +342,10 @@
     names.join(" ")
 }
 
-fn part_names(parts: &[PartName]) -> String {
-    let names: Vec<&str> = parts.iter().map(PartName::as_str).collect();
-    names.join(" ")
+/// Refuses a request; one that may have run gets the failure of its last attempt instead.
+fn refuse(last_failure: Option<NodeResponse>, runs: u32, refusal: NodeResponse) -> ServedResponse {
+    let failure = last_failure.filter(|_| runs > 0);
+    ServedResponse::Node(failure.unwrap_or(refusal))
 }
 
 fn new_placement_request(node: &NodeState, caller: &CallerRequest) -> PlacementRequest {
@@ -542,7 +539,7 @@
     last_event_id: Option<u64>,
 ) -> (AttemptOutcome, Reservations) {
     let target_gone = |name: &TargetName| AttemptOutcome::NotRun {
-        reason: format!("target {name} is gone, leaves or wants a pause"),
+        reason: format!("target {name} is gone, leaves or is paused"),
         failed_target: Some(name.to_string()),
         reached_target: false,
     };
@@ -550,7 +547,7 @@
         let catalog = node.catalog.borrow();
         let target = catalog.target(name).map(|target| target.record.clone());
         // The owner of placement may not know yet.
-        target.filter(|target| !target.draining && !node.is_quiet(target))
+        target.filter(|target| !target.draining && !node.is_paused(target))
     };
     let Some(lead) = target_record(&placement.lead) else {
         return (target_gone(&placement.lead), Reservations::default());
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -59,7 +59,8 @@
         }
     }
 
-    /// All targets of the service want nothing from this VM for `pause`: 503 with `Retry-After`.
+    /// All targets of the service asked this VM for a pause, the shortest of which lasts `pause`: 503
+    /// with `Retry-After`.
     pub fn paused(pause: Duration) -> Self {
         Self::not_run("paused", "all targets asked for a pause", pause)
     }
@@ -275,7 +276,7 @@
     let options: Vec<TargetCandidate<'_>> = catalog
         .usable_targets(&caller.service, now)
         .filter(|target| {
-            !excluded_targets.contains(&target.record.name) && !node.is_quiet(&target.record)
+            !excluded_targets.contains(&target.record.name) && !node.is_paused(&target.record)
         })
         .map(|target| TargetCandidate {
             name: &target.record.name,
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -23,7 +23,7 @@
 use crate::platform::records::TARGET_TOPIC;
 use crate::policy::dispatch::{DispatchAnswer, EngineDispatcher, EngineTarget, JobId};
 use crate::policy::part_guard::PartGuard;
-use crate::policy::quiet_targets::QuietTargets;
+use crate::policy::paused_targets::PausedTargets;
 use crate::policy::retry_share::RetryShare;
 use crate::policy::target_choice::TargetHealth;
 use crate::wire::PeerClient;
@@ -55,8 +55,8 @@
     pub target_health: RefCell<HashMap<TargetName, TargetHealth>>,
     /// Parts of prompts on which engines crash: bans and, at the owner of placement, evidence.
     pub part_guard: RefCell<PartGuard>,
-    /// Targets that asked this VM to send them nothing for a time.
-    pub quiet_targets: RefCell<QuietTargets>,
+    /// Targets that asked this VM for a pause.
+    pub paused_targets: RefCell<PausedTargets>,
     /// Retry budget of each service.
     pub retry_shares: RefCell<HashMap<String, RetryShare>>,
     /// Job updates not yet sent to the owner of placement.
@@ -113,7 +113,7 @@
             body_budget: BodyBudget::default(),
             target_health: RefCell::default(),
             part_guard: RefCell::default(),
-            quiet_targets: RefCell::default(),
+            paused_targets: RefCell::default(),
             retry_shares: RefCell::default(),
             pending_updates: RefCell::default(),
             updates_ready: Notify::new(),
@@ -291,25 +291,25 @@
     pub fn avoided_targets(&self) -> Vec<TargetName> {
         let now = self.now();
         let health = self.target_health.borrow();
-        let quiet = self.quiet_targets.borrow();
+        let paused = self.paused_targets.borrow();
         let suspended = health
             .iter()
             .filter(|(_, health)| health.is_suspended(now))
             .map(|(name, _)| name);
-        let mut names: Vec<TargetName> = suspended.chain(quiet.names(now)).cloned().collect();
+        let mut names: Vec<TargetName> = suspended.chain(paused.names(now)).cloned().collect();
         names.sort();
         names.dedup();
         names
     }
 
-    /// Records that a target refused a request and wants nothing from this VM for `pause`.
+    /// Records that a target refused a request and asked this VM for a pause.
     pub fn record_pause(&self, target: &TargetRecord, pause: Duration) {
         if pause.is_zero() {
             return;
         }
         tracing::info!(replica = %target.name, pause_ms = pause.as_millis() as u64, "target asked for a pause");
         self.metrics.pauses.inc();
-        self.quiet_targets.borrow_mut().record(
+        self.paused_targets.borrow_mut().record(
             &target.name,
             target.started_ms,
             pause,
@@ -318,26 +318,26 @@
         );
     }
 
-    /// Whether a target wants nothing from this VM now.
-    pub fn is_quiet(&self, target: &TargetRecord) -> bool {
-        let quiet = self.quiet_targets.borrow();
-        quiet.is_quiet(&target.name, target.started_ms, self.now())
+    /// Whether a target's pause lasts.
+    pub fn is_paused(&self, target: &TargetRecord) -> bool {
+        let paused = self.paused_targets.borrow();
+        paused.is_paused(&target.name, target.started_ms, self.now())
     }
 
     /// Time until the first target of `service` may be sent requests again; `None` unless all of
-    /// them want nothing now.
+    /// them are paused.
     pub fn service_pause(&self, service: &str) -> Option<Duration> {
         let now = self.now();
         let catalog = self.catalog.borrow();
         let mut targets = catalog.usable_targets(service, now).peekable();
         targets.peek()?;
-        if targets.any(|target| !self.is_quiet(&target.record)) {
+        if targets.any(|target| !self.is_paused(&target.record)) {
             return None;
         }
         let names = catalog
             .usable_targets(service, now)
             .map(|target| &target.record.name);
-        self.quiet_targets.borrow().first_end(names, now)
+        self.paused_targets.borrow().first_end(names, now)
     }
 
     /// Records that a target served a request.
