Log and count the rate limits that targets name

The nodes' output did not have the header Server-Limit, so that an unread limit could not be told from one that is read late or that each VM keeps to alone. Each VM now logs a limit when it learns, changes or ends it, and limited_targets counts the targets that name one. Requests are sent as before.

Responses may overtake each other: a higher limit, or the end of one, counts only from a request that was sent after the known limit was learned.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -180,7 +180,7 @@
     );
     let head = target_request_head(caller.method.clone(), caller.uri.clone(), headers);
     match connection.exchange(head, &caller.body).await {
-        Ok(head) => classify_response(node, caller, plan, head, connection).await,
+        Ok(head) => classify_response(node, caller, plan, head, connection, now).await,
         Err(error) => {
             node.record_exchange_failure(&plan.target.name, &error);
             AttemptOutcome::Unknown {
@@ -214,6 +214,7 @@
     plan: &AttemptPlan<'_>,
     head: ResponseHead,
     connection: TargetConnection,
+    sent_at: Instant,
 ) -> AttemptOutcome {
     let parsed_headers = decode_response_headers(&head.headers);
     if parsed_headers.leaving {
@@ -229,6 +230,9 @@
             connection_lost: false,
         };
     }
+    if status != MISDIRECTED_REQUEST {
+        node.record_rate_limit(plan.target, &parsed_headers, sent_at);
+    }
     if let Some(load) = parsed_headers.load {
         let now = node.now();
         if let Some(health) = node.target_health.borrow_mut().get_mut(&plan.target.name) {
--- a/src/node/feeds.rs
+++ b/src/node/feeds.rs
@@ -215,6 +215,7 @@
         let changes = node.catalog.borrow_mut().remove_lapsed(now);
         node.handle_catalog_changes(&changes, "lapse");
         node.connection_pool.borrow_mut().prune(now);
+        node.forget_rate_limits();
         node.refresh_dispatchers();
     }
 }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -96,6 +96,8 @@
     pub failures: Family<DependencyLabel, Counter>,
     /// Refusals of targets that asked for a pause.
     pub pauses: Counter,
+    /// Targets that name a rate limit.
+    pub limited_targets: Gauge,
     /// Combinations of prompt parts whose requests are refused.
     pub banned_parts: Gauge,
     /// Seconds since the last successful read of each topic that this node follows.
@@ -132,6 +134,7 @@
             members_live: Gauge::default(),
             failures: Family::default(),
             pauses: Counter::default(),
+            limited_targets: Gauge::default(),
             banned_parts: Gauge::default(),
             feed_age_seconds: Family::default(),
             placed_alone: Counter::default(),
@@ -195,6 +198,11 @@
             "Refusals of targets that asked for a pause",
             self.pauses.clone(),
         );
+        registry.register(
+            "limited_targets",
+            "Targets that name a rate limit",
+            self.limited_targets.clone(),
+        );
         registry.register(
             "banned_parts",
             "Combinations of prompt parts whose requests are refused",
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -20,10 +20,12 @@
 use crate::fleet::settings::NodeSettings;
 use crate::fleet::store_outage::{LAPSE_GRACE, StoreOutage};
 use crate::ids::TargetName;
+use crate::platform::callers::{NamedRate, TargetResponseHeaders};
 use crate::platform::records::TARGET_TOPIC;
 use crate::policy::dispatch::{DispatchAnswer, EngineDispatcher, EngineTarget, JobId};
 use crate::policy::part_guard::PartGuard;
 use crate::policy::paused_targets::PausedTargets;
+use crate::policy::rate_limits::{RateLimit, RateLimits};
 use crate::policy::retry_share::RetryShare;
 use crate::policy::target_choice::TargetHealth;
 use crate::wire::PeerClient;
@@ -57,6 +59,8 @@
     pub part_guard: RefCell<PartGuard>,
     /// Targets that asked this VM for a pause.
     pub paused_targets: RefCell<PausedTargets>,
+    /// Rate limits that targets name in their responses.
+    pub rate_limits: RefCell<RateLimits>,
     /// Retry budget of each service.
     pub retry_shares: RefCell<HashMap<String, RetryShare>>,
     /// Job updates not yet sent to the owner of placement.
@@ -114,6 +118,7 @@
             target_health: RefCell::default(),
             part_guard: RefCell::default(),
             paused_targets: RefCell::default(),
+            rate_limits: RefCell::default(),
             retry_shares: RefCell::default(),
             pending_updates: RefCell::default(),
             updates_ready: Notify::new(),
@@ -318,6 +323,49 @@
         );
     }
 
+    /// Records the rate limit that a target's response to a request sent at `sent_at` names. That it
+    /// names none counts only where the response is the target's own.
+    pub fn record_rate_limit(
+        &self,
+        target: &TargetRecord,
+        response: &TargetResponseHeaders,
+        sent_at: Instant,
+    ) {
+        let rate = match response.rate_limit {
+            NamedRate::PerSecond(rate) => Some(rate),
+            NamedRate::Unlimited if response.has_seal => None,
+            NamedRate::Unlimited | NamedRate::Unreadable => return,
+        };
+        let change = {
+            let mut limits = self.rate_limits.borrow_mut();
+            limits.observe(&target.name, target.started_ms, rate, sent_at, self.now())
+        };
+        if let Some(change) = change {
+            self.log_rate_limit(&change, "answer");
+        }
+    }
+
+    /// Drops the rate limits of targets that are gone.
+    pub fn forget_rate_limits(&self) {
+        let catalog = self.catalog.borrow();
+        let mut limits = self.rate_limits.borrow_mut();
+        limits.retain(|target| catalog.target(target).is_some());
+        self.metrics
+            .limited_targets
+            .set(limits.limited_count() as i64);
+    }
+
+    fn log_rate_limit(&self, limit: &RateLimit, source: &str) {
+        let RateLimit {
+            target,
+            requests_per_s,
+            ..
+        } = limit;
+        tracing::info!(replica = %target, requests_per_s, source, "rate limit of a target changed");
+        let limited = self.rate_limits.borrow().limited_count();
+        self.metrics.limited_targets.set(limited as i64);
+    }
+
     /// Whether a target's pause lasts.
     pub fn is_paused(&self, target: &TargetRecord) -> bool {
         let paused = self.paused_targets.borrow();
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -21,6 +21,7 @@
 const TARGET_LOAD: HeaderName = HeaderName::from_static("x-plantainnotch-replica-load");
 const FAILED_TARGET: HeaderName = HeaderName::from_static("at-server");
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
 const MAX_SECONDS: f64 = 86_400.0;
@@ -208,6 +209,20 @@
     pub leaving: bool,
     /// How long the target wants nothing more from this VM, if it refused the request.
     pub pause: Option<Duration>,
+    /// The rate limit that the target names.
+    pub rate_limit: NamedRate,
+}
+
+/// Rate limit that a response names.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum NamedRate {
+    /// The response has no limit.
+    #[default]
+    Unlimited,
+    /// The limit is no number of requests.
+    Unreadable,
+    /// Requests a second that the target takes from all VMs together.
+    PerSecond(f64),
 }
 
 /// Load that a target reports with its responses.
@@ -243,6 +258,18 @@
         failed_target: header_text(headers, &FAILED_TARGET).map(str::to_owned),
         leaving: header_text(headers, &LEAVING) == Some("1"),
         pause: header_text(headers, &RETRY_AFTER).and_then(decode_seconds),
+        rate_limit: decode_rate_limit(headers),
+    }
+}
+
+fn decode_rate_limit(headers: &HeaderMap) -> NamedRate {
+    if !headers.contains_key(&RATE_LIMIT) {
+        return NamedRate::Unlimited;
+    }
+    let rate = header_text(headers, &RATE_LIMIT).and_then(|text| text.parse().ok());
+    match rate {
+        Some(rate) if rate >= 0.0 && f64::is_finite(rate) => NamedRate::PerSecond(rate),
+        _ => NamedRate::Unreadable,
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,7 @@
 pub mod part_guard;
 pub mod paused_targets;
 pub mod placement;
+pub mod rate_limits;
 pub mod read_pacing;
 pub mod retry;
 pub mod retry_share;
--- a/tests/core/adapter.rs
+++ b/tests/core/adapter.rs
@@ -5,7 +5,7 @@
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use plantainnotch::ids::{DomainName, PartName, TargetName, TeamName};
 use plantainnotch::platform::callers::{
-    SplitHelper, TargetHeaders, decode_caller_headers, decode_response_headers,
+    NamedRate, SplitHelper, TargetHeaders, decode_caller_headers, decode_response_headers,
     encode_target_headers,
 };
 use plantainnotch::platform::settings::parse_settings;
@@ -202,6 +202,22 @@
     }
 }
 
+#[test]
+fn rate_limits_are_decimal_numbers_and_unreadable_ones_are_told_from_none() {
+    let limit_of = |text: &'static str| {
+        let response = headers(&[("server-limit", text)]);
+        decode_response_headers(&response).rate_limit
+    };
+
+    assert_eq!(limit_of("2.3"), NamedRate::PerSecond(2.3));
+    assert_eq!(limit_of("0"), NamedRate::PerSecond(0.0));
+    for unreadable in ["", "-1", "few", "NaN", "inf"] {
+        assert_eq!(limit_of(unreadable), NamedRate::Unreadable, "{unreadable}");
+    }
+    let without = decode_response_headers(&headers(&[]));
+    assert_eq!(without.rate_limit, NamedRate::Unlimited);
+}
+
 #[test]
 fn shared_parts_are_those_before_the_last() {
     let parts_of = |list: &'static str| {
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -24,6 +24,7 @@
 mod paused_targets;
 mod placement_owner;
 mod queue;
+mod rate_limits;
 mod read_pacing;
 mod routes;
 mod steward;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,5 +7,6 @@
 mod crashing_parts;
 mod endless;
 mod members;
+mod rate_limits;
 mod records;
 mod streams;
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -183,6 +183,8 @@
     leaving: Arc<AtomicBool>,
     /// Milliseconds in the `Retry-After` of its refusals, 0 for none.
     retry_after_ms: Arc<AtomicU64>,
+    /// Requests a second that its responses name as its limit, if any.
+    rate_limit: Arc<Mutex<Option<f64>>>,
     ledger: SharedRunLedger,
 }
 
@@ -216,6 +218,7 @@
             crashes: Arc::default(),
             leaving: Arc::default(),
             retry_after_ms: Arc::default(),
+            rate_limit: Arc::default(),
             ledger,
         };
         let served_target = target.clone();
@@ -244,6 +247,23 @@
         self.set_mode(TargetMode::Full);
     }
 
+    /// Makes the target name a rate limit in its responses to requests, or none.
+    pub fn name_limit(&self, requests_per_s: Option<f64>) {
+        let mut rate_limit = self
+            .rate_limit
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *rate_limit = requests_per_s;
+    }
+
+    fn limit_text(&self) -> Option<String> {
+        let rate_limit = *self
+            .rate_limit
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        rate_limit.map(|rate| rate.to_string())
+    }
+
     fn leaving_header(&self) -> &'static str {
         if self.leaving.load(Ordering::Relaxed) {
             "server-leaving: 1\r\n"
@@ -341,6 +361,10 @@
             if pause_ms > 0 {
                 headers.push(("retry-after", retry_after.as_str()));
             }
+            let limit = self.limit_text();
+            if let Some(limit) = &limit {
+                headers.push(("server-limit", limit.as_str()));
+            }
             steps
                 .send(ResponseStep::Write(encode_response(503, &headers, b"")))
                 .await
@@ -401,6 +425,10 @@
         if !self.leaving_header().is_empty() {
             headers.push(("server-leaving", "1"));
         }
+        let limit = self.limit_text();
+        if let Some(limit) = &limit {
+            headers.push(("server-limit", limit.as_str()));
+        }
         let whole = encode_response(200, &headers, body);
         let unframed = format!(
             "HTTP/1.1 200 X\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-replica-seal: {seal}\r\n\r\n"
@@ -487,8 +515,11 @@
         } else {
             ""
         };
+        let limit = self.limit_text();
+        let limit_header =
+            limit.map_or(String::new(), |limit| format!("server-limit: {limit}\r\n"));
         let head = format!(
-            "HTTP/1.1 200 X\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-replica-seal: {seal}\r\ncontent-type: text/event-stream\r\n{}{framing}\r\n",
+            "HTTP/1.1 200 X\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-replica-seal: {seal}\r\ncontent-type: text/event-stream\r\n{}{limit_header}{framing}\r\n",
             self.leaving_header()
         );
         if mode == TargetMode::UnframedEmpty {
