Let targets name rate limits in the soak

Limits of one or all targets begin, change and end beside the other faults, drawn from a generator of their own, so that the faults of known seeds stay as they were. The check counts what reached a target in 4 s from VMs without a recent fault.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -12,10 +12,20 @@
 use crate::support::store::StoreMode;
 use crate::support::target::TargetMode;
 
-const STEP_PAUSE_MS: std::ops::Range<u64> = 50..500;
+const DENSE_PAUSE_MS: std::ops::Range<u64> = 50..500;
+const SPARSE_PAUSE_MS: std::ops::Range<u64> = 2_000..6_000;
 const STOP_TIMEOUT: Duration = Duration::from_secs(8); // grace_s in the nodes' settings
 const FAULT_DURATION_MS: std::ops::Range<u64> = 100..2_000;
 
+/// How often faults begin.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum FaultPace {
+    /// Several a second, so that they overlap.
+    Dense,
+    /// One in some seconds, so that rules that leave out VMs with recent faults are checked.
+    Sparse,
+}
+
 /// Action that ends a fault.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum FaultEnd {
@@ -29,27 +39,46 @@
     RestoreDomain(usize),
 }
 
+/// A time in which a node was killed, stopping or paused.
+#[derive(Debug, Clone)]
+pub struct NodeFault {
+    pub node: usize,
+    from: Instant,
+    until: Option<Instant>,
+}
+
+impl NodeFault {
+    /// Whether it lasted at any time between `from` and `until`.
+    pub fn overlaps(&self, from: Instant, until: Instant) -> bool {
+        self.from < until && self.until.is_none_or(|end| from <= end)
+    }
+}
+
 /// Injects faults and ends each after a random time.
 pub struct FaultInjector {
     rng: StdRng,
+    pace: FaultPace,
     started_at: Instant,
     pending_ends: Vec<(Instant, FaultEnd)>,
     config_version: u64,
     target_count: usize,
     event_log: Vec<String>,
     stopping_nodes: BTreeSet<usize>,
+    node_faults: Vec<NodeFault>,
 }
 
 impl FaultInjector {
-    pub fn new(seed: u64, bed: &TestBed) -> Self {
+    pub fn new(seed: u64, pace: FaultPace, bed: &TestBed) -> Self {
         Self {
             rng: StdRng::seed_from_u64(seed),
+            pace,
             started_at: Instant::now(),
             pending_ends: Vec::new(),
             config_version: 1,
             target_count: bed.engines.len() + bed.replicas.len(),
             event_log: Vec::new(),
             stopping_nodes: BTreeSet::new(),
+            node_faults: Vec::new(),
         }
     }
 
@@ -58,10 +87,33 @@
         &self.event_log
     }
 
+    /// The times in which nodes were not sound.
+    pub fn node_faults(&self) -> &[NodeFault] {
+        &self.node_faults
+    }
+
+    fn begin_node_fault(&mut self, node: usize) {
+        self.node_faults.push(NodeFault {
+            node,
+            from: Instant::now(),
+            until: None,
+        });
+    }
+
+    fn end_node_faults(&mut self, node: usize) {
+        let faults = self.node_faults.iter_mut();
+        for fault in faults.filter(|fault| fault.node == node && fault.until.is_none()) {
+            fault.until = Some(Instant::now());
+        }
+    }
+
     /// Injects one fault, waits for a random time, and ends the faults that are due.
     pub fn step(&mut self, bed: &mut TestBed) {
         self.inject(bed);
-        let pause_ms = self.rng.random_range(STEP_PAUSE_MS);
+        let pause_ms = match self.pace {
+            FaultPace::Dense => self.rng.random_range(DENSE_PAUSE_MS),
+            FaultPace::Sparse => self.rng.random_range(SPARSE_PAUSE_MS),
+        };
         thread::sleep(Duration::from_millis(pause_ms));
         let now = Instant::now();
         let (due_ends, pending_ends) = self.pending_ends.iter().partition(|(at, _)| *at <= now);
@@ -110,17 +162,20 @@
         match self.rng.random_range(0..13) {
             0 | 1 => {
                 self.log_event(&format!("node {node} is killed"));
+                self.begin_node_fault(node);
                 bed.nodes[node].kill();
                 self.schedule(FaultEnd::RestartNode(node));
             }
             2 => {
                 self.log_event(&format!("node {node} is sent a stop signal"));
+                self.begin_node_fault(node);
                 bed.nodes[node].signal("TERM");
                 self.stopping_nodes.insert(node);
                 self.schedule(FaultEnd::RestartNode(node));
             }
             3 => {
                 self.log_event(&format!("node {node} is paused"));
+                self.begin_node_fault(node);
                 bed.nodes[node].signal("STOP");
                 self.schedule(FaultEnd::ResumeNode(node));
             }
@@ -187,6 +242,7 @@
             _ => {
                 self.log_event("all nodes are killed");
                 for node in 0..bed.nodes.len() {
+                    self.begin_node_fault(node);
                     bed.nodes[node].kill();
                     self.schedule(FaultEnd::RestartNode(node));
                 }
@@ -207,7 +263,10 @@
     fn end_fault(&mut self, bed: &mut TestBed, end: FaultEnd) {
         match end {
             FaultEnd::RestartNode(node) => self.restart(bed, node),
-            FaultEnd::ResumeNode(node) => bed.nodes[node].signal("CONT"),
+            FaultEnd::ResumeNode(node) => {
+                bed.nodes[node].signal("CONT");
+                self.end_node_faults(node);
+            }
             FaultEnd::RestoreStore => bed.store.set_mode(StoreMode::Healthy),
             FaultEnd::ClearStoreProxy(node) => bed.store_proxies[node].set(ProxyFault::None),
             FaultEnd::RestoreTarget(target) => bed.target(target).set_mode(TargetMode::Healthy),
@@ -232,5 +291,6 @@
         self.log_event(&format!("node {node} starts"));
         self.stopping_nodes.remove(&node);
         bed.nodes[node].restart();
+        self.end_node_faults(node);
     }
 }
--- a/tests/soak/invariants.rs
+++ b/tests/soak/invariants.rs
@@ -1,6 +1,7 @@
 //! Invariants that the soak test checks on requests, runs, memory and recovery.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use rand::Rng;
@@ -30,6 +31,8 @@
 pub struct SentRequest {
     pub kind: RequestKind,
     pub caller_request: CallerRequest,
+    /// The node that it was sent to.
+    pub node: SocketAddr,
     pub response: Option<CallerResponse>,
 }
 
@@ -63,6 +66,7 @@
         Self {
             kind,
             caller_request: request,
+            node: SocketAddr::from(([0, 0, 0, 0], 0)),
             response: None,
         }
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -6,6 +6,7 @@
 
 mod faults;
 mod invariants;
+mod rate_limits;
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -15,57 +16,78 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use faults::FaultInjector;
+use faults::{FaultInjector, FaultPace};
 use invariants::{SentRequest, check_invariants};
+use rate_limits::LimitInjector;
 use support::bed::TestBed;
 use support::caller::{resolve, send};
 
 const DEFAULT_SEED: u64 = 1;
-const DEFAULT_DURATION: Duration = Duration::from_secs(8);
+const DENSE_DURATION: Duration = Duration::from_secs(8);
+const SPARSE_DURATION: Duration = Duration::from_secs(24);
 const DEFAULT_NODE_COUNT: usize = 4;
 const CALLER_COUNT: usize = 8;
 const SETTLE_TIME: Duration = Duration::from_secs(5); // leases expire and nodes recover by then
 const REGRESSION_SEEDS: &str = include_str!("seeds.txt");
 
-/// Options from the command line.
-struct SoakOptions {
-    seeds: Vec<u64>,
+/// One run of the soak.
+struct SoakRun {
+    seed: u64,
+    pace: FaultPace,
     duration: Duration,
     nodes: usize,
 }
 
 fn main() {
-    let options = parse_options();
-    for seed in &options.seeds {
-        run_seed(*seed, options.duration, options.nodes);
+    let runs = parse_runs();
+    for run in &runs {
+        run_seed(run);
     }
-    println!("{} passed, 0 failed", options.seeds.len());
+    println!("{} passed, 0 failed", runs.len());
 }
 
-fn parse_options() -> SoakOptions {
+/// The runs that the command line asks for: one seed, densely or with `--sparse` sparsely; without
+/// a seed the default one both ways, and the regression seeds.
+fn parse_runs() -> Vec<SoakRun> {
     let args: Vec<String> = std::env::args().collect();
     let option = |name: &str| -> Option<u64> {
         let position = args.iter().position(|arg| arg == name)?;
         args.get(position + 1)?.parse().ok()
     };
+    let pace = if args.iter().any(|arg| arg == "--sparse") {
+        FaultPace::Sparse
+    } else {
+        FaultPace::Dense
+    };
     let regression_seeds = REGRESSION_SEEDS
         .lines()
         .filter_map(|line| line.split('#').next()?.trim().parse().ok());
-    let seeds = match option("--seed") {
-        Some(seed) => vec![seed],
-        None => std::iter::once(DEFAULT_SEED)
-            .chain(regression_seeds)
+    let seeds: Vec<(u64, FaultPace)> = match option("--seed") {
+        Some(seed) => vec![(seed, pace)],
+        None => [FaultPace::Dense, FaultPace::Sparse]
+            .map(|pace| (DEFAULT_SEED, pace))
+            .into_iter()
+            .chain(regression_seeds.map(|seed| (seed, FaultPace::Dense)))
             .collect(),
     };
-    SoakOptions {
-        seeds,
-        duration: option("--for").map_or(DEFAULT_DURATION, Duration::from_secs),
+    let run = |(seed, pace): (u64, FaultPace)| SoakRun {
+        seed,
+        pace,
+        duration: option("--for").map_or(
+            match pace {
+                FaultPace::Dense => DENSE_DURATION,
+                FaultPace::Sparse => SPARSE_DURATION,
+            },
+            Duration::from_secs,
+        ),
         nodes: option("--nodes").map_or(DEFAULT_NODE_COUNT, |count| count as usize),
-    }
+    };
+    seeds.into_iter().map(run).collect()
 }
 
-fn run_seed(seed: u64, duration: Duration, nodes: usize) {
-    let mut bed = TestBed::start(nodes);
+fn run_seed(run: &SoakRun) {
+    let seed = run.seed;
+    let mut bed = TestBed::start(run.nodes);
     let directories: Vec<_> = bed
         .node_configs
         .iter()
@@ -80,11 +102,14 @@
             thread::spawn(move || run_caller(seed, caller, &directories, &sent, &stop))
         })
         .collect();
-    let mut injector = FaultInjector::new(seed, &bed);
+    let mut injector = FaultInjector::new(seed, run.pace, &bed);
+    let mut limits = LimitInjector::new(seed, run.pace);
     let started_at = Instant::now();
-    while started_at.elapsed() < duration {
+    while started_at.elapsed() < run.duration {
         injector.step(&mut bed);
+        limits.step(&bed);
     }
+    limits.end_all(&bed);
     injector.end_all_faults(&mut bed);
     stop.store(true, Ordering::Relaxed);
     for caller in callers {
@@ -92,18 +117,25 @@
     }
     thread::sleep(SETTLE_TIME);
     let sent = sent.lock().unwrap_or_else(PoisonError::into_inner);
-    let violations = check_invariants(&bed, &sent);
+    let mut violations = check_invariants(&bed, &sent);
+    violations.extend(limits.check(&bed, &sent, injector.node_faults()));
     if violations.is_empty() {
         let served = sent.iter().filter(|request| request.is_served()).count();
-        println!("seed {seed}: {} requests, {served} served", sent.len());
+        println!(
+            "seed {seed}, {:?}: {} requests, {served} served",
+            run.pace,
+            sent.len()
+        );
         return;
     }
     // A panic keeps the nodes' working directories, with their logs.
     panic!(
-        "seed {seed} violated {} invariants:\n{}\nfaults:\n{}",
+        "seed {seed}, {:?}, violated {} invariants:\n{}\nfaults:\n{}\nlimits:\n{}",
+        run.pace,
         violations.len(),
         violations.join("\n"),
-        injector.event_log().join("\n")
+        injector.event_log().join("\n"),
+        limits.event_log().join("\n")
     );
 }
 
@@ -127,8 +159,8 @@
             request_number += 1;
             let mut request =
                 SentRequest::draw(&mut rng, &format!("{seed}-{caller}-{request_number}"));
-            let address = addresses[rng.random_range(0..addresses.len())];
-            request.response = send(address, &request.caller_request);
+            request.node = addresses[rng.random_range(0..addresses.len())];
+            request.response = send(request.node, &request.caller_request);
             sent.lock()
                 .unwrap_or_else(PoisonError::into_inner)
                 .push(request);
