--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -430,9 +430,11 @@
             headers.push(("server-limit", limit.as_str()));
         }
         let whole = encode_response(200, &headers, body);
-        let unframed = format!(
-            "HTTP/1.1 200 X\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-replica-seal: {seal}\r\n\r\n"
-        );
+        let lines: String = headers
+            .iter()
+            .map(|(name, value)| format!("{name}: {value}\r\n"))
+            .collect();
+        let unframed = format!("HTTP/1.1 200 X\r\n{lines}\r\n");
         let response_steps = match mode {
             TargetMode::ResetsAfterRun => vec![ResponseStep::Reset],
             TargetMode::Hangs => vec![ResponseStep::Silence],
