Log by what a request is recognised when it comes again

The nodes' output had neither path nor body, so that returns of one request could not be told from different requests that crash targets. 'request' in 'request decided' and 'send without an answer' is a hash of method, path, team and body. Requests are served as before.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
 
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
@@ -153,3 +154,33 @@
         write!(f, "grant-{}-{}", self.epoch, self.serial)
     }
 }
+
+/// Hash by which a request is recognised when it comes again: of its method, path, team and body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RequestDigest(u64);
+
+impl RequestDigest {
+    /// Hashes a request; `path` includes the query.
+    ///
+    /// ```
+    /// use plantainnotch::ids::RequestDigest;
+    /// let digest = RequestDigest::of("GET", "/lookup/7", Some("team-a"), b"");
+    /// assert_eq!(digest, RequestDigest::of("GET", "/lookup/7", Some("team-a"), b""));
+    /// assert_ne!(digest, RequestDigest::of("GET", "/lookup/7", Some("team-b"), b""));
+    /// ```
+    pub fn of(method: &str, path: &str, team: Option<&str>, body: &[u8]) -> Self {
+        let mut hash = Xxh3::new();
+        for field in [method, path, team.unwrap_or_default()] {
+            hash.update(field.as_bytes());
+            hash.update(b"\n");
+        }
+        hash.update(body);
+        Self(hash.digest())
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -13,7 +13,7 @@
 use super::state::NodeState;
 use crate::fleet::catalog::TargetRecord;
 use crate::fleet::routes::RouteRule;
-use crate::ids::TeamName;
+use crate::ids::{RequestDigest, TeamName};
 use crate::platform::callers::{
     CallerHeaders, SplitHelper, TargetHeaders, TargetResponseHeaders, decode_response_headers,
     encode_target_headers,
@@ -35,6 +35,8 @@
     pub parsed_headers: CallerHeaders,
     /// Complete body, within the configured limit.
     pub body: Bytes,
+    /// By which the request is recognised when it comes again.
+    pub digest: RequestDigest,
     /// The route that matches host and path.
     pub route: Rc<RouteRule>,
     /// The service that was picked by weight among the route's services.
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -315,7 +315,7 @@
             StreamStart::Unknown { reason } => {
                 runs += 1;
                 let parts = part_names(&caller.parsed_headers.shared_parts);
-                tracing::info!(id = caller.parsed_headers.id, replica = %placement.lead, reason, parts, "send without an answer");
+                tracing::info!(id = caller.parsed_headers.id, request = %caller.digest, replica = %placement.lead, reason, parts, "send without an answer");
                 last_failure = Some(NodeResponse::unknown(reason));
                 if !caller.route.rerun_policy.allows_rerun() {
                     break;
--- a/src/node/request_handler.rs
+++ b/src/node/request_handler.rs
@@ -15,6 +15,7 @@
 use super::state::NodeState;
 use super::{generation, service};
 use crate::fleet::routes::{RouteRule, RouteTable};
+use crate::ids::{RequestDigest, TeamName};
 use crate::platform::callers::{CallerHeaders, decode_caller_headers, node_response_headers};
 
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -131,7 +132,15 @@
         .unwrap_or(route.timeout)
         .min(route.timeout);
     let service = choose_service(&route);
+    let path = request.uri().path_and_query().map(|path| path.as_str());
+    let digest = RequestDigest::of(
+        request.method().as_str(),
+        path.unwrap_or_default(),
+        team.as_ref().map(TeamName::as_str),
+        &body,
+    );
     let caller = Rc::new(CallerRequest {
+        digest,
         method: request.method().clone(),
         uri: request.uri().clone(),
         headers: request.headers().clone(),
@@ -181,6 +190,7 @@
     }
     tracing::info!(
         id = caller.parsed_headers.id,
+        request = %caller.digest,
         route = caller.route.name,
         service = caller.service,
         team = caller.team.as_ref().map(|team| team.as_str()),
@@ -218,7 +228,7 @@
     table: &RouteTable,
     route: &RouteRule,
     parsed_headers: &CallerHeaders,
-) -> Result<Option<crate::ids::TeamName>, NodeResponse> {
+) -> Result<Option<TeamName>, NodeResponse> {
     let team_key = parsed_headers
         .key
         .as_ref()
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -179,7 +179,7 @@
                 }
             }
             BufferedOutcome::Unknown(reason) => {
-                tracing::info!(id = caller.parsed_headers.id, replica = %target.name, reason, "send without an answer");
+                tracing::info!(id = caller.parsed_headers.id, request = %caller.digest, replica = %target.name, reason, "send without an answer");
                 runs += 1;
                 node_response = if caller.time_left(node.now()).is_zero() {
                     NodeResponse::timed_out(reason)
