Reproduce a request that crashes the targets that run it

Stand-ins crash on the requests for one path and refuse connections for 2 s, on a look-up, a non-idempotent request and a stream; once after the attempt was given up; once while each VM is killed in turn.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod crashing_parts;
+mod crashing_requests;
 mod endless;
 mod members;
 mod rate_limits;
--- a/tests/support/bed.rs
+++ b/tests/support/bed.rs
@@ -95,6 +95,9 @@
             .chain(&replicas)
             .map(|target| proxy(target.address))
             .collect();
+        for (target, proxy) in engines.iter().chain(&replicas).zip(&target_proxies) {
+            target.set_proxy(proxy);
+        }
         let mut node_configs = node_configs(count, store.address);
         let store_proxies: Vec<FaultProxy> =
             node_configs.iter().map(|_| proxy(store.address)).collect();
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -9,6 +9,8 @@
 
 use super::BackgroundRuntime;
 
+const FAULT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Fault that the proxy injects into all its connections.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum ProxyFault {
@@ -17,6 +19,8 @@
     Delay(Duration),
     /// Resets existing and new connections.
     Reset,
+    /// Resets existing connections and does not listen.
+    Refuse,
     /// Drops bytes in both directions.
     Silence,
     /// Drops bytes from upstream to the caller.
@@ -46,8 +50,23 @@
         let _guard = runtime.enter();
         let listener = TcpListener::from_std(listener).expect("the runtime accepts the socket");
         runtime.spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(relay(stream, upstream, fault.clone()));
+            let is_refusing =
+                || *fault.lock().unwrap_or_else(PoisonError::into_inner) == ProxyFault::Refuse;
+            let mut listener = Some(listener);
+            loop {
+                if is_refusing() {
+                    listener = None;
+                    tokio::time::sleep(FAULT_CHECK_INTERVAL).await;
+                    continue;
+                }
+                let Some(open) = &listener else {
+                    listener = TcpListener::bind(address).await.ok();
+                    continue;
+                };
+                let accepted = tokio::time::timeout(FAULT_CHECK_INTERVAL, open.accept()).await;
+                if let Ok(Ok((stream, _))) = accepted {
+                    tokio::spawn(relay(stream, upstream, fault.clone()));
+                }
             }
         });
         proxy
@@ -60,7 +79,8 @@
 
 async fn relay(mut caller_stream: TcpStream, upstream: SocketAddr, fault: Arc<Mutex<ProxyFault>>) {
     let current_fault = || *fault.lock().unwrap_or_else(PoisonError::into_inner);
-    if current_fault() == ProxyFault::Reset {
+    let is_resetting = || matches!(current_fault(), ProxyFault::Reset | ProxyFault::Refuse);
+    if is_resetting() {
         caller_stream.set_zero_linger().ok();
         return;
     }
@@ -74,8 +94,8 @@
         let (count, from_caller) = tokio::select! {
             count = caller_stream.read(&mut caller_buffer) => (count, true),
             count = upstream_stream.read(&mut upstream_buffer) => (count, false),
-            () = tokio::time::sleep(Duration::from_millis(50)) => {
-                if current_fault() == ProxyFault::Reset {
+            () = tokio::time::sleep(FAULT_CHECK_INTERVAL) => {
+                if is_resetting() {
                     caller_stream.set_zero_linger().ok();
                     upstream_stream.set_zero_linger().ok();
                     return;
@@ -101,7 +121,7 @@
             ProxyFault::Delay(time) => tokio::time::sleep(time).await,
             ProxyFault::Silence => continue,
             ProxyFault::OneWay if !from_caller => continue,
-            ProxyFault::Reset => {
+            ProxyFault::Reset | ProxyFault::Refuse => {
                 caller_stream.set_zero_linger().ok();
                 return;
             }
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -11,6 +11,7 @@
 
 use super::BackgroundRuntime;
 use super::http::{ReceivedRequest, ResponseStep, StepSender, encode_response, serve};
+use super::proxy::{FaultProxy, ProxyFault};
 
 /// How a fake target responds to requests.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -179,6 +180,10 @@
     crashing_part: Arc<Mutex<Option<String>>>,
     crashed_at: Arc<Mutex<Option<Instant>>>,
     crashes: Arc<AtomicU64>,
+    /// Path of the requests on which it crashes, and how long after it began to run one.
+    crashing_path: Arc<Mutex<Option<(String, Duration)>>>,
+    /// In front of it, and refuses connections while it restarts after such a crash.
+    proxy: Arc<Mutex<Option<FaultProxy>>>,
     /// Whether its responses say that it leaves.
     leaving: Arc<AtomicBool>,
     /// Milliseconds in the `Retry-After` of its refusals, 0 for none.
@@ -216,6 +221,8 @@
             crashing_part: Arc::default(),
             crashed_at: Arc::default(),
             crashes: Arc::default(),
+            crashing_path: Arc::default(),
+            proxy: Arc::default(),
             leaving: Arc::default(),
             retry_after_ms: Arc::default(),
             rate_limit: Arc::default(),
@@ -294,6 +301,47 @@
             .is_some_and(|part| parts.contains(&format!("{part}:")))
     }
 
+    /// Makes the target crash on each request for `path`, `delay` after it began to run it, also if
+    /// the sender has given up by then.
+    pub fn crash_on_path(&self, path: &str, delay: Duration) {
+        let mut crashing_path = self
+            .crashing_path
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *crashing_path = Some((path.to_owned(), delay));
+    }
+
+    /// Sets the proxy that refuses connections while the target restarts.
+    pub fn set_proxy(&self, proxy: &FaultProxy) {
+        let mut own = self.proxy.lock().unwrap_or_else(PoisonError::into_inner);
+        *own = Some(proxy.clone());
+    }
+
+    fn crash_delay(&self, path: &str) -> Option<Duration> {
+        let crashing_path = self
+            .crashing_path
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let (crashing, delay) = crashing_path.as_ref()?;
+        (crashing == path).then_some(*delay)
+    }
+
+    /// Crashes after `delay`, and refuses connections until it has restarted.
+    async fn crash_after(self, delay: Duration) {
+        tokio::time::sleep(delay).await;
+        self.crash();
+        let proxy = self
+            .proxy
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        if let Some(proxy) = proxy {
+            proxy.set(ProxyFault::Refuse);
+            tokio::time::sleep(RESTART_TIME).await;
+            proxy.set(ProxyFault::None);
+        }
+    }
+
     fn crash(&self) {
         let mut crashed_at = self
             .crashed_at
@@ -372,6 +420,11 @@
             return;
         }
         self.record_run(&request, &id);
+        if let Some(delay) = self.crash_delay(&request.path) {
+            tokio::spawn(self.clone().crash_after(delay));
+            steps.send(ResponseStep::Silence).await.ok();
+            return;
+        }
         let mut guard = DisconnectGuard {
             ledger: self.ledger.clone(),
             id: id.clone(),
