Refuse a request under which three targets crashed, on all VMs

Cause: a fault that travels with a request was put down to the target. The request was sent on to the next one, its repeats were unknown at the VMs that got them, and where the attempt was given up after 90 ms the crash was not seen at all. The class is that of a poison message, as of crashing prompt parts; here nothing but the request itself is the same. Evidence: the reproduction has one digest in all crashes, on all VMs.

Now VMs report which requests targets answered and which lost them, the owner of placement blames each crash on the request that has the most since it was answered, and bans it on all VMs after three. A VM looks whether the target of an attempt that it gave up refuses connections. Coordinators share the evidence, and reports that are not taken are sent again, so that the count survives the owner. Sound requests are cleared by each answer. A part of a prompt is not banned for one request that is in all its crashes. What bans have in common for parts and requests moved to ban_book.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -155,7 +155,8 @@
     }
 }
 
-/// Hash by which a request is recognised when it comes again: of its method, path, team and body.
+/// Hash by which a request is recognised when it comes again: of its method, path, team, shared parts
+/// of the prompt, and body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RequestDigest(u64);
 
@@ -164,13 +165,23 @@
     ///
     /// ```
     /// use plantainnotch::ids::RequestDigest;
-    /// let digest = RequestDigest::of("GET", "/lookup/7", Some("team-a"), b"");
-    /// assert_eq!(digest, RequestDigest::of("GET", "/lookup/7", Some("team-a"), b""));
-    /// assert_ne!(digest, RequestDigest::of("GET", "/lookup/7", Some("team-b"), b""));
+    /// let digest = RequestDigest::of("GET", "/lookup/7", Some("team-a"), &[], b"");
+    /// assert_eq!(digest, RequestDigest::of("GET", "/lookup/7", Some("team-a"), &[], b""));
+    /// assert_ne!(digest, RequestDigest::of("GET", "/lookup/7", Some("team-b"), &[], b""));
     /// ```
-    pub fn of(method: &str, path: &str, team: Option<&str>, body: &[u8]) -> Self {
+    pub fn of(
+        method: &str,
+        path: &str,
+        team: Option<&str>,
+        shared_parts: &[PartName],
+        body: &[u8],
+    ) -> Self {
         let mut hash = Xxh3::new();
-        for field in [method, path, team.unwrap_or_default()] {
+        let parts = shared_parts.iter().map(PartName::as_str);
+        for field in [method, path, team.unwrap_or_default()]
+            .into_iter()
+            .chain(parts)
+        {
             hash.update(field.as_bytes());
             hash.update(b"\n");
         }
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -15,14 +15,14 @@
     AttemptOutcome, AttemptPlan, CallerRequest, TargetInFlightGuard, TargetResponse, send_attempt,
 };
 use super::connection::open_connection;
-use super::crashing_parts::{part_names, refuse_banned, report_broken};
+use super::crash_bans::{part_names, refuse_banned, report_broken};
 use super::placement::{JobGuard, place};
 use super::rate_limits::observe_limit;
 use super::relay::{ENDED_BEFORE_FIRST_EVENT, EventBuffer, StreamRelay, TargetStream};
 use super::service::{NodeResponse, ServedResponse};
 use super::state::NodeState;
 use crate::fleet::catalog::TargetRecord;
-use crate::ids::{PartName, TargetName};
+use crate::ids::TargetName;
 use crate::platform::callers::{SplitHelper, decode_response_headers, forwarded_headers};
 use crate::platform::orders::{ORDER_PATH, encode_memory_release, encode_memory_reserve};
 use crate::policy::dispatch::{DispatchAnswer, EnginePlacement, PlacementRequest};
@@ -195,7 +195,7 @@
     let mut excluded_targets: Vec<TargetName> = Vec::new();
     let parts = &caller.parsed_headers.shared_parts;
     loop {
-        if let Some(refusal) = refuse_banned(node, parts) {
+        if let Some(refusal) = refuse_banned(node, caller.digest, parts) {
             return refuse(last_failure, runs, refusal);
         }
         if let Some(pause) = node.service_pause(&caller.service) {
@@ -233,7 +233,7 @@
             }
         };
         let job = JobGuard::new(node.clone(), placement_request.job);
-        if let Some(refusal) = refuse_banned(node, parts) {
+        if let Some(refusal) = refuse_banned(node, caller.digest, parts) {
             return refuse(last_failure, runs, refusal);
         }
         // An attempt after one that reached no target does not count as a retry.
@@ -426,7 +426,7 @@
         AttemptOutcome::Responded(target_response) => {
             read_first_chunk(
                 node,
-                parts,
+                caller,
                 placement,
                 *target_response,
                 job,
@@ -449,7 +449,7 @@
             connection_lost,
         } => {
             if connection_lost {
-                report_broken(node, parts, &placement.lead);
+                report_broken(node, caller.digest, parts, &placement.lead);
             }
             StreamStart::Unknown { reason }
         }
@@ -458,13 +458,14 @@
 
 async fn read_first_chunk(
     node: &Rc<NodeState>,
-    parts: &[PartName],
+    caller: &CallerRequest,
     placement: &EnginePlacement,
     target_response: TargetResponse,
     job: JobGuard,
     in_flight: TargetInFlightGuard,
     reservations: Reservations,
 ) -> StreamStart {
+    let parts = &caller.parsed_headers.shared_parts;
     let mut connection = target_response.connection;
     if !target_response.head.status.is_success() {
         let body = match connection.read_body(&node.body_budget).await {
@@ -487,7 +488,7 @@
     match connection.next_chunk().await {
         Ok(Some(chunk)) => buffer.push(&chunk),
         Ok(None) if connection.ends_with_connection() => {
-            report_broken(node, parts, &placement.lead);
+            report_broken(node, caller.digest, parts, &placement.lead);
             node.record_target_failure(&placement.lead, false, ENDED_BEFORE_FIRST_EVENT);
             return StreamStart::Unknown {
                 reason: ENDED_BEFORE_FIRST_EVENT.to_owned(),
@@ -497,7 +498,7 @@
         Err(error) => {
             node.record_exchange_failure(&placement.lead, &error);
             if error.is_lost_connection() {
-                report_broken(node, parts, &placement.lead);
+                report_broken(node, caller.digest, parts, &placement.lead);
             }
             return StreamStart::Unknown {
                 reason: error.to_string(),
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -6,11 +6,21 @@
 use serde::{Deserialize, Serialize};
 
 use crate::fleet::members::{MemberRecord, RosterUpdate};
-use crate::ids::{PartName, TargetName, VmName};
+use crate::ids::{PartName, RequestDigest, TargetName, VmName};
 use crate::policy::dispatch::{DispatchAnswer, JobId, JobReport, PlacementRequest};
 use crate::policy::part_guard::PartBan;
 use crate::policy::permits::PermitAnswer;
 use crate::policy::rate_limits::RateLimit;
+use crate::policy::request_guard::{RequestBan, RequestEvidence};
+
+/// Bans and acquittals of what targets crash on.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct KnownBans {
+    /// Of parts of prompts.
+    pub parts: Vec<PartBan>,
+    /// Of single requests that come again.
+    pub requests: Vec<RequestBan>,
+}
 
 /// A heartbeat to a hub.
 #[derive(Debug, Serialize, Deserialize)]
@@ -27,8 +37,8 @@
     pub operator_end_offset: u64,
     /// Offset after the sender's newest target record.
     pub target_end_offset: u64,
-    /// Parts of prompts whose requests the sender refuses, and those acquitted since.
-    pub part_bans: Vec<PartBan>,
+    /// What the sender refuses because targets crash on it, and what was acquitted since.
+    pub bans: KnownBans,
     /// Hash of the rate limits that the sender knows.
     pub limits_digest: u64,
     /// These limits, if the receiver's last reply showed other ones.
@@ -51,8 +61,8 @@
     pub operator_end_offset: u64,
     /// Offset after the receiver's newest target record.
     pub target_end_offset: u64,
-    /// Parts of prompts whose requests the receiver refuses, and those acquitted since.
-    pub part_bans: Vec<PartBan>,
+    /// What the receiver refuses because targets crash on it, and what was acquitted since.
+    pub bans: KnownBans,
     /// Hash of the rate limits that the receiver knows.
     pub limits_digest: u64,
     /// These limits, if the sender knows other ones.
@@ -103,16 +113,20 @@
     FirstEvent(JobId),
     /// The request ended, successfully or not.
     Ended(JobId),
-    /// A request with these shared parts got its first event from a target.
-    PartsServed {
-        /// The request's shared parts, possibly none.
+    /// A target answered a request, a stream by its first event.
+    RequestServed {
+        /// The request.
+        request: RequestDigest,
+        /// Its shared parts, possibly none.
         parts: Vec<PartName>,
         /// The target that serves it.
         target: TargetName,
     },
-    /// A request with these shared parts lost its connection to a target before its first event.
-    PartsBroken {
-        /// The request's shared parts.
+    /// A request lost its connection to a target before it was answered.
+    RequestBroken {
+        /// The request.
+        request: RequestDigest,
+        /// Its shared parts, possibly none.
         parts: Vec<PartName>,
         /// The target that it was sent to.
         target: TargetName,
@@ -148,17 +162,19 @@
     FetchRecords(RecordsRequest),
     /// Reports the sender's jobs to a coordinator.
     ReportJobs(JobsReport),
-    /// Announces parts of prompts whose requests are refused from now on, or no longer.
-    AnnounceBans(Vec<PartBan>),
+    /// Announces what is refused from now on because targets crash on it, or no longer.
+    AnnounceBans(KnownBans),
     /// Announces changes of the rate limits that targets name.
     AnnounceLimits(Vec<RateLimit>),
     /// Asks for a permit to send a request to a target that named a rate limit.
     TakePermit(PermitRequest),
+    /// Tells coordinators the owner's evidence against requests under which targets crash.
+    ShareEvidence(Vec<RequestEvidence>),
 }
 
 impl NodeCall {
     /// The values that [`Self::kind`] may return.
-    pub const KINDS: [&'static str; 8] = [
+    pub const KINDS: [&'static str; 9] = [
         "heartbeat",
         "place",
         "updates",
@@ -167,6 +183,7 @@
         "announce_bans",
         "announce_limits",
         "take_permit",
+        "share_evidence",
     ];
 
     /// Name of the kind of call, for metrics.
@@ -180,6 +197,7 @@
             Self::AnnounceBans(_) => "announce_bans",
             Self::AnnounceLimits(_) => "announce_limits",
             Self::TakePermit(_) => "take_permit",
+            Self::ShareEvidence(_) => "share_evidence",
         }
     }
 }
@@ -192,7 +210,7 @@
     /// The placement or its refusal, in reply to [`NodeCall::Place`].
     Placed(DispatchAnswer),
     /// The call was applied, in reply to [`NodeCall::Updates`], [`NodeCall::ReportJobs`],
-    /// [`NodeCall::AnnounceBans`] and [`NodeCall::AnnounceLimits`].
+    /// [`NodeCall::AnnounceBans`], [`NodeCall::AnnounceLimits`] and [`NodeCall::ShareEvidence`].
     Acknowledged,
     /// The records, in reply to [`NodeCall::FetchRecords`].
     Records(PackedRecords),
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -100,6 +100,8 @@
     pub limited_targets: Gauge,
     /// Combinations of prompt parts whose requests are refused.
     pub banned_parts: Gauge,
+    /// Requests that are refused because targets crashed under them.
+    pub banned_requests: Gauge,
     /// Seconds since the last successful read of each topic that this node follows.
     pub feed_age_seconds: Family<TopicLabel, Gauge<f64, AtomicU64>>,
     /// Placements, refusals included, that this node decided after an owner of placement did not
@@ -136,6 +138,7 @@
             pauses: Counter::default(),
             limited_targets: Gauge::default(),
             banned_parts: Gauge::default(),
+            banned_requests: Gauge::default(),
             feed_age_seconds: Family::default(),
             placed_alone: Counter::default(),
             log_lines_dropped: Gauge::default(),
@@ -208,6 +211,11 @@
             "Combinations of prompt parts whose requests are refused",
             self.banned_parts.clone(),
         );
+        registry.register(
+            "banned_requests",
+            "Requests that are refused because targets crashed under them",
+            self.banned_requests.clone(),
+        );
         registry.register(
             "feed_age_seconds",
             "Time since the last successful read of a topic of the store",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,7 +3,7 @@
 
 pub mod attempt;
 pub mod connection;
-pub mod crashing_parts;
+pub mod crash_bans;
 pub mod feeds;
 pub mod generation;
 pub mod lifecycle;
--- a/src/node/peer_calls.rs
+++ b/src/node/peer_calls.rs
@@ -62,8 +62,8 @@
     })
 }
 
-/// Sends a call to all other live VMs in the background, without regard to their replies. A VM that
-/// misses it learns the same with a heartbeat.
+/// Sends a call to all other live VMs, as [`tell`] does. A VM that misses it learns the same with a
+/// heartbeat.
 pub fn tell_all(node: &Rc<NodeState>, call: NodeCall) {
     let others: Vec<MemberRecord> = {
         let members = node.members.borrow();
@@ -73,6 +73,11 @@
             .cloned()
             .collect()
     };
+    tell(node, others, call);
+}
+
+/// Sends a call to other VMs in the background, without regard to their replies.
+pub fn tell(node: &Rc<NodeState>, others: Vec<MemberRecord>, call: NodeCall) {
     let node = node.clone();
     actix_rt::spawn(async move {
         let calls = others.iter().map(|other| async {
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
-use super::crashing_parts::import_bans;
+use super::crash_bans::{import_bans, import_evidence, known_bans};
 use super::messages::{HeartbeatMessage, HeartbeatReply, NodeCall, NodeReply, RecordsRequest};
 use super::packed_records::unpack_records;
 use super::peer_calls::call_node;
@@ -60,6 +60,10 @@
                 import_limits(&node, &limits);
                 NodeReply::Acknowledged
             }
+            NodeCall::ShareEvidence(evidence) => {
+                import_evidence(&node, &evidence);
+                NodeReply::Acknowledged
+            }
             NodeCall::TakePermit(request) => NodeReply::Permit(grant_permit(&node, &request)),
             NodeCall::ReportJobs(report) => {
                 for dispatcher in node.dispatchers.borrow_mut().values_mut() {
@@ -73,7 +77,7 @@
 
 fn answer_heartbeat(node: &Rc<NodeState>, heartbeat: HeartbeatMessage) -> HeartbeatReply {
     let now = node.now();
-    import_bans(node, &heartbeat.part_bans);
+    import_bans(node, &heartbeat.bans);
     import_limits(node, &heartbeat.rate_limits);
     fetch_if_behind(
         node,
@@ -99,7 +103,7 @@
         fleet_age_ms: members.fleet_age(running_for, now).as_millis() as u64,
         operator_end_offset: catalog.operator_feed.end(),
         target_end_offset: catalog.target_feed.end(),
-        part_bans: node.part_guard.borrow().export_bans(now),
+        bans: known_bans(node),
         limits_digest: node.rate_limits.borrow().digest(),
         rate_limits: limits_for_reply(node, heartbeat.limits_digest),
     }
@@ -260,7 +264,7 @@
         fleet_age_ms: members.fleet_age(node.running_for(now), now).as_millis() as u64,
         operator_end_offset: catalog.operator_feed.end(),
         target_end_offset: catalog.target_feed.end(),
-        part_bans: node.part_guard.borrow().export_bans(now),
+        bans: known_bans(node),
         limits_digest: node.rate_limits.borrow().digest(),
         rate_limits: limits_for_heartbeat(node),
     }
@@ -268,7 +272,7 @@
 
 fn apply_heartbeat_reply(node: &Rc<NodeState>, reply: HeartbeatReply) {
     let now = node.now();
-    import_bans(node, &reply.part_bans);
+    import_bans(node, &reply.bans);
     apply_limits_reply(node, &reply);
     let member = reply.receiver;
     {
--- a/src/node/placement.rs
+++ b/src/node/placement.rs
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{interval, sleep};
 
-use super::crashing_parts::{apply_broken, apply_served};
+use super::crash_bans::{apply_broken, apply_served};
 use super::messages::{JobUpdate, JobsReport, NodeCall, NodeReply};
 use super::peer_calls::call_node;
 use super::rate_limits::apply_observed;
@@ -23,6 +23,8 @@
 const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 const DECISION_INTERVAL: Duration = Duration::from_millis(10); // a tenth of the shortest forward pass that matters
 const UPDATE_BATCH_DELAY: Duration = Duration::from_millis(3); // batches the updates of a burst
+const UPDATE_RETRY_DELAY: Duration = Duration::from_millis(100);
+const MAX_UNSENT_CRASHES: usize = 64;
 const UPDATES_TIMEOUT: Duration = Duration::from_millis(300);
 const REPORT_TIMEOUT: Duration = Duration::from_millis(400); // a throttled VM pauses for up to 75 ms
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -266,8 +268,16 @@
         JobUpdate::TargetLeaving { target, started_ms } => {
             node.apply_target_leaving(target, *started_ms, "peer");
         }
-        JobUpdate::PartsServed { parts, target } => apply_served(node, parts, target),
-        JobUpdate::PartsBroken { parts, target } => apply_broken(node, parts, target),
+        JobUpdate::RequestServed {
+            request,
+            parts,
+            target,
+        } => apply_served(node, *request, parts, target),
+        JobUpdate::RequestBroken {
+            request,
+            parts,
+            target,
+        } => apply_broken(node, *request, parts, target),
         JobUpdate::RateLimitChanged(limit) => apply_observed(node, limit),
         JobUpdate::TargetFailed { target, refused } => {
             node.record_peer_reported_failure(target, *refused);
@@ -293,24 +303,39 @@
 /// Sends pending updates to the owner of placement, in batches. The owner itself, which has
 /// applied them already, decides on its waiting jobs again.
 pub async fn send_updates_loop(node: Rc<NodeState>) {
+    // Reports of crashes are sent again: a request is banned after three.
+    let mut unsent_crashes: Vec<JobUpdate> = Vec::new();
     loop {
-        node.updates_ready.notified().await;
-        sleep(UPDATE_BATCH_DELAY).await;
+        if unsent_crashes.is_empty() {
+            node.updates_ready.notified().await;
+            sleep(UPDATE_BATCH_DELAY).await;
+        } else {
+            sleep(UPDATE_RETRY_DELAY).await;
+        }
         let updates = std::mem::take(&mut *node.pending_updates.borrow_mut());
         let owner = {
             let members = node.members.borrow();
             members.coordinators(node.now()).into_iter().next()
         };
         let Some(owner) = owner.filter(|owner| owner.vm != node.settings.vm) else {
+            for update in unsent_crashes.drain(..) {
+                apply_update(&node, &update);
+            }
             decide_waiting_jobs(&node);
             continue;
         };
-        let call = NodeCall::Updates(updates);
-        // The next report of jobs makes up for lost updates, and heartbeats for lost rate limits.
+        let mut sent_updates = std::mem::take(&mut unsent_crashes);
+        sent_updates.extend(updates);
+        let call = NodeCall::Updates(sent_updates);
+        // The next report of jobs makes up for other lost updates, and heartbeats for rate limits.
         let sent = call_node(&node, owner.peer_address, &call, UPDATES_TIMEOUT).await;
-        if let Err(error) = sent {
+        if let (Err(error), NodeCall::Updates(updates)) = (sent, call) {
             tracing::debug!(owner = %owner.vm, %error, "events not taken");
             node.metrics.count_failure("placement_owner");
+            let crashes = updates
+                .into_iter()
+                .filter(|update| matches!(update, JobUpdate::RequestBroken { .. }));
+            unsent_crashes = crashes.take(MAX_UNSENT_CRASHES).collect();
         }
     }
 }
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -9,7 +9,7 @@
 
 use super::attempt::{AttemptOutcome, CallerRequest, TargetInFlightGuard};
 use super::connection::TargetConnection;
-use super::crashing_parts::{report_broken, report_served};
+use super::crash_bans::{report_broken, report_served};
 use super::generation::{Reservations, send_placed};
 use super::placement::{JobGuard, place};
 use super::state::NodeState;
@@ -219,7 +219,7 @@
             && let Some(stream) = &self.stream
         {
             let parts = &self.caller.parsed_headers.shared_parts;
-            report_served(&self.node, parts, &stream.target);
+            report_served(&self.node, self.caller.digest, parts, &stream.target);
         }
         self.bytes_since_event = self.buffer.bytes.len();
         let now = self.node.now();
@@ -270,14 +270,14 @@
                 if self.numbered_events == 0 && stream.connection.ends_with_connection() =>
             {
                 let parts = &self.caller.parsed_headers.shared_parts;
-                report_broken(&self.node, parts, &stream.target);
+                report_broken(&self.node, self.caller.digest, parts, &stream.target);
                 Err(ENDED_BEFORE_FIRST_EVENT.to_owned())
             }
             Ok(Ok(None)) => Ok(ReadOutcome::End),
             Ok(Err(error)) => {
                 if self.numbered_events == 0 && error.is_lost_connection() {
                     let parts = &self.caller.parsed_headers.shared_parts;
-                    report_broken(&self.node, parts, &stream.target);
+                    report_broken(&self.node, self.caller.digest, parts, &stream.target);
                 }
                 if let Some(part) = error.oversized_part() {
                     self.node.metrics.count_oversized_response(part);
--- a/src/node/request_handler.rs
+++ b/src/node/request_handler.rs
@@ -137,6 +137,7 @@
         request.method().as_str(),
         path.unwrap_or_default(),
         team.as_ref().map(TeamName::as_str),
+        &parsed_headers.shared_parts,
         &body,
     );
     let caller = Rc::new(CallerRequest {
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -13,6 +13,7 @@
 use super::attempt::{
     AttemptOutcome, AttemptPlan, CallerRequest, TargetInFlightGuard, TargetResponse, send_attempt,
 };
+use super::crash_bans::{check_given_up, refuse_banned, report_broken, report_served};
 use super::messages::PermitRequest;
 use super::rate_limits::take_permit;
 use super::state::NodeState;
@@ -114,6 +115,12 @@
         if caller.time_left(node.now()).is_zero() {
             break;
         }
+        if let Some(refusal) = refuse_banned(node, caller.digest, &[]) {
+            if runs == 0 {
+                node_response = refusal;
+            }
+            break;
+        }
         let target = match next_target(node, caller, &excluded_targets).await {
             Ok(target) => target,
             Err(no_target) => {
@@ -146,6 +153,7 @@
         let result = timeout(attempt_timeout, send_and_buffer(node, caller, &target)).await;
         let outcome = result.unwrap_or_else(|_| {
             node.record_target_failure(&target.name, false, "silent");
+            check_given_up(node, caller.digest, &target);
             BufferedOutcome::Unknown(format!(
                 "no answer within {} ms",
                 attempt_timeout.as_millis()
@@ -155,6 +163,7 @@
         match outcome {
             BufferedOutcome::Buffered(response) => {
                 let success = response.status.is_success();
+                report_served(node, caller.digest, &[], &target.name);
                 tracing::info!(
                     id = caller.parsed_headers.id,
                     replica = %target.name,
@@ -254,13 +263,22 @@
             reason,
             reached_target,
         },
-        AttemptOutcome::Unknown { reason, .. } => BufferedOutcome::Unknown(reason),
-        AttemptOutcome::Responded(response) => read_buffered(node, target, *response).await,
+        AttemptOutcome::Unknown {
+            reason,
+            connection_lost,
+        } => {
+            if connection_lost {
+                report_broken(node, caller.digest, &[], &target.name);
+            }
+            BufferedOutcome::Unknown(reason)
+        }
+        AttemptOutcome::Responded(response) => read_buffered(node, caller, target, *response).await,
     }
 }
 
 async fn read_buffered(
     node: &Rc<NodeState>,
+    caller: &CallerRequest,
     target: &TargetRecord,
     response: TargetResponse,
 ) -> BufferedOutcome {
@@ -269,6 +287,9 @@
         Ok(body) => body,
         Err(error) => {
             node.record_exchange_failure(&target.name, &error);
+            if error.is_lost_connection() {
+                report_broken(node, caller.digest, &[], &target.name);
+            }
             return BufferedOutcome::Unknown(error.to_string());
         }
     };
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -26,6 +26,7 @@
 use crate::policy::paused_targets::PausedTargets;
 use crate::policy::permits::PermitLedger;
 use crate::policy::rate_limits::RateLimits;
+use crate::policy::request_guard::RequestGuard;
 use crate::policy::retry_share::RetryShare;
 use crate::policy::target_choice::TargetHealth;
 use crate::wire::PeerClient;
@@ -57,6 +58,8 @@
     pub target_health: RefCell<HashMap<TargetName, TargetHealth>>,
     /// Parts of prompts on which engines crash: bans and, at the owner of placement, evidence.
     pub part_guard: RefCell<PartGuard>,
+    /// Requests under which targets crash: bans and, at the owner of placement, evidence.
+    pub request_guard: RefCell<RequestGuard>,
     /// Targets that asked this VM for a pause.
     pub paused_targets: RefCell<PausedTargets>,
     /// Rate limits that targets name in their responses.
@@ -121,6 +124,7 @@
             body_budget: BodyBudget::default(),
             target_health: RefCell::default(),
             part_guard: RefCell::default(),
+            request_guard: RefCell::default(),
             paused_targets: RefCell::default(),
             rate_limits: RefCell::default(),
             limits_differ: Cell::new(false),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,5 +1,6 @@
 //! Scheduling policy: lanes, placement, retries, and the estimates that these use.
 
+pub mod ban_book;
 pub mod dispatch;
 pub mod engine_model;
 pub mod estimate;
@@ -10,6 +11,7 @@
 pub mod placement;
 pub mod rate_limits;
 pub mod read_pacing;
+pub mod request_guard;
 pub mod retry;
 pub mod retry_share;
 pub mod target_choice;
--- a/src/policy/part_guard.rs
+++ b/src/policy/part_guard.rs
@@ -6,9 +6,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
-use crate::ids::{PartName, TargetName};
+use super::ban_book::{Ban, BanBook};
+use crate::ids::{PartName, RequestDigest, TargetName};
 
 /// Crashes after which the parts that they have in common are banned. With two, a chance pair of
 /// crashes would ban a part that is seldom used.
@@ -23,10 +22,6 @@
 const DOWN_TIME: Duration = Duration::from_secs(30);
 /// How long a crash counts.
 const EVIDENCE_TIME: Duration = Duration::from_secs(600);
-const FIRST_BAN_TIME: Duration = Duration::from_secs(120);
-const MAX_BAN_TIME: Duration = Duration::from_secs(3_600);
-/// How long an ended ban is kept: within this time one more crash renews it.
-const BAN_MEMORY: Duration = Duration::from_secs(3_600);
 /// A target that serves a request this long after a supposed crash did not crash; one that did is
 /// away for longer.
 const SOUND_AFTER: std::ops::Range<Duration> =
@@ -34,28 +29,9 @@
 const MAX_CRASHES: usize = 16; // that a part is blamed for
 const MAX_RECORDED_PARTS: usize = 4_096;
 const MAX_BROKEN_REQUESTS: usize = 64; // of one crash; more have no other parts
-const MAX_BANS: usize = 256;
-
-/// A ban as VMs exchange it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PartBan {
-    /// The parts, sorted; a request is banned if it has all of them.
-    pub parts: Vec<PartName>,
-    /// Number of bans and acquittals of these parts so far; the highest is the newest.
-    pub revision: u32,
-    /// Time left in milliseconds, zero for an ended ban or an acquittal.
-    pub left_ms: u64,
-    /// Length of the ban in milliseconds, zero for an acquittal; the next one is twice as long.
-    pub term_ms: u64,
-}
 
-#[derive(Debug, Clone)]
-struct KnownBan {
-    revision: u32,
-    until: Instant,
-    /// Zero after an acquittal.
-    term: Duration,
-}
+/// A ban of the requests that have all of these parts, which are sorted.
+pub type PartBan = Ban<Vec<PartName>>;
 
 /// What is known of a part that no ban names.
 #[derive(Debug, Clone, Default)]
@@ -63,7 +39,16 @@
     /// When a request with the part last got its first event.
     served_at: Option<Instant>,
     /// Crashes since then that it is blamed for, by target, the last one last.
-    crashes: Vec<(TargetName, Instant)>,
+    crashes: Vec<PartCrash>,
+}
+
+/// A crash that a part is blamed for.
+#[derive(Debug, Clone)]
+struct PartCrash {
+    target: TargetName,
+    at: Instant,
+    /// The requests with the part that it broke.
+    requests: Vec<RequestDigest>,
 }
 
 impl PartRecord {
@@ -76,20 +61,32 @@
     }
 
     fn crashed_at(&self) -> Option<Instant> {
-        self.crashes.last().map(|(_, at)| *at)
+        self.crashes.last().map(|crash| crash.at)
     }
 
-    fn record_crash(&mut self, target: &TargetName, at: Instant) {
+    fn record_crash(&mut self, crash: PartCrash) {
         self.crashes
-            .retain(|(_, crashed_at)| at.saturating_duration_since(*crashed_at) < EVIDENCE_TIME);
+            .retain(|earlier| crash.at.saturating_duration_since(earlier.at) < EVIDENCE_TIME);
         let is_separate = self
             .crashed_at()
-            .is_none_or(|last| at.saturating_duration_since(last) >= CRASH_SPACING);
+            .is_none_or(|last| crash.at.saturating_duration_since(last) >= CRASH_SPACING);
         if is_separate && self.crashes.len() < MAX_CRASHES {
-            self.crashes.push((target.clone(), at));
+            self.crashes.push(crash);
         }
     }
 
+    /// Whether one request that came again was in all the crashes. It is the cause then, not its
+    /// parts.
+    fn is_explained_by_one_request(&self) -> bool {
+        let Some((first, others)) = self.crashes.split_first() else {
+            return false;
+        };
+        first
+            .requests
+            .iter()
+            .any(|request| others.iter().all(|crash| crash.requests.contains(request)))
+    }
+
     fn touched_at(&self) -> Option<Instant> {
         self.served_at.max(self.crashed_at())
     }
@@ -100,21 +97,23 @@
 struct OpenCrash {
     target: TargetName,
     since: Instant,
-    requests: Vec<Vec<PartName>>,
+    requests: Vec<(RequestDigest, Vec<PartName>)>,
 }
 
 /// Evidence against parts, and the bans in force.
 ///
 /// ```
 /// use std::time::{Duration, Instant};
-/// use plantainnotch::ids::{PartName, TargetName};
+/// use plantainnotch::ids::{PartName, RequestDigest, TargetName};
 /// use plantainnotch::policy::part_guard::PartGuard;
 /// let mut guard = PartGuard::default();
 /// let parts = [PartName::new("5a"), PartName::new("dead")];
 /// let mut now = Instant::now();
-/// guard.record_served(&parts[..1], &TargetName::new("e-1"), now);
+/// let sound = RequestDigest::of("POST", "sound", None, &[], b"");
+/// guard.record_served(sound, &parts[..1], &TargetName::new("e-1"), now);
 /// for engine in ["e-1", "e-2", "e-3"] {
-///     guard.record_broken(&parts, &TargetName::new(engine), now);
+///     let request = RequestDigest::of("POST", engine, None, &[], b"");
+///     guard.record_broken(request, &parts, &TargetName::new(engine), now);
 ///     now += Duration::from_millis(200);
 ///     guard.settle(now);
 /// }
@@ -128,7 +127,7 @@
     last_crash_at: Option<Instant>,
     /// Targets that crashed and have not served a request since, with the time of the crash.
     down_targets: BTreeMap<TargetName, Instant>,
-    bans: BTreeMap<Vec<PartName>, KnownBan>,
+    bans: BanBook<Vec<PartName>>,
 }
 
 impl PartGuard {
@@ -137,6 +136,7 @@
     /// it ends.
     pub fn record_served(
         &mut self,
+        request: RequestDigest,
         parts: &[PartName],
         target: &TargetName,
         now: Instant,
@@ -152,9 +152,20 @@
             for record in self.records.values_mut() {
                 record
                     .crashes
-                    .retain(|(crashed, at)| !disproved(crashed, *at));
+                    .retain(|crash| !disproved(&crash.target, crash.at));
             }
         }
+        let has_evidence = self
+            .last_crash_at
+            .is_some_and(|at| now.saturating_duration_since(at) < EVIDENCE_TIME);
+        if has_evidence {
+            // A request that is served at times does not explain crashes.
+            let crashes = self
+                .records
+                .values_mut()
+                .flat_map(|record| &mut record.crashes);
+            crashes.for_each(|crash| crash.requests.retain(|known| *known != request));
+        }
         for part in parts {
             let record = PartRecord {
                 served_at: Some(now),
@@ -163,21 +174,19 @@
             self.records.insert(part.clone(), record);
         }
         self.drop_oldest_records();
-        let mut ended = Vec::new();
-        for (banned, ban) in &mut self.bans {
-            if now < ban.until && banned.iter().all(|part| parts.contains(part)) {
-                ban.until = now;
-                ban.term = Duration::ZERO;
-                ban.revision += 1;
-                ended.push(exported(banned, ban, now));
-            }
-        }
-        ended
+        self.bans
+            .acquit(now, |banned| banned.iter().all(|part| parts.contains(part)))
     }
 
     /// Records that a request with these parts lost its connection to a target before its first
     /// event.
-    pub fn record_broken(&mut self, parts: &[PartName], target: &TargetName, now: Instant) {
+    pub fn record_broken(
+        &mut self,
+        request: RequestDigest,
+        parts: &[PartName],
+        target: &TargetName,
+        now: Instant,
+    ) {
         self.down_targets
             .retain(|_, crashed_at| now.saturating_duration_since(*crashed_at) < DOWN_TIME);
         if parts.is_empty() || self.down_targets.contains_key(target) {
@@ -190,13 +199,13 @@
             .find(|crash| crash.target == *target);
         match known {
             Some(crash) if crash.requests.len() < MAX_BROKEN_REQUESTS => {
-                crash.requests.push(parts.to_vec());
+                crash.requests.push((request, parts.to_vec()));
             }
             Some(_) => {}
             None => self.open_crashes.push(OpenCrash {
                 target: target.clone(),
                 since: now,
-                requests: vec![parts.to_vec()],
+                requests: vec![(request, parts.to_vec())],
             }),
         }
     }
@@ -213,7 +222,7 @@
             .filter_map(|crash| self.blame(&crash, now))
             .collect();
         self.drop_oldest_records();
-        bans.dedup_by(|later, earlier| later.parts == earlier.parts);
+        bans.dedup_by(|later, earlier| later.subject == earlier.subject);
         bans
     }
 
@@ -222,7 +231,7 @@
         let explained = crash
             .requests
             .iter()
-            .any(|parts| self.banned_for(parts, now).is_some());
+            .any(|(_, parts)| self.banned_for(parts, now).is_some());
         if explained {
             return None;
         }
@@ -230,7 +239,7 @@
             let record = self.records.get(part);
             record.map_or((0, Duration::MAX), |record| record.suspicion(now))
         };
-        let parts = crash.requests.iter().flatten();
+        let parts = crash.requests.iter().flat_map(|(_, parts)| parts);
         let most = parts.clone().map(suspicion).max()?;
         let mut suspects: Vec<PartName> = parts
             .filter(|part| suspicion(part) == most)
@@ -239,52 +248,36 @@
         suspects.sort();
         suspects.dedup();
         for part in &suspects {
+            let with_part = crash
+                .requests
+                .iter()
+                .filter(|(_, parts)| parts.contains(part));
             self.records
                 .entry(part.clone())
                 .or_default()
-                .record_crash(&crash.target, crash.since);
+                .record_crash(PartCrash {
+                    target: crash.target.clone(),
+                    at: crash.since,
+                    requests: with_part.map(|(request, _)| *request).collect(),
+                });
         }
         // Parts that all crashes have are banned together: no request told them apart. If they come
         // from different requests, a further crash tells.
         let is_one_request = crash
             .requests
             .iter()
-            .any(|parts| suspects.iter().all(|part| parts.contains(part)));
-        let crashes = self.records.get(suspects.first()?)?.crashes.len();
-        let was_banned = self
-            .bans
-            .get(&suspects)
-            .is_some_and(|ban| !ban.term.is_zero());
-        let is_enough = crashes >= CRASHES_UNTIL_BAN || was_banned;
-        (is_one_request && is_enough).then(|| self.ban(&suspects, now))
-    }
-
-    fn ban(&mut self, parts: &[PartName], now: Instant) -> PartBan {
-        let ban = self
-            .bans
-            .entry(parts.to_vec())
-            .and_modify(|ban| ban.term = (ban.term * 2).clamp(FIRST_BAN_TIME, MAX_BAN_TIME))
-            .or_insert(KnownBan {
-                revision: 0,
-                until: now,
-                term: FIRST_BAN_TIME,
-            });
-        ban.revision += 1;
-        ban.until = now + ban.term;
-        let exported = exported(parts, ban, now);
-        self.drop_oldest_bans(now);
-        exported
+            .any(|(_, parts)| suspects.iter().all(|part| parts.contains(part)));
+        let record = self.records.get(suspects.first()?)?;
+        let has_crashed_enough =
+            record.crashes.len() >= CRASHES_UNTIL_BAN && !record.is_explained_by_one_request();
+        let is_enough = has_crashed_enough || self.bans.was_banned(&suspects);
+        (is_one_request && is_enough).then(|| self.bans.ban(&suspects, now))
     }
 
     /// How long a request with these parts is banned; `None` if it is not.
     pub fn banned_for(&self, parts: &[PartName], now: Instant) -> Option<Duration> {
         self.bans
-            .iter()
-            .filter(|(banned, ban)| {
-                now < ban.until && banned.iter().all(|part| parts.contains(part))
-            })
-            .map(|(_, ban)| ban.until - now)
-            .max()
+            .left(now, |banned| banned.iter().all(|part| parts.contains(part)))
     }
 
     /// Number of parts that evidence is kept of.
@@ -294,49 +287,20 @@
 
     /// Number of bans in force.
     pub fn ban_count(&self, now: Instant) -> usize {
-        self.bans.values().filter(|ban| now < ban.until).count()
+        self.bans.count(now)
     }
 
     /// All known bans, ended ones included, for other VMs.
     pub fn export_bans(&self, now: Instant) -> Vec<PartBan> {
-        self.bans
-            .iter()
-            .map(|(parts, ban)| exported(parts, ban, now))
-            .collect()
+        self.bans.export(now)
     }
 
-    /// Takes over another VM's bans that are newer than the ones known here, and returns them.
+    /// Takes over another VM's bans that are newer than the ones known here, and returns them. One
+    /// without parts, which would refuse all requests, is ignored.
     pub fn import_bans(&mut self, bans: &[PartBan], now: Instant) -> Vec<PartBan> {
-        let mut imported = Vec::new();
-        for ban in bans {
-            let known = self.bans.get(&ban.parts);
-            if ban.parts.is_empty() || known.is_some_and(|known| known.revision >= ban.revision) {
-                continue;
-            }
-            let term = Duration::from_millis(ban.term_ms).min(MAX_BAN_TIME);
-            let left = Duration::from_millis(ban.left_ms).min(MAX_BAN_TIME);
-            let known = KnownBan {
-                revision: ban.revision,
-                until: now + left,
-                term,
-            };
-            self.bans.insert(ban.parts.clone(), known);
-            imported.push(ban.clone());
-        }
-        self.drop_oldest_bans(now);
-        imported
-    }
-
-    fn drop_oldest_bans(&mut self, now: Instant) {
-        self.bans
-            .retain(|_, ban| now.saturating_duration_since(ban.until) < BAN_MEMORY);
-        while self.bans.len() > MAX_BANS {
-            let oldest = self.bans.iter().min_by_key(|(_, ban)| ban.until);
-            let Some(parts) = oldest.map(|(parts, _)| parts.clone()) else {
-                return;
-            };
-            self.bans.remove(&parts);
-        }
+        let with_parts = bans.iter().filter(|ban| !ban.subject.is_empty());
+        let with_parts: Vec<PartBan> = with_parts.cloned().collect();
+        self.bans.import(&with_parts, now)
     }
 
     fn drop_oldest_records(&mut self) {
@@ -352,12 +316,3 @@
             .retain(|_, record| record.touched_at() > median);
     }
 }
-
-fn exported(parts: &[PartName], ban: &KnownBan, now: Instant) -> PartBan {
-    PartBan {
-        parts: parts.to_vec(),
-        revision: ban.revision,
-        left_ms: ban.until.saturating_duration_since(now).as_millis() as u64,
-        term_ms: ban.term.as_millis() as u64,
-    }
-}
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -27,6 +27,7 @@
 mod queue;
 mod rate_limits;
 mod read_pacing;
+mod request_guard;
 mod routes;
 mod steward;
 mod untrusted_input;
--- a/tests/core/part_guard.rs
+++ b/tests/core/part_guard.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use plantainnotch::ids::{PartName, TargetName};
+use plantainnotch::ids::{PartName, RequestDigest, TargetName};
 use plantainnotch::policy::part_guard::{PartBan, PartGuard};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -27,6 +27,7 @@
 }
 
 struct SimulatedRequest {
+    digest: RequestDigest,
     parts: Vec<PartName>,
     engine: usize,
     first_event_at: Duration,
@@ -49,6 +50,11 @@
     PartName::new(name)
 }
 
+/// A request of its own for each `number`.
+fn request(number: impl ToString) -> RequestDigest {
+    RequestDigest::of("POST", &number.to_string(), None, &[], b"")
+}
+
 fn target(name: &str) -> TargetName {
     TargetName::new(name)
 }
@@ -125,6 +131,7 @@
         }
         let time_to_first_event = Duration::from_millis(self.rng.random_range(40..400));
         self.running.push(SimulatedRequest {
+            digest: request(self.rng.random::<u64>()),
             parts,
             engine: up[self.rng.random_range(0..up.len())],
             first_event_at: self.now + time_to_first_event,
@@ -150,9 +157,12 @@
                 self.running.push(request);
                 self.crash(index);
             } else if is_reset {
-                self.guard.record_broken(&request.parts, engine, at);
+                self.guard
+                    .record_broken(request.digest, &request.parts, engine, at);
             } else {
-                let acquitted = self.guard.record_served(&request.parts, engine, at);
+                let acquitted =
+                    self.guard
+                        .record_served(request.digest, &request.parts, engine, at);
                 self.result.bans.extend(acquitted);
             }
         }
@@ -165,7 +175,8 @@
             .running
             .extract_if(.., |request| request.engine == index);
         for request in lost {
-            self.guard.record_broken(&request.parts, &engine.name, at);
+            self.guard
+                .record_broken(request.digest, &request.parts, &engine.name, at);
         }
         engine.restarts += 1;
         engine.name = target(&format!("e-{index}-{}", engine.restarts));
@@ -221,7 +232,7 @@
     let mut at = now;
     let mut bans = Vec::new();
     for engine in ["e-1", "e-2", "e-3"] {
-        guard.record_broken(&[part("dead")], &target(engine), at);
+        guard.record_broken(request(engine), &[part("dead")], &target(engine), at);
         at += Duration::from_millis(200);
         bans.extend(guard.settle(at));
     }
@@ -235,7 +246,7 @@
     let mut now = Instant::now();
     let parts = [part("first"), part("dead")];
     for engine in ["e-1", "e-2", "e-3"] {
-        guard.record_broken(&parts, &target(engine), now);
+        guard.record_broken(request(engine), &parts, &target(engine), now);
         now += Duration::from_millis(200);
         guard.settle(now);
     }
@@ -250,16 +261,16 @@
     let mut guard = PartGuard::default();
     let mut now = Instant::now();
     let parts = [part("served"), part("dead")];
-    guard.record_served(&parts[..1], &target("e-0"), now);
+    guard.record_served(request("e-0"), &parts[..1], &target("e-0"), now);
     let mut bans = Vec::new();
     for engine in ["e-1", "e-2", "e-3"] {
-        guard.record_broken(&parts, &target(engine), now);
+        guard.record_broken(request(engine), &parts, &target(engine), now);
         now += Duration::from_millis(200);
         bans.extend(guard.settle(now));
     }
 
     assert_eq!(bans.len(), 1, "{bans:?}");
-    assert_eq!(bans[0].parts, [part("dead")]);
+    assert_eq!(bans[0].subject, [part("dead")]);
 }
 
 #[test]
@@ -267,7 +278,7 @@
     let mut guard = PartGuard::default();
     let now = Instant::now();
     for engine in ["e-1", "e-2", "e-3", "e-4"] {
-        guard.record_broken(&[part("new")], &target(engine), now);
+        guard.record_broken(request(engine), &[part("new")], &target(engine), now);
     }
 
     let bans = guard.settle(now + Duration::from_secs(1));
@@ -279,8 +290,8 @@
 fn crashes_of_a_target_that_is_still_down_do_not_count() {
     let mut guard = PartGuard::default();
     let mut now = Instant::now();
-    for _ in 0..10 {
-        guard.record_broken(&[part("sound")], &target("e-1"), now);
+    for number in 0..10 {
+        guard.record_broken(request(number), &[part("sound")], &target("e-1"), now);
         now += Duration::from_millis(200);
         guard.settle(now);
     }
@@ -296,7 +307,7 @@
     other.import_bans(std::slice::from_ref(&ban), now);
     let before = other.banned_for(&[part("dead")], now);
 
-    let acquittals = guard.record_served(&[part("dead")], &target("e-4"), now);
+    let acquittals = guard.record_served(request("e-4"), &[part("dead")], &target("e-4"), now);
     other.import_bans(&acquittals, now);
     other.import_bans(&[ban], now);
 
@@ -309,7 +320,7 @@
     let (mut guard, ban, now) = banned_guard(Instant::now());
     let later = now + Duration::from_millis(ban.left_ms);
     let after_end = guard.banned_for(&[part("dead")], later);
-    guard.record_broken(&[part("dead")], &target("e-5"), later);
+    guard.record_broken(request(5), &[part("dead")], &target("e-5"), later);
 
     let renewed = guard.settle(later + Duration::from_secs(1));
 
@@ -324,8 +335,43 @@
     let now = Instant::now();
     for number in 0..20_000_u32 {
         let at = now + Duration::from_millis(number.into());
-        guard.record_served(&[part(&number.to_string())], &target("e-1"), at);
+        guard.record_served(
+            request(number),
+            &[part(&number.to_string())],
+            &target("e-1"),
+            at,
+        );
     }
 
     assert!(guard.record_count() <= 4_096);
 }
+
+#[test]
+fn parts_are_not_banned_for_one_request_that_crashes_engines_again_and_again() {
+    let mut guard = PartGuard::default();
+    let mut now = Instant::now();
+    for number in 0..6 {
+        let engine = target(&format!("e-{number}"));
+        guard.record_broken(request("deadly"), &[part("shared")], &engine, now);
+        guard.record_broken(request(number), &[part("shared")], &engine, now);
+        now += Duration::from_millis(200);
+        guard.settle(now);
+    }
+
+    assert_eq!(guard.banned_for(&[part("shared")], now), None);
+}
+
+#[test]
+fn parts_are_banned_although_a_request_that_is_served_at_times_was_in_all_crashes() {
+    let mut guard = PartGuard::default();
+    let mut now = Instant::now();
+    for number in 0..3 {
+        let engine = target(&format!("e-{number}"));
+        guard.record_broken(request("often"), &[part("dead")], &engine, now);
+        guard.record_served(request("often"), &[], &target("e-9"), now);
+        now += Duration::from_millis(200);
+        guard.settle(now);
+    }
+
+    assert!(guard.banned_for(&[part("dead")], now).is_some());
+}
