Send a request that crashes targets in the soak

The check counts what reached targets from VMs without a fault in the 3 s before, later than 3 s after the third crash.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -14,6 +14,7 @@
 
 const DENSE_PAUSE_MS: std::ops::Range<u64> = 50..500;
 const SPARSE_PAUSE_MS: std::ops::Range<u64> = 2_000..6_000;
+const WAIT_SLICE: Duration = Duration::from_millis(50);
 const STOP_TIMEOUT: Duration = Duration::from_secs(8); // grace_s in the nodes' settings
 const FAULT_DURATION_MS: std::ops::Range<u64> = 100..2_000;
 
@@ -107,14 +108,20 @@
         }
     }
 
-    /// Injects one fault, waits for a random time, and ends the faults that are due.
-    pub fn step(&mut self, bed: &mut TestBed) {
+    /// Injects one fault, waits for a random time, and ends the faults that are due. `during` is
+    /// called again and again while it waits.
+    pub fn step(&mut self, bed: &mut TestBed, mut during: impl FnMut(&TestBed)) {
         self.inject(bed);
         let pause_ms = match self.pace {
             FaultPace::Dense => self.rng.random_range(DENSE_PAUSE_MS),
             FaultPace::Sparse => self.rng.random_range(SPARSE_PAUSE_MS),
         };
-        thread::sleep(Duration::from_millis(pause_ms));
+        let pause_ends_at = Instant::now() + Duration::from_millis(pause_ms);
+        while Instant::now() < pause_ends_at {
+            during(bed);
+            let left = pause_ends_at.saturating_duration_since(Instant::now());
+            thread::sleep(left.min(WAIT_SLICE));
+        }
         let now = Instant::now();
         let (due_ends, pending_ends) = self.pending_ends.iter().partition(|(at, _)| *at <= now);
         self.pending_ends = pending_ends;
--- a/tests/soak/invariants.rs
+++ b/tests/soak/invariants.rs
@@ -185,7 +185,7 @@
         .collect();
     let mut violations = Vec::new();
     for run in runs.values().flatten() {
-        if run.id.starts_with("warm-") {
+        if run.id.starts_with("warm-") || run.id.starts_with("crash-") {
             continue;
         }
         let Some(request) = sent.get(run.id.as_str()) else {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -4,6 +4,7 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod crashing_requests;
 mod faults;
 mod invariants;
 mod rate_limits;
@@ -16,6 +17,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use crashing_requests::CrashInjector;
 use faults::{FaultInjector, FaultPace};
 use invariants::{SentRequest, check_invariants};
 use rate_limits::LimitInjector;
@@ -34,6 +36,8 @@
 struct SoakRun {
     seed: u64,
     pace: FaultPace,
+    /// Whether one request crashes targets and comes again.
+    has_crashing_request: bool,
     duration: Duration,
     nodes: usize,
 }
@@ -73,6 +77,8 @@
     let run = |(seed, pace): (u64, FaultPace)| SoakRun {
         seed,
         pace,
+        has_crashing_request: pace == FaultPace::Sparse
+            || args.iter().any(|arg| arg == "--crashing-request"),
         duration: option("--for").map_or(
             match pace {
                 FaultPace::Dense => DENSE_DURATION,
@@ -104,10 +110,17 @@
         .collect();
     let mut injector = FaultInjector::new(seed, run.pace, &bed);
     let mut limits = LimitInjector::new(seed, run.pace);
+    let mut crashes = run
+        .has_crashing_request
+        .then(|| CrashInjector::new(seed, run.pace, &bed));
     let started_at = Instant::now();
     while started_at.elapsed() < run.duration {
-        injector.step(&mut bed);
-        limits.step(&bed);
+        injector.step(&mut bed, |bed| {
+            limits.step(bed);
+            if let Some(crashes) = &mut crashes {
+                crashes.step(bed);
+            }
+        });
     }
     limits.end_all(&bed);
     injector.end_all_faults(&mut bed);
@@ -119,6 +132,9 @@
     let sent = sent.lock().unwrap_or_else(PoisonError::into_inner);
     let mut violations = check_invariants(&bed, &sent);
     violations.extend(limits.check(&bed, &sent, injector.node_faults()));
+    if let Some(crashes) = &crashes {
+        violations.extend(crashes.check(&bed, injector.node_faults()));
+    }
     if violations.is_empty() {
         let served = sent.iter().filter(|request| request.is_served()).count();
         println!(
@@ -130,12 +146,13 @@
     }
     // A panic keeps the nodes' working directories, with their logs.
     panic!(
-        "seed {seed}, {:?}, violated {} invariants:\n{}\nfaults:\n{}\nlimits:\n{}",
+        "seed {seed}, {:?}, violated {} invariants:\n{}\nfaults:\n{}\nlimits:\n{}\ncrashing request: {:?}",
         run.pace,
         violations.len(),
         violations.join("\n"),
         injector.event_log().join("\n"),
-        limits.event_log().join("\n")
+        limits.event_log().join("\n"),
+        crashes.map(|crashes| crashes.description())
     );
 }
 
