Leave suspended targets out of the choice while others are not

A suspended target gets no requests, so that its permits add up: while all targets of a plain service name limits, the owner of placement would grant those of a crashed target first, and each such request would fail and be sent again. Found by reading; the ranking now has suspended targets only if there are no others, as the choice of a single target had. The test of the ranking fails without it.

--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -104,8 +104,8 @@
     pub banned_requests: Gauge,
     /// Seconds since the last successful read of each topic that this node follows.
     pub feed_age_seconds: Family<TopicLabel, Gauge<f64, AtomicU64>>,
-    /// Placements, refusals included, that this node decided after an owner of placement did not
-    /// answer.
+    /// Placements and permits, refusals included, that this node decided after an owner of placement
+    /// did not answer.
     pub placed_alone: Counter,
     /// Log lines dropped since the start because the writer lagged behind.
     pub log_lines_dropped: Gauge,
--- a/src/policy/target_choice.rs
+++ b/src/policy/target_choice.rs
@@ -125,8 +125,8 @@
     pub health: Option<&'a TargetHealth>,
 }
 
-/// Sorts targets by their cost, the lowest first; suspended ones come last. A target outside
-/// `own_domain` costs a little more. `turn` rotates the order in which ties are broken.
+/// Sorts targets by their cost, the lowest first; suspended ones are left out unless all are. A target
+/// outside `own_domain` costs a little more. `turn` rotates the order in which ties are broken.
 pub fn rank_targets<'a>(
     candidates: &[TargetCandidate<'a>],
     own_domain: &DomainName,
@@ -155,5 +155,10 @@
             .then(a.1.total_cmp(&b.1))
             .then(a.2.cmp(&b.2))
     });
-    ranked.into_iter().map(|(.., name)| name).collect()
+    let all_suspended = ranked.first().is_some_and(|(suspended, ..)| *suspended);
+    ranked
+        .into_iter()
+        .filter(|(suspended, ..)| *suspended == all_suspended)
+        .map(|(.., name)| name)
+        .collect()
 }
--- a/tests/core/adapter.rs
+++ b/tests/core/adapter.rs
@@ -1,5 +1,6 @@
 //! Decoders and encoders of the platform adapter, and the policies built on its settings.
 
+use std::slice;
 use std::time::{Duration, Instant};
 
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -301,7 +302,7 @@
     );
     let mut health = TargetHealth::default();
     let pause = health.record_failure(false, now);
-    let choose = |at: Instant, health: &TargetHealth| {
+    let rank = |at: Instant, health: &TargetHealth| {
         let options = [
             TargetCandidate {
                 name: &target_a,
@@ -314,12 +315,17 @@
                 health: None,
             },
         ];
-        rank_targets(&options, &own_domain, 0, at)
-            .first()
-            .map(|name| (*name).clone())
+        let ranked = rank_targets(&options, &own_domain, 0, at);
+        ranked.into_iter().cloned().collect::<Vec<TargetName>>()
     };
+    let choose = |at: Instant, health: &TargetHealth| rank(at, health).first().cloned();
 
     assert_eq!(choose(now, &health), Some(target_b.clone()));
+    assert_eq!(
+        rank(now, &health),
+        slice::from_ref(&target_b),
+        "a suspended target with unused permits would attract requests"
+    );
     assert_eq!(
         health.record_failure(false, now),
         None,
