Keep the ports of stand-ins that refuse connections from other test programs

The node's log has 'answer to another request' from engine-0's address and refused connections to the others, 16 s after a restart of 2 s. A proxy that refuses connections closes its listener, and at 127.0.0.1 another test program got its port meanwhile, so that it could not listen there again. Proxies of a test program now listen at a loopback address of its own.

--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -1,6 +1,6 @@
 //! Loopback proxy that delays, resets or silences connections.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -35,7 +35,7 @@
 
 impl FaultProxy {
     pub fn start(runtime: &BackgroundRuntime, upstream: SocketAddr) -> Self {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let listener = std::net::TcpListener::bind((own_ip(), 0)).expect("a port is free");
         listener
             .set_nonblocking(true)
             .expect("sockets can be non-blocking");
@@ -77,6 +77,13 @@
     }
 }
 
+/// Loopback address of this test program: while a proxy refuses connections, another program could
+/// take its port at a shared address.
+fn own_ip() -> IpAddr {
+    let process = (std::process::id() % 250 + 1) as u8;
+    IpAddr::V4(Ipv4Addr::new(127, process, 8, 1))
+}
+
 async fn relay(mut caller_stream: TcpStream, upstream: SocketAddr, fault: Arc<Mutex<ProxyFault>>) {
     let current_fault = || *fault.lock().unwrap_or_else(PoisonError::into_inner);
     let is_resetting = || matches!(current_fault(), ProxyFault::Reset | ProxyFault::Refuse);
