Log and count the eras of the store

A store that came back from an older copy could not be told from one whose old records had expired: both logged "records expired". The era that its answers name is now logged when it changes, with the era before, and is the metric store_era.

--- a/src/node/feeds.rs
+++ b/src/node/feeds.rs
@@ -67,7 +67,7 @@
         if !reads_store(&node, delay_share) {
             next_offset = None;
             if node.feed_reads.borrow_mut().remove(feed.topic()).is_some() {
-                node.metrics.remove_feed_age(feed.topic());
+                node.metrics.remove_feed_metrics(feed.topic());
             }
             sleep(READER_CHECK_INTERVAL).await;
             continue;
@@ -126,6 +126,7 @@
     let topic = feed.topic();
     let Some(from) = next_offset else {
         let snapshot = store.read_newest(topic).await?;
+        record_era(node, feed, snapshot.era);
         let mut items = snapshot.items;
         items.extend(tombstones(node, feed, &items, snapshot.end));
         apply_items(node, feed, items);
@@ -134,10 +135,23 @@
     let tail = store
         .read_from(topic, from, pacing.next_wait(), pacing.answer_time())
         .await?;
+    record_era(node, feed, tail.era);
     apply_items(node, feed, tail.items);
     Ok(tail.next)
 }
 
+/// Logs that the store came back from an older copy.
+fn record_era(node: &NodeState, feed: FeedKind, era: u64) {
+    let before = node.feed_eras.borrow_mut().insert(feed.topic(), era);
+    node.metrics.set_store_era(feed.topic(), era);
+    if let Some(before) = before
+        && before != era
+    {
+        let topic = feed.topic();
+        tracing::warn!(topic, before, era, "store came back from an older copy");
+    }
+}
+
 fn tombstones(node: &NodeState, feed: FeedKind, items: &[KeyedItem], end: u64) -> Vec<KeyedItem> {
     let catalog = node.catalog.borrow();
     match feed {
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -104,6 +104,8 @@
     pub banned_requests: Gauge,
     /// Seconds since the last successful read of each topic that this node follows.
     pub feed_age_seconds: Family<TopicLabel, Gauge<f64, AtomicU64>>,
+    /// Era of the store at the last read of each topic that this VM reads from it.
+    pub store_era: Family<TopicLabel, Gauge>,
     /// Placements and permits, refusals included, that this node decided after an owner of placement
     /// did not answer.
     pub placed_alone: Counter,
@@ -140,6 +142,7 @@
             banned_parts: Gauge::default(),
             banned_requests: Gauge::default(),
             feed_age_seconds: Family::default(),
+            store_era: Family::default(),
             placed_alone: Counter::default(),
             log_lines_dropped: Gauge::default(),
             oversized_responses: Family::default(),
@@ -221,6 +224,11 @@
             "Time since the last successful read of a topic of the store",
             self.feed_age_seconds.clone(),
         );
+        registry.register(
+            "store_era",
+            "How often the store came back from an older copy, at the last read of a topic",
+            self.store_era.clone(),
+        );
         registry.register(
             "placed_alone",
             "Placements without a coordinator",
@@ -322,9 +330,17 @@
             .set(seconds);
     }
 
-    /// Removes the metric of a topic that this node no longer follows.
-    pub fn remove_feed_age(&self, topic: &'static str) {
+    /// Sets the era of the store at the last read of a topic.
+    pub fn set_store_era(&self, topic: &'static str, era: u64) {
+        self.store_era
+            .get_or_create(&TopicLabel { topic })
+            .set(era as i64);
+    }
+
+    /// Removes the metrics of a topic that this node no longer follows.
+    pub fn remove_feed_metrics(&self, topic: &'static str) {
         self.feed_age_seconds.remove(&TopicLabel { topic });
+        self.store_era.remove(&TopicLabel { topic });
     }
 
     /// Counts a failed call to another VM or the store.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use actix_http::header::HeaderValue;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use futures_util::StreamExt;
@@ -14,6 +15,7 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(5); // a page of 1 MiB takes half a second on the smallest link
 const MAX_RESPONSE_BYTES: usize = 8 << 20; // the store sends at most 1 MiB of records at a time, a third more in base64
 const READ_HEADER_BYTES: usize = 16; // the topic's end and first offset, not used here
+const ERA_HEADER: &str = "store-era";
 
 /// Result of a call to the store.
 pub type Result<T> = std::result::Result<T, StoreError>;
@@ -57,6 +59,8 @@
     pub items: Vec<KeyedItem>,
     /// End offset of the topic when the first page was read.
     pub end: u64,
+    /// Era of the store when the first page was read.
+    pub era: u64,
 }
 
 /// Records read from a given offset.
@@ -66,6 +70,15 @@
     pub items: Vec<KeyedItem>,
     /// Offset at which to read next.
     pub next: u64,
+    /// Era of the store that answered.
+    pub era: u64,
+}
+
+/// A response's body, and the era of the store that answered: how often it came back from an older
+/// copy.
+struct StoreResponse {
+    era: u64,
+    body: Vec<u8>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -110,7 +123,7 @@
     /// Fails when the store does not respond, refuses the call or sends a malformed page.
     pub async fn read_newest(&self, topic: &str) -> Result<KeyedSnapshot> {
         let mut items = Vec::new();
-        let mut end = None;
+        let mut first_page = None;
         let mut last_key: Option<String> = None;
         loop {
             let mut url = format!("{}/log-newest?topic={topic}&part=0", self.base);
@@ -118,17 +131,17 @@
                 url.push_str("&after=");
                 url.push_str(&percent_encode(key));
             }
-            let bytes = self
+            let response = self
                 .fetch("log-newest", &url, Duration::ZERO, CALL_TIMEOUT)
                 .await?;
             let page: NewestPage =
-                serde_json::from_slice(&bytes).map_err(|error| StoreError::Unreadable {
+                serde_json::from_slice(&response.body).map_err(|error| StoreError::Unreadable {
                     call: "log-newest",
                     reason: error.to_string(),
                 })?;
             // The topic may change between pages. A reader that continues at the end offset of
             // the first page reads those changes again and misses none.
-            let snapshot_end = *end.get_or_insert(page.end);
+            let (snapshot_end, era) = *first_page.get_or_insert((page.end, response.era));
             last_key = page.items.last().map(|item| item.key.clone());
             for item in page.items {
                 let value =
@@ -149,6 +162,7 @@
                 return Ok(KeyedSnapshot {
                     items,
                     end: snapshot_end,
+                    era,
                 });
             }
         }
@@ -173,8 +187,10 @@
             self.base,
             wait.as_millis()
         );
-        let bytes = self.fetch("log-read", &url, wait, answer_time).await?;
-        decode_records_from(&bytes, from)
+        let response = self.fetch("log-read", &url, wait, answer_time).await?;
+        let mut records = decode_records_from(&response.body, from)?;
+        records.era = response.era;
+        Ok(records)
     }
 
     /// Appends `value` to `topic` as the newest record of `key`.
@@ -197,12 +213,13 @@
         url: &str,
         wait: Duration,
         answer_time: Duration,
-    ) -> Result<Vec<u8>> {
+    ) -> Result<StoreResponse> {
         let head_timeout = wait + answer_time;
         let request = self.http.get(url).timeout(head_timeout).send();
         let response = within(call, head_timeout, request).await?;
         let mut response = response.map_err(|error| no_response(call, &error))?;
         check_status(call, response.status().as_u16())?;
+        let era = decode_era(call, response.headers().get(ERA_HEADER))?;
         let read_body = async {
             let mut body = Vec::new();
             while let Some(chunk) = within(call, answer_time, response.next()).await? {
@@ -214,10 +231,26 @@
             }
             Ok(body)
         };
-        within(call, BODY_TIMEOUT, read_body).await?
+        let body = within(call, BODY_TIMEOUT, read_body).await??;
+        Ok(StoreResponse { era, body })
     }
 }
 
+/// Decodes the era that a response names; a store that names none never came back older.
+fn decode_era(call: &'static str, header: Option<&HeaderValue>) -> Result<u64> {
+    let Some(value) = header else {
+        return Ok(0);
+    };
+    value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok())
+        .ok_or_else(|| StoreError::Unreadable {
+            call,
+            reason: format!("{ERA_HEADER} is no number: {value:?}"),
+        })
+}
+
 /// Waits for a part of an exchange with the store. The HTTP client's own timeout covers the head
 /// of a response only.
 async fn within<T>(
@@ -299,6 +332,7 @@
     let mut records = RecordsFrom {
         items: Vec::new(),
         next: from,
+        era: 0,
     };
     while !rest.is_empty() {
         let (length, body) = rest
