Reproduce a store that comes back from an older copy

Node processes against the stand-in store, which restores a copy and gives offsets out again. The log has the store's new era, and no change after it.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -10,4 +10,5 @@
 mod members;
 mod rate_limits;
 mod records;
+mod store_copies;
 mod streams;
--- a/tests/platform/records.rs
+++ b/tests/platform/records.rs
@@ -15,7 +15,7 @@
 const STABLE_TIME: Duration = Duration::from_secs(3);
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
-fn with_route(version: u64, path: &str) -> serde_json::Value {
+pub fn with_route(version: u64, path: &str) -> serde_json::Value {
     let mut changed = config(version);
     let mut added = changed["routes"][0].clone();
     added["name"] = json!("added");
@@ -27,7 +27,7 @@
     changed
 }
 
-fn status_of(bed: &TestBed, node: usize, path: &str) -> u16 {
+pub fn status_of(bed: &TestBed, node: usize, path: &str) -> u16 {
     let request = CallerRequest::new("probe", "GET", path);
     send(bed.node_configs[node].callers, &request).map_or(0, |response| response.status)
 }
@@ -253,7 +253,7 @@
     assert_eq!((seen("replica-0"), seen("engine-0")), before);
 }
 
-fn assert_no_requests_reach(bed: &TestBed, target: &str, requests: usize) {
+pub fn assert_no_requests_reach(bed: &TestBed, target: &str, requests: usize) {
     for request in 0..requests {
         let id = format!("late-{request}");
         bed.lookup(request % 3, &id);
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -1,4 +1,5 @@
-//! Fake of the platform's store, with outages, slow responses and lost responses.
+//! Fake of the platform's store, with outages, slow responses, lost responses and a return from an
+//! older copy.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -25,15 +26,20 @@
     LosesWrites,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct StoreTopic {
     records: Vec<(String, Vec<u8>)>,
     first_offset: u64,
     newest_by_key: BTreeMap<String, (u64, Vec<u8>)>,
 }
 
+/// The records of a fake store at one moment.
+pub struct StoreCopy(BTreeMap<String, StoreTopic>);
+
 struct StoreState {
     topics: BTreeMap<String, StoreTopic>,
+    /// Rises each time the store comes back from a copy.
+    era: u64,
     mode: StoreMode,
     calls: usize,
 }
@@ -59,6 +65,7 @@
             address,
             state: Arc::new(Mutex::new(StoreState {
                 topics: BTreeMap::new(),
+                era: 1,
                 mode: StoreMode::Healthy,
                 calls: 0,
             })),
@@ -104,6 +111,35 @@
         self.changed.send_modify(|version| *version += 1);
     }
 
+    /// Copies all records, for [`Self::restore`].
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().topics.clone())
+    }
+
+    /// Loses all that was written since `copy` was made; offsets are given out again from there.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.lock();
+        state.topics = copy.0.clone();
+        state.era += 1;
+        drop(state);
+        self.changed.send_modify(|version| *version += 1);
+    }
+
+    /// Keys of a topic with a value.
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        let state = self.lock();
+        let topic = state.topics.get(topic);
+        topic.map_or(Vec::new(), |topic| {
+            topic.newest_by_key.keys().cloned().collect()
+        })
+    }
+
+    /// Encodes a response with the header that names the store's era.
+    fn encode(&self, status: u16, body: &[u8]) -> Vec<u8> {
+        let era = self.lock().era.to_string();
+        encode_response(status, &[("store-era", &era)], body)
+    }
+
     /// Compacts a topic: only the newest record of each key can still be read.
     pub fn compact(&self, topic: &str) {
         let mut state = self.lock();
@@ -122,7 +158,7 @@
         };
         match mode {
             StoreMode::Busy => {
-                let response = encode_response(503, &[], b"");
+                let response = self.encode(503, b"");
                 steps.send(ResponseStep::Write(response)).await.ok();
                 return;
             }
@@ -149,9 +185,9 @@
                     steps.send(ResponseStep::Silence).await.ok();
                     return;
                 }
-                encode_response(200, &[], br#"{"offset":0,"end":1}"#)
+                self.encode(200, br#"{"offset":0,"end":1}"#)
             }
-            _ => encode_response(404, &[], b""),
+            _ => self.encode(404, b""),
         };
         steps.send(ResponseStep::Write(response)).await.ok();
     }
@@ -170,12 +206,9 @@
             }
             None => (Vec::new(), 0),
         };
+        drop(state);
         let body = json!({"items": items, "has_more": false, "end": end}).to_string();
-        encode_response(
-            200,
-            &[("content-type", "application/json")],
-            body.as_bytes(),
-        )
+        self.encode(200, body.as_bytes())
     }
 
     /// Waits for records; `None` for a read that waits when the store falls silent, which is never
@@ -204,23 +237,24 @@
             if waited.is_err() {
                 let mut empty = from.to_be_bytes().to_vec();
                 empty.extend(0_u64.to_be_bytes());
-                return Some(encode_response(200, &[], &empty));
+                return Some(self.encode(200, &empty));
             }
         }
     }
 
     fn read_available(&self, topic: &str, from: u64) -> Option<Vec<u8>> {
         let state = self.lock();
-        let topic = state.topics.get(topic)?;
-        if from < topic.first_offset {
-            return Some(encode_response(410, &[], br#"{"first":0}"#));
+        let no_records = StoreTopic::default();
+        let topic = state.topics.get(topic).unwrap_or(&no_records);
+        let end = topic.first_offset + topic.records.len() as u64;
+        if from < topic.first_offset || from > end {
+            drop(state);
+            return Some(self.encode(410, br#"{"first":0}"#));
         }
-        let skip = usize::try_from(from - topic.first_offset).unwrap_or(usize::MAX);
-        let records = topic.records.get(skip..)?;
+        let records = &topic.records[(from - topic.first_offset) as usize..];
         if records.is_empty() {
             return None;
         }
-        let end = topic.first_offset + topic.records.len() as u64;
         let mut body = end.to_be_bytes().to_vec();
         body.extend(topic.first_offset.to_be_bytes());
         for (key, value) in records {
@@ -230,7 +264,8 @@
             body.extend(key.as_bytes());
             body.extend(value);
         }
-        Some(encode_response(200, &[], &body))
+        drop(state);
+        Some(self.encode(200, &body))
     }
 
     fn append(&self, topic: &str, body: &[u8]) {
