Order records by the store's era, then by offset

Callers were refused for routes that had been added: a change that the store acknowledged after it came back from an older copy was not in force, for as long as offsets took to catch up. Targets that left meanwhile still got requests.

Cause: nodes took the offset of a record for its age. Offsets go back when the store comes back from a copy, and are given out again. A sequence number was trusted beyond the life of the log that gives it out.

Now a position is the era that the store's answers name, and the offset in it, in memory, between nodes and in packed records. Hubs write their addresses again, once.

The test of that domain had three nodes' requests for a fleet of two; it has three nodes now.

--- a/src/fleet/catalog.rs
+++ b/src/fleet/catalog.rs
@@ -1,31 +1,20 @@
 //! In-memory catalog of routes, targets and failure domains, built from the store's records.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use serde::{Deserialize, Serialize};
-
+use super::feed::{CompactedFeed, KeyedItem, LogPosition, TopicSnapshot};
 use super::routes::RouteTable;
 use crate::ids::{DomainName, TargetName};
 
+/// How long a domain stays out of service by a record that the store lost and operators do not
+/// write again. They do so within seconds, unless they put the domain back.
+pub const LOST_RECORD_GRACE: Duration = Duration::from_secs(10);
 const MAX_LEAVING: usize = 1_024; // those that left long ago are never removed otherwise
 
-/// A record of a keyed topic before it is decoded; one without a value is a tombstone for its key.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct KeyedItem {
-    /// Key, unique among the live records of the topic.
-    pub key: String,
-    /// Position in the topic; higher is newer.
-    pub offset: u64,
-    /// Value as the platform encodes it; `None` for a tombstone.
-    pub value: Option<Vec<u8>>,
-    /// Whether a tombstone was read during a store outage or just after, when the records of live
-    /// targets expire.
-    pub lapsed: bool,
-}
-
 /// Subject of an operator's record, determined by its key.
 #[derive(Debug, PartialEq)]
 pub enum RecordKind {
@@ -56,17 +45,34 @@
     pub warmup_left: Duration,
     /// Start of its process in Unix milliseconds; distinguishes a restarted target.
     pub started_ms: u64,
+    /// Rises with each record that the process writes.
+    pub sequence: u64,
 }
 
 impl TargetRecord {
-    /// Whether `newer` differs at most in having less of the warm-up left.
+    /// Whether `newer` differs at most in its sequence and in having less of the warm-up left.
     fn is_same_state(&self, newer: &Self) -> bool {
-        let with_same_warmup = Self {
+        let with_same_progress = Self {
             warmup_left: newer.warmup_left,
+            sequence: newer.sequence,
             ..self.clone()
         };
-        with_same_warmup == *newer && self.warmup_left >= newer.warmup_left
+        with_same_progress == *newer && self.warmup_left >= newer.warmup_left
     }
+
+    fn age(&self) -> RecordAge {
+        RecordAge {
+            started_ms: self.started_ms,
+            sequence: self.sequence,
+        }
+    }
+}
+
+/// Order in which a target's records were written, whatever their positions.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+struct RecordAge {
+    started_ms: u64,
+    sequence: u64,
 }
 
 /// Functions that decode records, supplied by the platform adapter.
@@ -80,61 +86,6 @@
     pub target: fn(&str, &[u8]) -> eyre::Result<TargetRecord>,
 }
 
-/// Newest stored record of each key, tombstones included, for relaying to peers.
-#[derive(Debug, Default)]
-pub struct CompactedFeed {
-    items: BTreeMap<String, KeyedItem>,
-    end: u64,
-}
-
-impl CompactedFeed {
-    /// Offset after the newest record of the feed.
-    pub fn end(&self) -> u64 {
-        self.end
-    }
-
-    /// Whether `item` is newer than the feed's record of the same key.
-    pub fn is_newer(&self, item: &KeyedItem) -> bool {
-        self.items
-            .get(&item.key)
-            .is_none_or(|known| known.offset < item.offset)
-    }
-
-    /// Stores `item` as the newest record of its key.
-    pub fn insert_item(&mut self, item: &KeyedItem) {
-        self.end = self.end.max(item.offset + 1);
-        self.items.insert(item.key.clone(), item.clone());
-    }
-
-    /// Tombstones for the known keys before offset `end` that a snapshot up to `end` lacks.
-    ///
-    /// A tombstone has the snapshot's last offset, so that records written later replace it, or
-    /// else the offset after the record that it deletes, to be newer than that record.
-    pub fn tombstones_for(&self, snapshot: &[KeyedItem], end: u64) -> Vec<KeyedItem> {
-        let present: BTreeSet<&str> = snapshot.iter().map(|item| item.key.as_str()).collect();
-        self.items
-            .values()
-            .filter(|item| item.value.is_some() && item.offset < end)
-            .filter(|item| !present.contains(item.key.as_str()))
-            .map(|item| KeyedItem {
-                key: item.key.clone(),
-                offset: end.saturating_sub(1).max(item.offset + 1),
-                value: None,
-                lapsed: false,
-            })
-            .collect()
-    }
-
-    /// Records at offset `from` or later, tombstones included.
-    pub fn items_from(&self, from: u64) -> Vec<KeyedItem> {
-        self.items
-            .values()
-            .filter(|item| item.offset >= from)
-            .cloned()
-            .collect()
-    }
-}
-
 /// A target's newest record, and the deadlines that follow from its records.
 #[derive(Debug, Clone)]
 pub struct TargetState {
@@ -190,10 +141,14 @@
     pub target_feed: CompactedFeed,
     table: Option<Rc<RouteTable>>,
     out_of_service: BTreeSet<DomainName>,
+    /// Keys of the domains out of service whose records the store lost, and since when.
+    lost_keys: BTreeMap<String, Instant>,
     targets: BTreeMap<TargetName, TargetState>,
     /// Targets whose responses say that they are shutting down, with the start of the process that
     /// said so. Their records may say otherwise for a while.
     leaving: BTreeMap<TargetName, u64>,
+    /// The last record of each target that was removed.
+    removed: BTreeMap<TargetName, RecordAge>,
 }
 
 impl FleetCatalog {
@@ -205,11 +160,19 @@
             target_feed: CompactedFeed::default(),
             table: None,
             out_of_service: BTreeSet::new(),
+            lost_keys: BTreeMap::new(),
             targets: BTreeMap::new(),
             leaving: BTreeMap::new(),
+            removed: BTreeMap::new(),
         }
     }
 
+    /// The latest era of the store that records are known of.
+    pub fn store_era(&self) -> u64 {
+        let (operators, targets) = (self.operator_feed.end(), self.target_feed.end());
+        operators.era.max(targets.era)
+    }
+
     /// Returns the configuration in force; `None` until the first one has been read.
     pub fn table(&self) -> Option<&Rc<RouteTable>> {
         self.table.as_ref()
@@ -288,6 +251,93 @@
         }
     }
 
+    /// The items to apply for a snapshot of the operators' topic, so that its keys, and no others,
+    /// have values after it.
+    ///
+    /// A snapshot that is the first of a later era may lack what was written in the last seconds
+    /// before. What is known then stays in force until its key is written again: the newer one of
+    /// two configurations, and domains that are out of service, these for [`LOST_RECORD_GRACE`].
+    /// Snapshots of earlier eras are ignored.
+    pub fn reconcile_operators(&self, snapshot: TopicSnapshot) -> Vec<KeyedItem> {
+        let TopicSnapshot { items, end } = snapshot;
+        let feed = &self.operator_feed;
+        match end.era.cmp(&feed.end().era) {
+            Ordering::Less => Vec::new(),
+            Ordering::Equal => {
+                let mut tombstones = feed.tombstones_for(&items, end);
+                tombstones.retain(|item| !feed.item(&item.key).is_some_and(|it| it.carried_over));
+                items.into_iter().chain(tombstones).collect()
+            }
+            Ordering::Greater => {
+                let missing: Vec<KeyedItem> = feed.missing_in(&items).cloned().collect();
+                let newest = items.into_iter().map(|item| match feed.item(&item.key) {
+                    Some(known) if self.is_newer_version(known, &item) => known.clone(),
+                    _ => item,
+                });
+                let newest: Vec<KeyedItem> = newest.collect();
+                carry_over(newest.into_iter().chain(missing), end)
+            }
+        }
+    }
+
+    fn is_newer_version(&self, known: &KeyedItem, item: &KeyedItem) -> bool {
+        let version = |item: &KeyedItem| {
+            let value = item.value.as_deref()?;
+            Some((self.decoder.routes)(value).ok()?.version)
+        };
+        let is_routes = matches!((self.decoder.kind)(&item.key), RecordKind::Routes);
+        is_routes && version(known) > version(item)
+    }
+
+    /// The items to apply for a snapshot of the targets' topic, so that its keys, and no others,
+    /// have values after it.
+    ///
+    /// In a snapshot that is the first of a later era, a record counts only if its target wrote it
+    /// after the one that is known; a target whose record is missing is taken for lapsed. Snapshots
+    /// of earlier eras are ignored.
+    pub fn reconcile_targets(&self, snapshot: TopicSnapshot) -> Vec<KeyedItem> {
+        let TopicSnapshot { items, end } = snapshot;
+        let feed = &self.target_feed;
+        match end.era.cmp(&feed.end().era) {
+            Ordering::Less => Vec::new(),
+            Ordering::Equal => {
+                let tombstones = feed.tombstones_for(&items, end);
+                items.into_iter().chain(tombstones).collect()
+            }
+            Ordering::Greater => {
+                let missing: Vec<KeyedItem> = feed
+                    .missing_in(&items)
+                    .map(|known| KeyedItem {
+                        value: None,
+                        lapsed: known.value.is_some() || known.lapsed,
+                        ..known.clone()
+                    })
+                    .collect();
+                let newest = items.into_iter().map(|item| match feed.item(&item.key) {
+                    Some(known) if self.is_outdated(&item) => known.clone(),
+                    _ => item,
+                });
+                let newest: Vec<KeyedItem> = newest.collect();
+                carry_over(newest.into_iter().chain(missing), end)
+            }
+        }
+    }
+
+    /// Whether a target's record was written before the one that is known of it, or before it was
+    /// removed.
+    fn is_outdated(&self, item: &KeyedItem) -> bool {
+        let Some(value) = item.value.as_deref() else {
+            return false;
+        };
+        let Ok(record) = (self.decoder.target)(&item.key, value) else {
+            return false;
+        };
+        let known = self.targets.get(&record.name);
+        let removed = self.removed.get(&record.name);
+        known.is_some_and(|known| record.age() < known.record.age())
+            || removed.is_some_and(|removed| record.age() <= *removed)
+    }
+
     /// Applies targets' records and returns what changed; outdated records are ignored.
     ///
     /// A target whose record lapsed is retained until `retain_until`, so that it can publish the
@@ -310,8 +360,11 @@
                     self.remove_target(&item.key, now, retain_until)
                 }
             };
-            // Targets publish their record again without a change; peers are not sent those.
-            if change.is_some() || item.value.is_none() {
+            // Targets publish their record again without a change. Peers are not sent those, unless
+            // it replaces one that may be outdated.
+            let known = self.target_feed.item(&item.key);
+            let replaces_copy = known.is_some_and(|known| known.carried_over);
+            if change.is_some() || item.value.is_none() || replaces_copy || item.carried_over {
                 self.target_feed.insert_item(item);
             }
             changes.extend(change);
@@ -323,7 +376,7 @@
         let mut record = match (self.decoder.target)(key, value) {
             Ok(record) => record,
             Err(error) => {
-                self.targets.remove(key);
+                self.take_target(&TargetName::new(key));
                 return Some(CatalogChange::Unreadable {
                     key: key.to_owned(),
                     reason: error.to_string(),
@@ -344,6 +397,7 @@
             known.retained_until.is_none() && known.record.is_same_state(&record)
         });
         let cold_until = now + record.warmup_left;
+        self.removed.remove(&name);
         self.targets.insert(
             name.clone(),
             TargetState {
@@ -394,13 +448,48 @@
                 state: "lapsed",
             });
         }
-        self.targets.remove(&target);
+        self.take_target(&target);
         Some(CatalogChange::Target {
             target,
             state: "gone",
         })
     }
 
+    /// Removes a target, and remembers its last record.
+    fn take_target(&mut self, target: &TargetName) {
+        if let Some(state) = self.targets.remove(target) {
+            self.removed.insert(target.clone(), state.record.age());
+        }
+    }
+
+    /// Puts the domains back whose records the store lost [`LOST_RECORD_GRACE`] ago or earlier.
+    pub fn restore_lost_domains(&mut self, now: Instant) -> Vec<CatalogChange> {
+        let lost: Vec<KeyedItem> = self
+            .operator_feed
+            .carried_over()
+            .filter(|item| item.value.is_some())
+            .cloned()
+            .collect();
+        self.lost_keys
+            .retain(|key, _| lost.iter().any(|item| item.key == *key));
+        let mut changes = Vec::new();
+        for item in lost {
+            let RecordKind::OutOfService(domain) = (self.decoder.kind)(&item.key) else {
+                continue;
+            };
+            let since = *self.lost_keys.entry(item.key.clone()).or_insert(now);
+            if now.saturating_duration_since(since) < LOST_RECORD_GRACE {
+                continue;
+            }
+            let value = None;
+            self.operator_feed.insert_item(&KeyedItem { value, ..item });
+            self.out_of_service.remove(&domain);
+            let in_service = true;
+            changes.push(CatalogChange::Domain { domain, in_service });
+        }
+        changes
+    }
+
     /// Removes the lapsed targets that did not publish their record again in time.
     pub fn remove_lapsed(&mut self, now: Instant) -> Vec<CatalogChange> {
         let removed: Vec<TargetName> = self
@@ -412,7 +501,7 @@
         removed
             .into_iter()
             .map(|target| {
-                self.targets.remove(&target);
+                self.take_target(&target);
                 CatalogChange::Target {
                     target,
                     state: "gone",
@@ -421,3 +510,20 @@
             .collect()
     }
 }
+
+/// Moves records of an earlier era to the one that ends at `end`, so that each record written later
+/// replaces them.
+fn carry_over(items: impl Iterator<Item = KeyedItem>, end: LogPosition) -> Vec<KeyedItem> {
+    items
+        .map(|item| {
+            if item.position.era == end.era {
+                return item;
+            }
+            KeyedItem {
+                position: end,
+                carried_over: true,
+                ..item
+            }
+        })
+        .collect()
+}
--- a/src/fleet/store_outage.rs
+++ b/src/fleet/store_outage.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Records that the store came back from an older copy, which may lack targets' records.
+    pub fn record_restart(&mut self, now: Instant) {
+        self.ended_at = Some(now);
+    }
+
     /// Until when targets stay usable whose removal this VM reads at `now`; `None` if it removes
     /// them at once, since no outage can have kept them from renewing their records.
     pub fn retain_until(&self, now: Instant) -> Option<Instant> {
--- a/src/node/feeds.rs
+++ b/src/node/feeds.rs
@@ -9,7 +9,7 @@
 
 use super::rate_limits::forget_gone_targets;
 use super::state::NodeState;
-use crate::fleet::catalog::KeyedItem;
+use crate::fleet::feed::{KeyedItem, LogPosition, TopicSnapshot};
 use crate::platform::records::{MEMBER_TOPIC, OPERATOR_TOPIC, TARGET_TOPIC};
 use crate::platform::store::{StoreClient, StoreError};
 use crate::policy::read_pacing::ReadPacing;
@@ -60,12 +60,12 @@
 }
 
 async fn follow_topic(node: Rc<NodeState>, store: StoreClient, feed: FeedKind) {
-    let mut next_offset: Option<u64> = None;
+    let mut read_up_to: Option<LogPosition> = None;
     let mut pacing = ReadPacing::new(node.settings.bounds.stable_after);
     let delay_share = rand::random_range(0.0..1.0);
     loop {
         if !reads_store(&node, delay_share) {
-            next_offset = None;
+            read_up_to = None;
             if node.feed_reads.borrow_mut().remove(feed.topic()).is_some() {
                 node.metrics.remove_feed_metrics(feed.topic());
             }
@@ -73,11 +73,11 @@
             continue;
         }
         let started_at = node.now();
-        match read_once(&node, &store, feed, &pacing, next_offset).await {
-            Ok(from) => {
+        match read_once(&node, &store, feed, &pacing, read_up_to).await {
+            Ok(end) => {
                 record_store_success(&node, feed, pacing.failures());
                 pacing.record_success();
-                next_offset = Some(from);
+                read_up_to = Some(end);
                 if feed == FeedKind::Target {
                     sleep(TARGET_BATCH_DELAY).await;
                 }
@@ -87,7 +87,11 @@
                     topic = feed.topic(),
                     "records expired: reading the newest of each key"
                 );
-                next_offset = None;
+                // A store that refuses its own snapshot's end is not asked without a pause.
+                if read_up_to.is_none() {
+                    sleep(pacing.record_failure(rand::random_range(0.0..1.0))).await;
+                }
+                read_up_to = None;
             }
             Err(error) => {
                 let elapsed = node.now().saturating_duration_since(started_at);
@@ -121,43 +125,58 @@
     store: &StoreClient,
     feed: FeedKind,
     pacing: &ReadPacing,
-    next_offset: Option<u64>,
-) -> Result<u64, StoreError> {
+    read_up_to: Option<LogPosition>,
+) -> Result<LogPosition, StoreError> {
     let topic = feed.topic();
-    let Some(from) = next_offset else {
-        let snapshot = store.read_newest(topic).await?;
-        record_era(node, feed, snapshot.era);
-        let mut items = snapshot.items;
-        items.extend(tombstones(node, feed, &items, snapshot.end));
-        apply_items(node, feed, items);
-        return Ok(snapshot.end);
+    let Some(after) = read_up_to else {
+        let snapshot = store.read_newest(topic, known_end(node, feed).era).await?;
+        let end = snapshot.end;
+        apply_snapshot(node, feed, snapshot);
+        return Ok(end);
     };
     let tail = store
-        .read_from(topic, from, pacing.next_wait(), pacing.answer_time())
+        .read_after(topic, after, pacing.next_wait(), pacing.answer_time())
         .await?;
-    record_era(node, feed, tail.era);
     apply_items(node, feed, tail.items);
-    Ok(tail.next)
+    Ok(tail.end)
 }
 
-/// Logs that the store came back from an older copy.
-fn record_era(node: &NodeState, feed: FeedKind, era: u64) {
-    let before = node.feed_eras.borrow_mut().insert(feed.topic(), era);
-    node.metrics.set_store_era(feed.topic(), era);
-    if let Some(before) = before
-        && before != era
-    {
-        let topic = feed.topic();
-        tracing::warn!(topic, before, era, "store came back from an older copy");
+fn known_end(node: &NodeState, feed: FeedKind) -> LogPosition {
+    let catalog = node.catalog.borrow();
+    match feed {
+        FeedKind::Operator => catalog.operator_feed.end(),
+        FeedKind::Target => catalog.target_feed.end(),
     }
 }
 
-fn tombstones(node: &NodeState, feed: FeedKind, items: &[KeyedItem], end: u64) -> Vec<KeyedItem> {
-    let catalog = node.catalog.borrow();
-    match feed {
-        FeedKind::Operator => catalog.operator_feed.tombstones_for(items, end),
-        FeedKind::Target => catalog.target_feed.tombstones_for(items, end),
+fn apply_snapshot(node: &Rc<NodeState>, feed: FeedKind, mut snapshot: TopicSnapshot) {
+    let known = known_end(node, feed);
+    let era = snapshot.end.era;
+    node.metrics.set_store_era(feed.topic(), era);
+    if era > known.era && known != LogPosition::default() {
+        let (topic, before) = (feed.topic(), known.era);
+        tracing::warn!(
+            topic,
+            before,
+            era,
+            "store came back from an older copy: known records stay in force until they are written again"
+        );
+        node.store_outage.borrow_mut().record_restart(node.now());
+        if feed == FeedKind::Target {
+            // Peers may know newer ones, and are sent the first record that each target writes.
+            for item in &mut snapshot.items {
+                item.carried_over = true;
+            }
+        }
     }
+    let items = {
+        let catalog = node.catalog.borrow();
+        match feed {
+            FeedKind::Operator => catalog.reconcile_operators(snapshot),
+            FeedKind::Target => catalog.reconcile_targets(snapshot),
+        }
+    };
+    apply_items(node, feed, items);
 }
 
 fn apply_items(node: &Rc<NodeState>, feed: FeedKind, mut items: Vec<KeyedItem>) {
@@ -217,8 +236,8 @@
     }
 }
 
-/// Removes lapsed targets and connections past their idle limit, and updates the dispatchers and the
-/// age of the feeds, every 100 ms.
+/// Removes lapsed targets, records that the store lost and connections past their idle limit, and
+/// updates the dispatchers and the age of the feeds, every 100 ms.
 pub async fn maintenance_loop(node: Rc<NodeState>) {
     loop {
         sleep(Duration::from_millis(100)).await;
@@ -227,7 +246,12 @@
             let age = now.saturating_duration_since(*read_at);
             node.metrics.set_feed_age(topic, age.as_secs_f64());
         }
-        let changes = node.catalog.borrow_mut().remove_lapsed(now);
+        let changes = {
+            let mut catalog = node.catalog.borrow_mut();
+            let mut changes = catalog.remove_lapsed(now);
+            changes.extend(catalog.restore_lost_domains(now));
+            changes
+        };
         node.handle_catalog_changes(&changes, "lapse");
         node.connection_pool.borrow_mut().prune(now);
         forget_gone_targets(&node);
@@ -236,12 +260,12 @@
 }
 
 /// Keeps addresses in the store at which VMs that know no other find the fleet: a hub writes its
-/// own. Hubs read the others now and then, so that parts of the fleet that lost sight of each
+/// own, again in each era of the store. Hubs read the others now and then, so that parts of the fleet that lost sight of each
 /// other meet again; another VM reads them only while it knows no other.
 pub async fn member_loop(node: Rc<NodeState>, store: StoreClient) {
     let own_address = node.settings.addresses.peers.to_string();
     let key = node.settings.vm.to_string();
-    let mut written = false;
+    let mut written_in_era: Option<u64> = None;
     let mut read_at: Option<Instant> = None;
     loop {
         sleep(MEMBER_CHECK_INTERVAL.mul_f64(rand::random_range(0.8..1.2))).await;
@@ -250,12 +274,13 @@
             let members = node.members.borrow();
             (members.is_hub(now), members.knows_no_peer(now))
         };
-        if is_hub && !written {
+        let era = node.catalog.borrow().store_era();
+        if is_hub && written_in_era != Some(era) {
             match store
                 .append_item(MEMBER_TOPIC, &key, own_address.as_bytes())
                 .await
             {
-                Ok(()) => written = true,
+                Ok(()) => written_in_era = Some(era),
                 Err(error) => {
                     tracing::info!(%error, "own address not recorded yet");
                     node.metrics.count_failure("store");
@@ -269,7 +294,7 @@
         };
         let read_due = read_at.is_none_or(|at| now.saturating_duration_since(at) >= read_interval);
         if is_hub && read_due {
-            match store.read_newest(MEMBER_TOPIC).await {
+            match store.read_newest(MEMBER_TOPIC, 0).await {
                 Ok(snapshot) => {
                     read_at = Some(now);
                     add_addresses(&node, &snapshot.items);
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::fleet::feed::LogPosition;
 use crate::fleet::members::{MemberRecord, RosterUpdate};
 use crate::ids::{PartName, RequestDigest, TargetName, VmName};
 use crate::policy::dispatch::{DispatchAnswer, JobId, JobReport, PlacementRequest};
@@ -33,10 +34,10 @@
     pub knows_no_peer: bool,
     /// How long the sender knows the fleet to run, in milliseconds.
     pub fleet_age_ms: u64,
-    /// Offset after the sender's newest operator record.
-    pub operator_end_offset: u64,
-    /// Offset after the sender's newest target record.
-    pub target_end_offset: u64,
+    /// Position of the sender's newest operator record.
+    pub operator_end: LogPosition,
+    /// Position of the sender's newest target record.
+    pub target_end: LogPosition,
     /// What the sender refuses because targets crash on it, and what was acquitted since.
     pub bans: KnownBans,
     /// Hash of the rate limits that the sender knows.
@@ -57,10 +58,10 @@
     pub contacts: Vec<MemberRecord>,
     /// How long the receiver knows the fleet to run, in milliseconds.
     pub fleet_age_ms: u64,
-    /// Offset after the receiver's newest operator record.
-    pub operator_end_offset: u64,
-    /// Offset after the receiver's newest target record.
-    pub target_end_offset: u64,
+    /// Position of the receiver's newest operator record.
+    pub operator_end: LogPosition,
+    /// Position of the receiver's newest target record.
+    pub target_end: LogPosition,
     /// What the receiver refuses because targets crash on it, and what was acquitted since.
     pub bans: KnownBans,
     /// Hash of the rate limits that the receiver knows.
@@ -88,16 +89,16 @@
     pub jobs: Vec<JobReport>,
 }
 
-/// Asks a node for all records at or after these offsets.
+/// Asks a node for all records after these positions.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RecordsRequest {
-    /// First offset wanted of the operators' topic.
-    pub operator_from_offset: u64,
-    /// First offset wanted of the targets' topic.
-    pub target_from_offset: u64,
+    /// Position in the operators' topic.
+    pub operators_after: LogPosition,
+    /// Position in the targets' topic.
+    pub targets_after: LogPosition,
 }
 
-/// Records from the offsets of a [`RecordsRequest`] on, compressed.
+/// Records after the positions of a [`RecordsRequest`], compressed.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct PackedRecords {
     /// Size before compression.
--- a/src/node/packed_records.rs
+++ b/src/node/packed_records.rs
@@ -1,17 +1,20 @@
 //! Records in the form in which nodes fetch them from each other: compressed, since they are text
 //! in which most names repeat.
 
+use serde::{Deserialize, Serialize};
+
 use super::messages::{PackedRecords, RecordsRequest};
-use crate::fleet::catalog::{FleetCatalog, KeyedItem};
+use crate::fleet::catalog::FleetCatalog;
+use crate::fleet::feed::{LogPosition, TopicSnapshot};
 use crate::wire::client::CallError;
 use crate::wire::codec::{self, MAX_MESSAGE_BYTES};
 
-/// Offsets from which and up to which a reply has records.
+/// Positions after which and up to which a reply has records.
 #[derive(Debug, Clone, PartialEq)]
 struct RecordsRange {
     request: RecordsRequest,
-    operator_end: u64,
-    target_end: u64,
+    operator_end: LogPosition,
+    target_end: LogPosition,
 }
 
 /// Packs records for peers, and keeps the last reply: after a change or a common start, all VMs of
@@ -22,7 +25,7 @@
 }
 
 impl RecordPacker {
-    /// Packs all records of `catalog` at or after the requested offsets.
+    /// Packs all records of `catalog` after the requested positions.
     pub fn pack(&mut self, catalog: &FleetCatalog, request: &RecordsRequest) -> PackedRecords {
         let range = RecordsRange {
             request: request.clone(),
@@ -35,29 +38,35 @@
             return packed.clone();
         }
         let packed = pack_records(&FetchedRecords {
-            operator_items: catalog
-                .operator_feed
-                .items_from(request.operator_from_offset),
-            target_items: catalog.target_feed.items_from(request.target_from_offset),
+            operators: TopicSnapshot {
+                items: catalog.operator_feed.items_after(request.operators_after),
+                end: catalog.operator_feed.end(),
+            },
+            targets: TopicSnapshot {
+                items: catalog.target_feed.items_after(request.targets_after),
+                end: catalog.target_feed.end(),
+            },
         });
         self.last = Some((range, packed.clone()));
         packed
     }
 }
 
-/// All records that a node has from the offsets of a [`RecordsRequest`] on.
-#[derive(Debug, PartialEq)]
+/// All records that a node has after the positions of a [`RecordsRequest`].
+///
+/// They are complete if the requested position is of an earlier era than their end: a node moves
+/// all its records to an era that begins.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
 pub struct FetchedRecords {
     /// Records of the operators' topic, tombstones included.
-    pub operator_items: Vec<KeyedItem>,
+    pub operators: TopicSnapshot,
     /// Records of the targets' topic, tombstones included.
-    pub target_items: Vec<KeyedItem>,
+    pub targets: TopicSnapshot,
 }
 
 /// Encodes and compresses records.
 pub fn pack_records(records: &FetchedRecords) -> PackedRecords {
-    let encoded = codec::encode(&(&records.operator_items, &records.target_items))
-        .expect("keys, offsets and bytes have an encoding");
+    let encoded = codec::encode(records).expect("keys, positions and bytes have an encoding");
     PackedRecords {
         encoded_bytes: encoded.len() as u64,
         compressed: lz4_flex::block::compress(&encoded),
@@ -71,10 +80,10 @@
 /// Fails when the records would be larger than a message may be, or cannot be decoded.
 ///
 /// ```
-/// use plantainnotch::fleet::catalog::KeyedItem;
+/// use plantainnotch::fleet::feed::{LogPosition, TopicSnapshot};
 /// use plantainnotch::node::packed_records::{FetchedRecords, pack_records, unpack_records};
-/// let item = KeyedItem { key: "a".to_owned(), offset: 7, value: None, lapsed: true };
-/// let records = FetchedRecords { operator_items: vec![item], target_items: Vec::new() };
+/// let topic = TopicSnapshot { items: Vec::new(), end: LogPosition::after(1, 7) };
+/// let records = FetchedRecords { operators: topic.clone(), targets: topic };
 /// assert_eq!(unpack_records(&pack_records(&records)).unwrap(), records);
 /// ```
 pub fn unpack_records(packed: &PackedRecords) -> Result<FetchedRecords, CallError> {
@@ -84,9 +93,5 @@
         .ok_or(CallError::TooLarge)?;
     let encoded = lz4_flex::block::decompress(&packed.compressed, encoded_bytes)
         .map_err(|error| CallError::Compression(error.to_string()))?;
-    let (operator_items, target_items) = codec::decode(&encoded)?;
-    Ok(FetchedRecords {
-        operator_items,
-        target_items,
-    })
+    Ok(codec::decode(&encoded)?)
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -12,7 +12,7 @@
 
 use super::crash_bans::{import_bans, import_evidence, known_bans};
 use super::messages::{HeartbeatMessage, HeartbeatReply, NodeCall, NodeReply, RecordsRequest};
-use super::packed_records::unpack_records;
+use super::packed_records::{FetchedRecords, unpack_records};
 use super::peer_calls::call_node;
 use super::placement::{apply_update, decide_waiting_jobs, place_locally};
 use super::rate_limits::{
@@ -20,6 +20,7 @@
     limits_for_reply,
 };
 use super::state::NodeState;
+use crate::fleet::feed::LogPosition;
 use crate::fleet::members::{MemberRecord, RosterScope};
 use crate::wire::client::CallError;
 use crate::wire::server::{self, CallHandler};
@@ -82,8 +83,8 @@
     fetch_if_behind(
         node,
         &heartbeat.sender,
-        heartbeat.operator_end_offset,
-        heartbeat.target_end_offset,
+        heartbeat.operator_end,
+        heartbeat.target_end,
     );
     let running_for = node.running_for(now);
     let mut members = node.members.borrow_mut();
@@ -101,8 +102,8 @@
         roster: members.serve_roster(heartbeat.known_roster_version, scope, now),
         contacts: members.contacts_for(&sender, heartbeat.knows_no_peer, now),
         fleet_age_ms: members.fleet_age(running_for, now).as_millis() as u64,
-        operator_end_offset: catalog.operator_feed.end(),
-        target_end_offset: catalog.target_feed.end(),
+        operator_end: catalog.operator_feed.end(),
+        target_end: catalog.target_feed.end(),
         bans: known_bans(node),
         limits_digest: node.rate_limits.borrow().digest(),
         rate_limits: limits_for_reply(node, heartbeat.limits_digest),
@@ -114,13 +115,12 @@
 fn fetch_if_behind(
     node: &Rc<NodeState>,
     from: &MemberRecord,
-    operator_end_offset: u64,
-    target_end_offset: u64,
+    operator_end: LogPosition,
+    target_end: LogPosition,
 ) {
     let behind = {
         let catalog = node.catalog.borrow();
-        operator_end_offset > catalog.operator_feed.end()
-            || target_end_offset > catalog.target_feed.end()
+        operator_end > catalog.operator_feed.end() || target_end > catalog.target_feed.end()
     };
     if !behind || node.fetching_records.get() {
         return;
@@ -150,11 +150,11 @@
     let request = {
         let catalog = node.catalog.borrow();
         RecordsRequest {
-            operator_from_offset: catalog.operator_feed.end(),
-            target_from_offset: catalog.target_feed.end(),
+            operators_after: catalog.operator_feed.end(),
+            targets_after: catalog.target_feed.end(),
         }
     };
-    let call = NodeCall::FetchRecords(request);
+    let call = NodeCall::FetchRecords(request.clone());
     let exchange = async {
         let pending = call_node(node, from.peer_address, &call, HEARTBEAT_TIMEOUT).await?;
         pending.read().await
@@ -165,20 +165,51 @@
     let NodeReply::Records(packed) = reply else {
         return Err(CallError::Status(http::StatusCode::BAD_GATEWAY));
     };
-    let mut items = unpack_records(&packed)?;
+    let fetched = unpack_records(&packed)?;
+    apply_fetched(node, &request, fetched);
+    Ok(())
+}
+
+/// Applies the records of a peer, which are complete if they begin an era of the store.
+fn apply_fetched(node: &Rc<NodeState>, request: &RecordsRequest, fetched: FetchedRecords) {
     let now = node.now();
+    let (operators, mut targets) = (fetched.operators, fetched.targets);
+    let starts_era = |after: LogPosition, end: LogPosition| {
+        end.era > after.era && after != LogPosition::default()
+    };
+    if starts_era(request.operators_after, operators.end)
+        || starts_era(request.targets_after, targets.end)
+    {
+        let before = node.catalog.borrow().store_era();
+        let era = operators.end.era.max(targets.end.era);
+        tracing::warn!(
+            before,
+            era,
+            "store came back from an older copy, as a peer read"
+        );
+        node.store_outage.borrow_mut().record_restart(now);
+    }
     let retain_until = node.retain_until_by_peer(now);
-    for item in &mut items.target_items {
+    for item in &mut targets.items {
         item.lapsed &= retain_until.is_some();
     }
     let changes = {
         let mut catalog = node.catalog.borrow_mut();
-        let mut changes = catalog.apply_operator_items(&items.operator_items);
-        changes.extend(catalog.apply_target_items(&items.target_items, now, retain_until));
+        let operator_items = if operators.end.era > catalog.operator_feed.end().era {
+            catalog.reconcile_operators(operators)
+        } else {
+            operators.items
+        };
+        let target_items = if targets.end.era > catalog.target_feed.end().era {
+            catalog.reconcile_targets(targets)
+        } else {
+            targets.items
+        };
+        let mut changes = catalog.apply_operator_items(&operator_items);
+        changes.extend(catalog.apply_target_items(&target_items, now, retain_until));
         changes
     };
     node.handle_catalog_changes(&changes, "peer");
-    Ok(())
 }
 
 /// Sends heartbeats to the hubs for as long as the process runs. Other known addresses are also
@@ -262,8 +293,8 @@
         known_roster_version,
         knows_no_peer: members.knows_no_peer(now),
         fleet_age_ms: members.fleet_age(node.running_for(now), now).as_millis() as u64,
-        operator_end_offset: catalog.operator_feed.end(),
-        target_end_offset: catalog.target_feed.end(),
+        operator_end: catalog.operator_feed.end(),
+        target_end: catalog.target_feed.end(),
         bans: known_bans(node),
         limits_digest: node.rate_limits.borrow().digest(),
         rate_limits: limits_for_heartbeat(node),
@@ -282,10 +313,5 @@
         members.record_fleet_age(Duration::from_millis(reply.fleet_age_ms), now);
         members.record_heartbeat(member.clone(), now);
     }
-    fetch_if_behind(
-        node,
-        &member,
-        reply.operator_end_offset,
-        reply.target_end_offset,
-    );
+    fetch_if_behind(node, &member, reply.operator_end, reply.target_end);
 }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -95,8 +95,6 @@
     pub record_packer: RefCell<RecordPacker>,
     /// When each topic that this node follows was last read, by topic.
     pub feed_reads: RefCell<BTreeMap<&'static str, Instant>>,
-    /// Era of the store at the last read of each topic, by topic.
-    pub feed_eras: RefCell<BTreeMap<&'static str, u64>>,
     /// Outages of the store as the feeds' reads show them.
     pub store_outage: RefCell<StoreOutage>,
     /// Whether reads of the store did not fail repeatedly; told to the other VMs.
@@ -144,7 +142,6 @@
             behind_since: Cell::new(None),
             record_packer: RefCell::default(),
             feed_reads: RefCell::default(),
-            feed_eras: RefCell::default(),
             store_outage: RefCell::default(),
             store_reachable: Cell::new(true),
             next_job_id: Cell::new(first_job_id),
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -137,6 +137,8 @@
     warmup_left_ms: f64,
     #[serde(default)]
     born: u64,
+    #[serde(default)]
+    sequence: u64,
 }
 
 /// Classifies an operator's record by its key.
@@ -296,6 +298,7 @@
         draining,
         warmup_left: duration_from_ms(body.warmup_left_ms),
         started_ms: body.born,
+        sequence: body.sequence,
     })
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-use crate::fleet::catalog::KeyedItem;
+use crate::fleet::feed::{KeyedItem, LogPosition, TopicSnapshot};
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500); // responses take a few ms, 60 times as long on slow days
 const BODY_TIMEOUT: Duration = Duration::from_secs(5); // a page of 1 MiB takes half a second on the smallest link
@@ -39,9 +39,19 @@
         /// HTTP status code.
         status: u16,
     },
-    /// The requested records have been removed from the log.
-    #[error("the store no longer keeps the requested records; read the newest of each key")]
+    /// The requested records have been removed from the log, or lost in an earlier era.
+    #[error("the store no longer has the requested records; read the newest of each key")]
     Expired,
+    /// The response is of an earlier era than records that are known.
+    #[error("the response to {call} is of era {era}, before era {known}; the call is retried")]
+    Outdated {
+        /// Name of the call, as in its path.
+        call: &'static str,
+        /// Era that the response names.
+        era: u64,
+        /// Era that is known.
+        known: u64,
+    },
     /// The response cannot be decoded.
     #[error("the store's response to {call} cannot be decoded: {reason}; check platform.address")]
     Unreadable {
@@ -52,26 +62,13 @@
     },
 }
 
-/// The newest record of each key in a topic.
-#[derive(Debug)]
-pub struct KeyedSnapshot {
-    /// One item per key, without tombstones.
-    pub items: Vec<KeyedItem>,
-    /// End offset of the topic when the first page was read.
-    pub end: u64,
-    /// Era of the store when the first page was read.
-    pub era: u64,
-}
-
-/// Records read from a given offset.
+/// Records read after a given position.
 #[derive(Debug)]
-pub struct RecordsFrom {
+pub struct RecordsAfter {
     /// The records in the order of their offsets; malformed ones are left out.
     pub items: Vec<KeyedItem>,
-    /// Offset at which to read next.
-    pub next: u64,
-    /// Era of the store that answered.
-    pub era: u64,
+    /// Position after which to read next.
+    pub end: LogPosition,
 }
 
 /// A response's body, and the era of the store that answered: how often it came back from an older
@@ -120,10 +117,11 @@
     ///
     /// # Errors
     ///
-    /// Fails when the store does not respond, refuses the call or sends a malformed page.
-    pub async fn read_newest(&self, topic: &str) -> Result<KeyedSnapshot> {
+    /// Fails when the store does not respond, refuses the call, sends a malformed page, or answers
+    /// from an earlier era than `known_era`.
+    pub async fn read_newest(&self, topic: &str, known_era: u64) -> Result<TopicSnapshot> {
         let mut items = Vec::new();
-        let mut first_page = None;
+        let mut end: Option<LogPosition> = None;
         let mut last_key: Option<String> = None;
         loop {
             let mut url = format!("{}/log-newest?topic={topic}&part=0", self.base);
@@ -139,9 +137,17 @@
                     call: "log-newest",
                     reason: error.to_string(),
                 })?;
+            let era = response.era;
+            check_era("log-newest", era, known_era)?;
             // The topic may change between pages. A reader that continues at the end offset of
             // the first page reads those changes again and misses none.
-            let (snapshot_end, era) = *first_page.get_or_insert((page.end, response.era));
+            let snapshot_end = *end.get_or_insert(LogPosition {
+                era,
+                next_offset: page.end,
+            });
+            if snapshot_end.era != era {
+                return Err(StoreError::Expired);
+            }
             last_key = page.items.last().map(|item| item.key.clone());
             for item in page.items {
                 let value =
@@ -153,44 +159,47 @@
                         })?;
                 items.push(KeyedItem {
                     key: item.key,
-                    offset: item.offset,
+                    position: LogPosition::after(era, item.offset),
                     value: Some(value),
                     lapsed: false,
+                    carried_over: false,
                 });
             }
             if !page.has_more || last_key.is_none() {
-                return Ok(KeyedSnapshot {
+                return Ok(TopicSnapshot {
                     items,
                     end: snapshot_end,
-                    era,
                 });
             }
         }
     }
 
-    /// Reads records from offset `from` on, waiting up to `wait` for the first one and up to
+    /// Reads the records after a position, waiting up to `wait` for the first one and up to
     /// `answer_time` longer for the response, and as long for each part of its body.
     ///
     /// # Errors
     ///
-    /// Fails when the store does not respond, refuses the call, sends malformed records, or no
-    /// longer keeps the requested ones.
-    pub async fn read_from(
+    /// Fails when the store does not respond, refuses the call, sends malformed records, no longer
+    /// has the requested ones, or answers from another era than that of the position.
+    pub async fn read_after(
         &self,
         topic: &str,
-        from: u64,
+        after: LogPosition,
         wait: Duration,
         answer_time: Duration,
-    ) -> Result<RecordsFrom> {
+    ) -> Result<RecordsAfter> {
         let url = format!(
-            "{}/log-read?topic={topic}&part=0&from={from}&wait_ms={}",
+            "{}/log-read?topic={topic}&part=0&from={}&wait_ms={}",
             self.base,
+            after.next_offset,
             wait.as_millis()
         );
         let response = self.fetch("log-read", &url, wait, answer_time).await?;
-        let mut records = decode_records_from(&response.body, from)?;
-        records.era = response.era;
-        Ok(records)
+        check_era("log-read", response.era, after.era)?;
+        if response.era > after.era {
+            return Err(StoreError::Expired);
+        }
+        decode_records_after(&response.body, after)
     }
 
     /// Appends `value` to `topic` as the newest record of `key`.
@@ -278,6 +287,13 @@
     }
 }
 
+fn check_era(call: &'static str, era: u64, known: u64) -> Result<()> {
+    if era < known {
+        return Err(StoreError::Outdated { call, era, known });
+    }
+    Ok(())
+}
+
 fn percent_encode(text: &str) -> String {
     text.bytes().fold(String::new(), |mut encoded, byte| {
         if byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte) {
@@ -308,19 +324,21 @@
     encoded
 }
 
-/// Decodes the response to a read that began at offset `from`.
+/// Decodes the response to a read of the records after a position.
 ///
 /// # Errors
 ///
 /// Fails when the bytes end inside the header or a record.
 ///
 /// ```
-/// use plantainnotch::platform::store::{decode_records_from, encode_item};
+/// use plantainnotch::fleet::feed::LogPosition;
+/// use plantainnotch::platform::store::{decode_records_after, encode_item};
 /// let mut bytes = vec![0; 16];
 /// bytes.extend(encode_item("k", b"v"));
-/// assert_eq!(decode_records_from(&bytes, 7).unwrap().next, 8);
+/// let records = decode_records_after(&bytes, LogPosition::after(2, 6)).unwrap();
+/// assert_eq!(records.end, LogPosition::after(2, 7));
 /// ```
-pub fn decode_records_from(bytes: &[u8], from: u64) -> Result<RecordsFrom> {
+pub fn decode_records_after(bytes: &[u8], after: LogPosition) -> Result<RecordsAfter> {
     let unreadable = |reason: &str| StoreError::Unreadable {
         call: "log-read",
         reason: reason.to_owned(),
@@ -329,10 +347,9 @@
         return Err(unreadable("shorter than its header"));
     }
     let mut rest = &bytes[READ_HEADER_BYTES..];
-    let mut records = RecordsFrom {
+    let mut records = RecordsAfter {
         items: Vec::new(),
-        next: from,
-        era: 0,
+        end: after,
     };
     while !rest.is_empty() {
         let (length, body) = rest
@@ -344,8 +361,7 @@
         }
         let (record, following) = body.split_at(length);
         rest = following;
-        let offset = records.next;
-        records.next += 1;
+        records.end.next_offset += 1;
         let Some((&key_length, record)) = record.split_first() else {
             continue;
         };
@@ -357,9 +373,10 @@
         };
         records.items.push(KeyedItem {
             key: key.to_owned(),
-            offset,
+            position: records.end,
             value: (!value.is_empty()).then(|| value.to_vec()),
             lapsed: false,
+            carried_over: false,
         });
     }
     Ok(records)
--- a/tests/core/adapter.rs
+++ b/tests/core/adapter.rs
@@ -4,13 +4,14 @@
 use std::time::{Duration, Instant};
 
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use plantainnotch::fleet::feed::LogPosition;
 use plantainnotch::ids::{DomainName, PartName, TargetName, TeamName};
 use plantainnotch::platform::callers::{
     NamedRate, SplitHelper, TargetHeaders, decode_caller_headers, decode_response_headers,
     encode_target_headers,
 };
 use plantainnotch::platform::settings::parse_settings;
-use plantainnotch::platform::store::{decode_records_from, encode_item};
+use plantainnotch::platform::store::{decode_records_after, encode_item};
 use plantainnotch::policy::retry_share::RetryShare;
 use plantainnotch::policy::target_choice::{TargetCandidate, TargetHealth, rank_targets};
 
@@ -85,7 +86,9 @@
     fn property(bytes: Vec<u8>) -> bool {
         let mut framed = vec![0; 16];
         framed.extend_from_slice(&bytes);
-        decode_records_from(&framed, 0).map_or(true, |decoded| decoded.next <= bytes.len() as u64)
+        decode_records_after(&framed, LogPosition::default()).map_or(true, |decoded| {
+            decoded.end.next_offset <= bytes.len() as u64
+        })
     }
     check(45, property as fn(Vec<u8>) -> bool);
 }
@@ -98,7 +101,8 @@
         for (key, value) in &records {
             bytes.extend(encode_item(&format!("k{key}"), value));
         }
-        let decoded = decode_records_from(&bytes, 5).expect("whole records");
+        let decoded =
+            decode_records_after(&bytes, LogPosition::after(2, 4)).expect("whole records");
         let all_equal = decoded
             .items
             .iter()
@@ -108,7 +112,7 @@
             });
         all_equal
             && decoded.items.len() == records.len()
-            && decoded.next == 5 + records.len() as u64
+            && decoded.end == LogPosition::after(2, 4 + records.len() as u64)
     }
     check(46, property as fn(Vec<(u8, Vec<u8>)>) -> bool);
 }
--- a/tests/core/catalog.rs
+++ b/tests/core/catalog.rs
@@ -2,7 +2,8 @@
 
 use std::time::Instant;
 
-use plantainnotch::fleet::catalog::{CatalogChange, FleetCatalog, KeyedItem, RecordDecoder};
+use plantainnotch::fleet::catalog::{CatalogChange, FleetCatalog, RecordDecoder};
+use plantainnotch::fleet::feed::{KeyedItem, LogPosition};
 use plantainnotch::fleet::store_outage::{LAPSE_GRACE, StoreOutage};
 use plantainnotch::ids::{DomainName, TargetName};
 use plantainnotch::platform::records::{decode_routes, decode_target, operator_record_kind};
@@ -10,7 +11,7 @@
 
 use crate::fixtures::check;
 
-fn catalog() -> FleetCatalog {
+pub fn catalog() -> FleetCatalog {
     FleetCatalog::new(RecordDecoder {
         kind: operator_record_kind,
         routes: |value| Ok(decode_routes(value)?),
@@ -18,7 +19,7 @@
     })
 }
 
-fn config(version: u64) -> Value {
+pub fn config(version: u64) -> Value {
     json!({
         "version": version,
         "routes": [
@@ -37,18 +38,20 @@
 fn item(key: &str, offset: u64, value: &Value) -> KeyedItem {
     KeyedItem {
         key: key.to_owned(),
-        offset,
+        position: LogPosition::after(0, offset),
         value: Some(value.to_string().into_bytes()),
         lapsed: false,
+        carried_over: false,
     }
 }
 
 fn tombstone(key: &str, offset: u64) -> KeyedItem {
     KeyedItem {
         key: key.to_owned(),
-        offset,
+        position: LogPosition::after(0, offset),
         value: None,
         lapsed: false,
+        carried_over: false,
     }
 }
 
@@ -59,7 +62,7 @@
     }
 }
 
-fn target(state: &str, born: u64) -> Value {
+pub fn target(state: &str, born: u64) -> Value {
     json!({"service": "s", "address": "10.0.0.1:80", "zone": "d", "slots": 4,
         "state": state, "warmup_left_ms": 0, "sequence": born, "born": born})
 }
@@ -132,7 +135,7 @@
         direct.apply_target_items(&items, now, None);
         let split = usize::from(split) % (items.len() + 1);
         via_peer.apply_target_items(&items[..split], now, None);
-        let relayed = direct.target_feed.items_from(via_peer.target_feed.end());
+        let relayed = direct.target_feed.items_after(via_peer.target_feed.end());
         via_peer.apply_target_items(&relayed, now, None);
         via_peer.apply_target_items(&items[..split], now, None);
         (0..4).all(|name| {
@@ -279,7 +282,7 @@
 
     assert!(changes.is_empty());
     assert_eq!(catalog.target_feed.end(), end);
-    assert!(catalog.target_feed.items_from(end).is_empty());
+    assert!(catalog.target_feed.items_after(end).is_empty());
 }
 
 #[test]
@@ -295,7 +298,9 @@
         None,
     );
 
-    let missing = catalog.target_feed.tombstones_for(&[], 5);
+    let missing = catalog
+        .target_feed
+        .tombstones_for(&[], LogPosition::after(0, 4));
 
     let keys: Vec<&str> = missing.iter().map(|item| item.key.as_str()).collect();
     assert_eq!(keys, ["i-1"]);
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -30,4 +30,5 @@
 mod request_guard;
 mod routes;
 mod steward;
+mod store_eras;
 mod untrusted_input;
--- a/tests/core/packed_records.rs
+++ b/tests/core/packed_records.rs
@@ -1,6 +1,7 @@
 //! Records as nodes fetch them from each other.
 
-use plantainnotch::fleet::catalog::{FleetCatalog, KeyedItem, RecordDecoder, RecordKind};
+use plantainnotch::fleet::catalog::{FleetCatalog, RecordDecoder, RecordKind};
+use plantainnotch::fleet::feed::{KeyedItem, LogPosition, TopicSnapshot};
 use plantainnotch::node::messages::{PackedRecords, RecordsRequest};
 use plantainnotch::node::packed_records::{
     FetchedRecords, RecordPacker, pack_records, unpack_records,
@@ -13,9 +14,10 @@
     let lapsed = value.is_none() && offset.is_multiple_of(2);
     KeyedItem {
         key,
-        offset,
+        position: LogPosition::after(offset % 3, offset),
         value,
         lapsed,
+        carried_over: offset.is_multiple_of(5),
     }
 }
 
@@ -27,10 +29,18 @@
     })
 }
 
+fn topic(items: &[KeyedItem]) -> TopicSnapshot {
+    let end = items.iter().map(|item| item.position).max();
+    TopicSnapshot {
+        items: items.to_vec(),
+        end: end.unwrap_or_default(),
+    }
+}
+
 fn all_records() -> RecordsRequest {
     RecordsRequest {
-        operator_from_offset: 0,
-        target_from_offset: 0,
+        operators_after: LogPosition::default(),
+        targets_after: LogPosition::default(),
     }
 }
 
@@ -43,8 +53,8 @@
             .collect();
         let (operator, target) = items.split_at(split % (items.len() + 1));
         let records = FetchedRecords {
-            operator_items: operator.to_vec(),
-            target_items: target.to_vec(),
+            operators: topic(operator),
+            targets: topic(target),
         };
         unpack_records(&pack_records(&records)).is_ok_and(|unpacked| unpacked == records)
     }
@@ -90,13 +100,14 @@
     let offsets = |packed: &PackedRecords| -> Vec<u64> {
         let records = unpack_records(packed).expect("unpacks");
         records
-            .operator_items
+            .operators
+            .items
             .iter()
-            .map(|item| item.offset)
+            .map(|item| item.position.next_offset)
             .collect()
     };
-    assert_eq!(offsets(&before), [1]);
-    assert_eq!(offsets(&after), [2]);
+    assert_eq!(offsets(&before), [2]);
+    assert_eq!(offsets(&after), [3]);
 }
 
 /// A configuration of many routes repeats most of its text.
@@ -110,8 +121,8 @@
         })
         .collect();
     let records = FetchedRecords {
-        operator_items: vec![item("config".into(), 1, Some(routes.clone().into_bytes()))],
-        target_items: Vec::new(),
+        operators: topic(&[item("config".into(), 1, Some(routes.clone().into_bytes()))]),
+        targets: topic(&[]),
     };
 
     let packed = pack_records(&records);
--- a/tests/platform/store_copies.rs
+++ b/tests/platform/store_copies.rs
@@ -172,7 +172,7 @@
 
 #[test]
 fn a_domain_taken_out_of_service_in_the_lost_seconds_stays_out_until_the_operator_writes_again() {
-    let bed = TestBed::start(2);
+    let bed = TestBed::start(3);
     let copy = copy_then_write(&bed, 2..4);
     bed.store.put("keyed.op", "evacuate/domain-0", b"{}");
     std::thread::sleep(Duration::from_millis(800));
