--- a/tests/core/store_eras.rs
+++ b/tests/core/store_eras.rs
@@ -348,3 +348,20 @@
             .in_service(&DomainName::new(DOMAIN))
     );
 }
+
+#[test]
+fn records_of_an_earlier_era_are_ignored_also_for_unknown_keys() {
+    let mut simulation = Simulation::new();
+    let mut late = simulation.targets.snapshot().items.remove(0);
+    late.key = "i-9".to_owned();
+    simulation.step(4, 0);
+    simulation.step(5, 0);
+    simulation.read_store(0);
+
+    let now = simulation.now;
+    let changes = simulation.vms[0]
+        .catalog
+        .apply_target_items(&[late], now, None);
+
+    assert!(changes.is_empty(), "{changes:?}");
+}
