Name the VM whose report suspends a target

The owner of placement logged that a peer's report made it pass over a target, but not whose: reports of a VM that has lost all its targets looked like those of any other. Updates to the owner carry the VM that sends them.

--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -107,6 +107,15 @@
     pub compressed: Vec<u8>,
 }
 
+/// Changes that a VM reports to the owner of placement.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct UpdatesReport {
+    /// The VM that serves the requests.
+    pub vm: VmName,
+    /// The changes in their order.
+    pub updates: Vec<JobUpdate>,
+}
+
 /// A change of a placed request's state, or a failure at a target.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum JobUpdate {
@@ -158,7 +167,7 @@
     /// Asks for a placement; cancelling the call takes the request out of the queue.
     Place(PlacementRequest),
     /// Reports changes of placed requests.
-    Updates(Vec<JobUpdate>),
+    Updates(UpdatesReport),
     /// Fetches records that the sender lacks.
     FetchRecords(RecordsRequest),
     /// Reports the sender's jobs to a coordinator.
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -42,9 +42,9 @@
                 NodeReply::Heartbeat(Box::new(answer_heartbeat(&node, message)))
             }
             NodeCall::Place(request) => NodeReply::Placed(place_locally(&node, request).await),
-            NodeCall::Updates(updates) => {
-                for update in &updates {
-                    apply_update(&node, update);
+            NodeCall::Updates(report) => {
+                for update in &report.updates {
+                    apply_update(&node, update, &report.vm);
                 }
                 decide_waiting_jobs(&node);
                 NodeReply::Acknowledged
--- a/src/node/placement.rs
+++ b/src/node/placement.rs
@@ -8,7 +8,7 @@
 use tokio::time::{interval, sleep};
 
 use super::crash_bans::{apply_broken, apply_served};
-use super::messages::{JobUpdate, JobsReport, NodeCall, NodeReply};
+use super::messages::{JobUpdate, JobsReport, NodeCall, NodeReply, UpdatesReport};
 use super::peer_calls::call_node;
 use super::rate_limits::apply_observed;
 use super::state::NodeState;
@@ -251,13 +251,13 @@
 
 /// Applies an update to this node's dispatchers, and queues it for the owner of placement.
 pub fn record_update(node: &Rc<NodeState>, update: JobUpdate) {
-    apply_update(node, &update);
+    apply_update(node, &update, &node.settings.vm);
     node.pending_updates.borrow_mut().push(update);
     node.updates_ready.notify_one();
 }
 
-/// Applies an update to this node's dispatchers and to its records of target failures.
-pub fn apply_update(node: &Rc<NodeState>, update: &JobUpdate) {
+/// Applies an update of `vm` to this node's dispatchers and to its records of target failures.
+pub fn apply_update(node: &Rc<NodeState>, update: &JobUpdate, vm: &VmName) {
     match update {
         JobUpdate::FirstEvent(job) => {
             for dispatcher in node.dispatchers.borrow_mut().values_mut() {
@@ -280,7 +280,7 @@
         } => apply_broken(node, *request, parts, target),
         JobUpdate::RateLimitChanged(limit) => apply_observed(node, limit),
         JobUpdate::TargetFailed { target, refused } => {
-            node.record_peer_reported_failure(target, *refused);
+            node.record_peer_reported_failure(target, *refused, vm);
         }
     }
 }
@@ -319,20 +319,24 @@
         };
         let Some(owner) = owner.filter(|owner| owner.vm != node.settings.vm) else {
             for update in unsent_crashes.drain(..) {
-                apply_update(&node, &update);
+                apply_update(&node, &update, &node.settings.vm);
             }
             decide_waiting_jobs(&node);
             continue;
         };
         let mut sent_updates = std::mem::take(&mut unsent_crashes);
         sent_updates.extend(updates);
-        let call = NodeCall::Updates(sent_updates);
+        let call = NodeCall::Updates(UpdatesReport {
+            vm: node.settings.vm.clone(),
+            updates: sent_updates,
+        });
         // The next report of jobs makes up for other lost updates, and heartbeats for rate limits.
         let sent = call_node(&node, owner.peer_address, &call, UPDATES_TIMEOUT).await;
-        if let (Err(error), NodeCall::Updates(updates)) = (sent, call) {
+        if let (Err(error), NodeCall::Updates(report)) = (sent, call) {
             tracing::debug!(owner = %owner.vm, %error, "events not taken");
             node.metrics.count_failure("placement_owner");
-            let crashes = updates
+            let crashes = report
+                .updates
                 .into_iter()
                 .filter(|update| matches!(update, JobUpdate::RequestBroken { .. }));
             unsent_crashes = crashes.take(MAX_UNSENT_CRASHES).collect();
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -19,7 +19,7 @@
 use crate::fleet::members::{MemberRecord, MemberTable};
 use crate::fleet::settings::NodeSettings;
 use crate::fleet::store_outage::{LAPSE_GRACE, StoreOutage};
-use crate::ids::TargetName;
+use crate::ids::{TargetName, VmName};
 use crate::platform::records::TARGET_TOPIC;
 use crate::policy::dispatch::{DispatchAnswer, EngineDispatcher, EngineTarget, JobId};
 use crate::policy::part_guard::PartGuard;
@@ -288,8 +288,8 @@
         self.record_target_failure(target, error.is_refused(), &error.to_string());
     }
 
-    /// Records that a peer reported a failed attempt at a target.
-    pub fn record_peer_reported_failure(&self, target: &TargetName, refused: bool) {
+    /// Records that `vm` reported a failed attempt at a target.
+    pub fn record_peer_reported_failure(&self, target: &TargetName, refused: bool, vm: &VmName) {
         let now = self.now();
         let suspension = {
             let mut health = self.target_health.borrow_mut();
@@ -298,7 +298,7 @@
         };
         if let Some(suspension) = suspension {
             let pause_ms = suspension.as_millis() as u64;
-            tracing::info!(replica = %target, pause_ms, "target passed over after a peer's report");
+            tracing::info!(replica = %target, pause_ms, peer = %vm, "target passed over after a peer's report");
             self.refresh_dispatchers();
         }
     }
