Let operators choose the address from which targets are called

On a VM with several addresses the operating system chooses one. With the flag, stand-ins on loopback can also tell the nodes apart, and cut off single ones.

--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -17,6 +17,8 @@
 pub struct NodeFlags {
     /// Port on which metrics are served, at the IP address for callers.
     pub metrics_port: u16,
+    /// Address from which targets are called; the operating system chooses if `None`.
+    pub target_source: Option<IpAddr>,
 }
 
 /// The command line of `notch-node`.
@@ -27,8 +29,16 @@
         .argument::<u16>("PORT")
         .fallback(DEFAULT_METRICS_PORT)
         .display_fallback();
-    construct!(NodeFlags { metrics_port })
-        .to_options()
+    let target_source = long("target-source-ip")
+        .env("NOTCH_TARGET_SOURCE_IP")
+        .help("Own address from which targets are called, on a VM with several")
+        .argument::<IpAddr>("IP")
+        .optional();
+    construct!(NodeFlags {
+        metrics_port,
+        target_source,
+    })
+    .to_options()
         .descr("Serves callers, the directory and peers on one VM. PLANTAINNOTCH_SETTINGS names the settings file; NOTCH_LOG sets the log level.")
         .version(env!("CARGO_PKG_VERSION"))
 }
@@ -40,7 +50,8 @@
 /// Fails when the settings are invalid or an address cannot be bound.
 pub fn run(flags: &NodeFlags) -> Result<()> {
     let log_guard = logging::init_bounded();
-    let settings = read_settings().wrap_err("settings")?;
+    let mut settings = read_settings().wrap_err("settings")?;
+    settings.target_source = flags.target_source;
     let ip: IpAddr = settings.addresses.callers.ip();
     let metrics = SocketAddr::new(ip, flags.metrics_port);
     let dropped_lines_counter = log_guard.dropped_lines_counter();
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of `notch-node`, independent of the platform's file format.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use crate::ids::{DomainName, VmName};
@@ -54,4 +54,6 @@
     pub cpu_cores: f64,
     /// Bounds that the deployment sets.
     pub bounds: NodeBounds,
+    /// Own address from which targets are called; the operating system chooses if `None`.
+    pub target_source: Option<IpAddr>,
 }
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -208,7 +208,7 @@
         return Ok(connection);
     }
     node.metrics.connections_opened.inc();
-    open_connection(address, now).await
+    open_connection(address, node.settings.target_source, now).await
 }
 
 async fn classify_response(
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -3,7 +3,7 @@
 
 use std::cell::Cell;
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use actix_http::body::BodySize;
@@ -13,7 +13,7 @@
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -152,13 +152,24 @@
 }
 
 impl TargetConnection {
-    async fn connect(address: SocketAddr, now: Instant) -> Result<Self> {
+    async fn connect(address: SocketAddr, source: Option<IpAddr>, now: Instant) -> Result<Self> {
         let failed = |error: std::io::Error| ExchangeError::Connect {
             address,
             reason: error.to_string(),
             refused: error.kind() == std::io::ErrorKind::ConnectionRefused,
         };
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        let connect = async {
+            let Some(source) = source else {
+                return TcpStream::connect(address).await;
+            };
+            let socket = match source {
+                IpAddr::V4(_) => TcpSocket::new_v4()?,
+                IpAddr::V6(_) => TcpSocket::new_v6()?,
+            };
+            socket.bind(SocketAddr::new(source, 0))?;
+            socket.connect(address).await
+        };
+        let stream = timeout(CONNECT_TIMEOUT, connect)
             .await
             .map_err(|_| failed(std::io::ErrorKind::TimedOut.into()))?
             .map_err(failed)?;
@@ -479,13 +490,17 @@
     }
 }
 
-/// Opens a new connection to a target, without the pool.
+/// Opens a new connection to a target, without the pool, from the address `source` if there is one.
 ///
 /// # Errors
 ///
 /// Fails when the address refuses the connection or it is not established within 300 ms.
-pub async fn open_connection(address: SocketAddr, now: Instant) -> Result<TargetConnection> {
-    TargetConnection::connect(address, now).await
+pub async fn open_connection(
+    address: SocketAddr,
+    source: Option<IpAddr>,
+    now: Instant,
+) -> Result<TargetConnection> {
+    TargetConnection::connect(address, source, now).await
 }
 
 /// Builds a request's head; `headers` are complete, as made by `encode_target_headers`.
--- a/src/node/crash_bans.rs
+++ b/src/node/crash_bans.rs
@@ -71,7 +71,7 @@
 }
 
 async fn refuses_connections(node: &NodeState, address: SocketAddr) -> bool {
-    let opened = open_connection(address, node.now()).await;
+    let opened = open_connection(address, node.settings.target_source, node.now()).await;
     opened.is_err_and(|error| error.is_refused())
 }
 
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -626,7 +626,8 @@
             Some(connection) => connection,
             None => {
                 node.metrics.connections_opened.inc();
-                let opened = open_connection(target.address, now).await;
+                let opened =
+                    open_connection(target.address, node.settings.target_source, now).await;
                 opened.map_err(|error| error.to_string())?
             }
         };
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -179,6 +179,7 @@
         store: file.platform.address,
         // The file has the CPU limit as a share of its `cores`.
         cpu_cores: file.limits.cpu_share * file.limits.cores,
+        target_source: None,
         bounds: NodeBounds {
             stop_grace: Duration::from_secs_f64(file.bounds.grace_s),
             stable_after: Duration::from_secs_f64(file.bounds.stable_ms / MS_PER_S),
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -148,6 +148,7 @@
             .expect("the log file can be opened");
         Command::new(env!("CARGO_BIN_EXE_notch-node"))
             .args(["--metrics-port", &config.metrics.port().to_string()])
+            .args(["--target-source-ip", &config.callers.ip().to_string()])
             .env("PLANTAINNOTCH_SETTINGS", settings)
             .stdout(Stdio::from(log))
             .stderr(Stdio::inherit())
