--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod crashing_parts;
 mod crashing_requests;
 mod endless;
+mod lost_paths;
 mod members;
 mod rate_limits;
 mod records;
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -1,5 +1,6 @@
 //! Loopback proxy that delays, resets or silences connections.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -19,6 +20,8 @@
     Delay(Duration),
     /// Resets existing and new connections.
     Reset,
+    /// Resets new connections only.
+    ResetNew,
     /// Resets existing connections and does not listen.
     Refuse,
     /// Drops bytes in both directions.
@@ -30,7 +33,21 @@
 #[derive(Clone)]
 pub struct FaultProxy {
     pub address: SocketAddr,
-    fault: Arc<Mutex<ProxyFault>>,
+    faults: Arc<Mutex<ProxyFaults>>,
+}
+
+/// The fault of all connections, and of those from single addresses.
+#[derive(Debug)]
+struct ProxyFaults {
+    common: ProxyFault,
+    by_source: BTreeMap<IpAddr, ProxyFault>,
+}
+
+impl ProxyFaults {
+    fn of(&self, source: Option<IpAddr>) -> ProxyFault {
+        let own = source.and_then(|source| self.by_source.get(&source));
+        own.copied().unwrap_or(self.common)
+    }
 }
 
 impl FaultProxy {
@@ -42,16 +59,21 @@
         let address = listener
             .local_addr()
             .expect("a bound socket has an address");
-        let fault = Arc::new(Mutex::new(ProxyFault::None));
+        let faults = Arc::new(Mutex::new(ProxyFaults {
+            common: ProxyFault::None,
+            by_source: BTreeMap::new(),
+        }));
         let proxy = Self {
             address,
-            fault: fault.clone(),
+            faults: faults.clone(),
         };
         let _guard = runtime.enter();
         let listener = TcpListener::from_std(listener).expect("the runtime accepts the socket");
         runtime.spawn(async move {
-            let is_refusing =
-                || *fault.lock().unwrap_or_else(PoisonError::into_inner) == ProxyFault::Refuse;
+            let is_refusing = || {
+                let faults = faults.lock().unwrap_or_else(PoisonError::into_inner);
+                faults.common == ProxyFault::Refuse
+            };
             let mut listener = Some(listener);
             loop {
                 if is_refusing() {
@@ -65,7 +87,7 @@
                 };
                 let accepted = tokio::time::timeout(FAULT_CHECK_INTERVAL, open.accept()).await;
                 if let Ok(Ok((stream, _))) = accepted {
-                    tokio::spawn(relay(stream, upstream, fault.clone()));
+                    tokio::spawn(relay(stream, upstream, faults.clone()));
                 }
             }
         });
@@ -73,7 +95,16 @@
     }
 
     pub fn set(&self, fault: ProxyFault) {
-        *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+        self.lock().common = fault;
+    }
+
+    /// Injects a fault into the connections from one address, in place of the common one.
+    pub fn set_from(&self, source: IpAddr, fault: ProxyFault) {
+        self.lock().by_source.insert(source, fault);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, ProxyFaults> {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -84,10 +115,18 @@
     IpAddr::V4(Ipv4Addr::new(127, process, 8, 1))
 }
 
-async fn relay(mut caller_stream: TcpStream, upstream: SocketAddr, fault: Arc<Mutex<ProxyFault>>) {
-    let current_fault = || *fault.lock().unwrap_or_else(PoisonError::into_inner);
+async fn relay(
+    mut caller_stream: TcpStream,
+    upstream: SocketAddr,
+    faults: Arc<Mutex<ProxyFaults>>,
+) {
+    let source = caller_stream.peer_addr().ok().map(|address| address.ip());
+    let current_fault = || {
+        let faults = faults.lock().unwrap_or_else(PoisonError::into_inner);
+        faults.of(source)
+    };
     let is_resetting = || matches!(current_fault(), ProxyFault::Reset | ProxyFault::Refuse);
-    if is_resetting() {
+    if is_resetting() || current_fault() == ProxyFault::ResetNew {
         caller_stream.set_zero_linger().ok();
         return;
     }
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -398,6 +398,11 @@
             return;
         }
         let mode = *self.mode.lock().unwrap_or_else(PoisonError::into_inner);
+        if request.path == "/api/report" && mode != TargetMode::Hangs {
+            let response = encode_response(200, &[], br#"{"waiting":0,"running":0}"#);
+            steps.send(ResponseStep::Write(response)).await.ok();
+            return;
+        }
         if mode == TargetMode::Full {
             self.record_refusal(&id);
             let pause_ms = self.retry_after_ms.load(Ordering::Relaxed);
