Carry requests of a VM without targets through one that reaches them

Cause: a failure of a path was taken for one of the target, on behalf of all VMs. The owner left out each engine that it or any VM failed to reach, and a VM that reached none had no way to serve.

A VM concludes from its own failures at two targets in a row and a round of probes that its paths are lost; a target that answers on a new connection proves the opposite. It then says so in its member record, ranks last for placement, refuses to place for others, no longer reports targets as failed, and what it reported is withdrawn. Its requests go to a VM that reaches targets, over that VM's port for callers, so that limits, pauses, bans and placement hold as for any caller; once only, and only what may be sent. Streams go on there after their last event. With no such VM, requests are refused at once. Breaks seen while paths are in doubt do not count as crashes. Own paths return over two seconds.

--- a/src/chart.rs
+++ b/src/chart.rs
@@ -138,6 +138,15 @@
     StateChart::parse("request", include_str!("../charts/request.json"))
 }
 
+/// The chart of a VM's paths to its targets.
+///
+/// # Errors
+///
+/// Fails when the file under `charts/` is not a valid chart.
+pub fn paths_chart() -> Result<StateChart> {
+    StateChart::parse("paths", include_str!("../charts/paths.json"))
+}
+
 /// The chart of a target's slow start at its steward.
 ///
 /// # Errors
--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -78,6 +78,8 @@
     /// Whether it has run long enough to know the fleet and its requests. VMs that do not rank
     /// last for duties, so that one that restarts does not take over with an empty memory.
     pub is_settled: bool,
+    /// False while it has lost its paths to all targets.
+    pub reaches_targets: bool,
 }
 
 impl MemberRecord {
@@ -98,6 +100,8 @@
     pub store_reachable: bool,
     /// [`MemberRecord::is_settled`].
     pub is_settled: bool,
+    /// [`MemberRecord::reaches_targets`].
+    pub reaches_targets: bool,
 }
 
 #[derive(Debug)]
@@ -188,6 +192,7 @@
             leaving: state.leaving,
             store_reachable: state.store_reachable,
             is_settled: state.is_settled,
+            reaches_targets: state.reaches_targets,
             ..self.own.clone()
         };
         let changed = updated != self.own;
@@ -385,11 +390,11 @@
 
     /// The VMs that decide on the engines that take requests, the owner of placement first.
     ///
-    /// Settled VMs rank before others, larger ones before smaller ones; ties are broken by a hash
-    /// of the name. A failure domain gets a second coordinator only after every domain has one. VMs
+    /// VMs that reach targets rank before others, settled ones before others, larger ones before
+    /// smaller ones; ties are broken by a hash of the name. A failure domain gets a second coordinator only after every domain has one. VMs
     /// that are leaving or suspect are skipped.
     pub fn coordinators(&self, now: Instant) -> Vec<MemberRecord> {
-        self.spread_over_domains(duty_rank, now)
+        self.spread_over_domains(placement_rank, now)
             .into_iter()
             .take(COORDINATOR_COUNT)
             .cloned()
@@ -399,7 +404,7 @@
     /// The VMs to report this VM's jobs to: the owner of placement, its successor, and those that
     /// take their places once they are settled.
     pub fn job_report_recipients(&self, now: Instant) -> Vec<MemberRecord> {
-        let present = self.spread_over_domains(duty_rank, now);
+        let present = self.spread_over_domains(placement_rank, now);
         let future = self.spread_over_domains(size_rank, now);
         let recipients: BTreeMap<&VmName, &MemberRecord> = present
             .into_iter()
@@ -527,6 +532,24 @@
         other.domain == self.own.domain || behind_for >= DOMAIN_FETCH_TIME || self.is_first_hub(now)
     }
 
+    /// Whether a VM says that it has lost its paths to all targets.
+    pub fn has_lost_targets(&self, vm: &VmName, now: Instant) -> bool {
+        let lost = |member: &&MemberRecord| member.vm == *vm && !member.reaches_targets;
+        self.live(now).iter().any(lost)
+    }
+
+    /// The other VMs that take requests and reach targets.
+    pub fn carriers(&self, now: Instant) -> Vec<&MemberRecord> {
+        let mut carriers = self.live(now);
+        carriers.retain(|member| {
+            member.vm != self.own.vm
+                && member.ready
+                && member.reaches_targets
+                && self.may_have_duty(member, now)
+        });
+        carriers
+    }
+
     /// Whether this VM is a hub of its domain.
     pub fn is_hub(&self, now: Instant) -> bool {
         self.hubs(now)
@@ -666,6 +689,11 @@
     newest
 }
 
+/// Order in which VMs decide on placements: one without targets knows too little of them.
+fn placement_rank(member: &MemberRecord) -> impl Ord + use<> {
+    (!member.reaches_targets, duty_rank(member))
+}
+
 /// Order in which VMs take duties.
 fn duty_rank(member: &MemberRecord) -> impl Ord + use<> {
     (!member.is_settled, size_rank(member))
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -7,19 +7,21 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Method, StatusCode, Uri};
 use bytes::Bytes;
+use tokio::time::sleep;
 
 use super::connection::{ExchangeError, TargetConnection, open_connection, target_request_head};
 use super::rate_limits::observe_limit;
 use super::state::NodeState;
 use crate::fleet::catalog::TargetRecord;
 use crate::fleet::routes::RouteRule;
-use crate::ids::{RequestDigest, TeamName};
+use crate::ids::{RequestDigest, TargetName, TeamName};
 use crate::platform::callers::{
     CallerHeaders, SplitHelper, TargetHeaders, TargetResponseHeaders, decode_response_headers,
     encode_target_headers,
 };
 
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(30); // a refusal's short body arrives with its head
+const SILENCE_CHECK_DELAY: Duration = Duration::from_millis(250); // most short prompts have their first event by then
 const MISDIRECTED_REQUEST: u16 = 421;
 
 /// A caller's request after its body was read and its route found.
@@ -123,12 +125,12 @@
 /// Counts a request as in flight at a target until dropped; new requests avoid busy targets.
 pub struct TargetInFlightGuard {
     node: Rc<NodeState>,
-    target: crate::ids::TargetName,
+    target: TargetName,
 }
 
 impl TargetInFlightGuard {
     /// Counts one more request at `target`.
-    pub fn new(node: &Rc<NodeState>, target: &crate::ids::TargetName) -> Self {
+    pub fn new(node: &Rc<NodeState>, target: &TargetName) -> Self {
         node.target_health
             .borrow_mut()
             .entry(target.clone())
@@ -159,8 +161,8 @@
     plan: &AttemptPlan<'_>,
 ) -> AttemptOutcome {
     let now = node.now();
-    let mut connection = match connect(node, plan, now).await {
-        Ok(connection) => connection,
+    let (mut connection, is_new) = match connect(node, plan, now).await {
+        Ok(connected) => connected,
         Err(error) => {
             node.record_exchange_failure(&plan.target.name, &error);
             return AttemptOutcome::NotRun {
@@ -182,8 +184,16 @@
         },
     );
     let head = target_request_head(caller.method.clone(), caller.uri.clone(), headers);
-    match connection.exchange(head, &caller.body).await {
-        Ok(head) => classify_response(node, caller, plan, head, connection, now).await,
+    let exchange = connection.exchange(head, &caller.body);
+    match watch_silence(node, &plan.target.name, exchange).await {
+        Ok(head) => {
+            if is_new {
+                node.paths.borrow_mut().record_answer(node.now());
+            } else {
+                node.paths.borrow_mut().record_received(node.now());
+            }
+            classify_response(node, caller, plan, head, connection, now).await
+        }
         Err(error) => {
             node.record_exchange_failure(&plan.target.name, &error);
             AttemptOutcome::Unknown {
@@ -194,21 +204,38 @@
     }
 }
 
+/// Returns a connection to the target, and whether it is new.
 async fn connect(
     node: &Rc<NodeState>,
     plan: &AttemptPlan<'_>,
     now: Instant,
-) -> Result<TargetConnection, ExchangeError> {
+) -> Result<(TargetConnection, bool), ExchangeError> {
     let address = plan.target.address;
     let pooled = node
         .connection_pool
         .borrow_mut()
         .take(address, plan.max_idle, now);
     if let Some(connection) = pooled {
-        return Ok(connection);
+        return Ok((connection, false));
     }
     node.metrics.connections_opened.inc();
-    open_connection(address, node.settings.target_source, now).await
+    let opened = open_connection(address, node.settings.target_source, now).await?;
+    Ok((opened, true))
+}
+
+/// Waits for an answer, and has the path to the target checked if it does not come soon.
+async fn watch_silence<T>(
+    node: &Rc<NodeState>,
+    target: &TargetName,
+    answer: impl Future<Output = T>,
+) -> T {
+    tokio::pin!(answer);
+    tokio::select! {
+        answer = &mut answer => return answer,
+        () = sleep(SILENCE_CHECK_DELAY) => {}
+    }
+    node.paths.borrow_mut().record_silence(target);
+    answer.await
 }
 
 async fn classify_response(
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -78,6 +78,11 @@
         matches!(self, Self::Broken(_) | Self::Truncated)
     }
 
+    /// Whether the target was not reached, or the connection to it was lost.
+    pub fn is_path_failure(&self) -> bool {
+        matches!(self, Self::Connect { .. }) || self.is_lost_connection()
+    }
+
     /// The part of the response that is too long, if that is the error.
     pub fn oversized_part(&self) -> Option<&'static str> {
         match self {
@@ -477,6 +482,11 @@
         idle_connections.push(connection);
     }
 
+    /// Closes all idle connections.
+    pub fn clear(&mut self) {
+        self.idle.clear();
+    }
+
     /// Closes connections that were idle for longer than their limit.
     pub fn prune(&mut self, now: Instant) {
         for idle_connections in self.idle.values_mut() {
--- a/src/node/crash_bans.rs
+++ b/src/node/crash_bans.rs
@@ -51,7 +51,14 @@
         parts: parts.to_vec(),
         target: target.clone(),
     };
-    record_update(node, update);
+    // A lost path breaks connections like a crash.
+    let paths = node.paths.borrow();
+    if paths.are_doubtful() {
+        node.doubtful_crashes.borrow_mut().push(update);
+    } else if !paths.are_lost() {
+        drop(paths);
+        record_update(node, update);
+    }
 }
 
 /// Reports a request as broken if its target refuses connections soon after the attempt was given up:
--- a/src/node/feeds.rs
+++ b/src/node/feeds.rs
@@ -255,6 +255,7 @@
         node.handle_catalog_changes(&changes, "lapse");
         node.connection_pool.borrow_mut().prune(now);
         forget_gone_targets(&node);
+        node.withdraw_reports();
         node.refresh_dispatchers();
     }
 }
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -14,11 +14,14 @@
 use super::attempt::{
     AttemptOutcome, AttemptPlan, CallerRequest, TargetInFlightGuard, TargetResponse, send_attempt,
 };
+use super::carrying::{carry_if_lost, lose_paths};
 use super::connection::open_connection;
 use super::crash_bans::{part_names, refuse_banned, report_broken};
 use super::placement::{JobGuard, place};
 use super::rate_limits::observe_limit;
-use super::relay::{ENDED_BEFORE_FIRST_EVENT, EventBuffer, StreamRelay, TargetStream};
+use super::relay::{
+    ENDED_BEFORE_FIRST_EVENT, EventBuffer, StreamRelay, StreamSource, TargetStream,
+};
 use super::service::{NodeResponse, ServedResponse};
 use super::state::NodeState;
 use crate::fleet::catalog::TargetRecord;
@@ -165,7 +168,7 @@
     let elapsed = node.now().saturating_duration_since(caller.arrived_at);
     tracing::info!(
         id = caller.parsed_headers.id,
-        replica = %stream.target,
+        replica = %stream.source,
         first_event_ms = elapsed.as_millis() as u64,
         objective_ms = caller.route.objective.as_millis() as u64,
         "first event"
@@ -188,7 +191,8 @@
     silent_attempt: &mut Option<SilentAttempt>,
 ) -> ServedResponse {
     let mut placement_request = new_placement_request(node, caller);
-    let mut runs = 0; // attempts that executed the request, or may have
+    // Attempts that executed the request, or may have.
+    let mut runs = caller.parsed_headers.carried_runs.unwrap_or(0);
     let mut attempts = 0;
     let mut next_is_retry = false;
     let mut last_failure: Option<NodeResponse> = None;
@@ -198,6 +202,9 @@
         if let Some(refusal) = refuse_banned(node, caller.digest, parts) {
             return refuse(last_failure, runs, refusal);
         }
+        if let Some(carried) = carry_if_lost(node, caller, runs, next_is_retry).await {
+            return carried;
+        }
         if let Some(pause) = node.service_pause(&caller.service) {
             return refuse(last_failure, runs, NodeResponse::paused(pause));
         }
@@ -267,11 +274,18 @@
             Box::pin(
                 async move { start_stream(&task_node, &task_caller, &task_placement, job).await },
             );
-        let start = match timeout(attempt_timeout, &mut pending_start).await {
-            Ok(start) => start,
-            Err(_) => {
+        let started = tokio::select! {
+            started = timeout(attempt_timeout, &mut pending_start) => started.ok(),
+            () = lose_paths(node, caller), if may_retry => Some(StreamStart::Unknown {
+                reason: "the paths to all targets were lost".to_owned(),
+            }),
+        };
+        let start = match started {
+            Some(start) => start,
+            None => {
                 let reason = format!("no first event within {} ms", attempt_timeout.as_millis());
                 node.record_target_failure(&placement.lead, false, &reason);
+                node.record_path_failure(&placement.lead);
                 if may_retry {
                     let placement_request = placement_request.clone();
                     *silent_attempt = Some(SilentAttempt {
@@ -349,7 +363,8 @@
     ServedResponse::Node(failure.unwrap_or(refusal))
 }
 
-fn new_placement_request(node: &NodeState, caller: &CallerRequest) -> PlacementRequest {
+/// Builds the request to place the prompt of a caller as of now.
+pub fn new_placement_request(node: &NodeState, caller: &CallerRequest) -> PlacementRequest {
     let now = node.now();
     PlacementRequest {
         job: node.new_job_id(),
@@ -510,16 +525,19 @@
         response_head: Box::new(target_response.head),
         stream: Box::new(TargetStream {
             connection,
-            target: placement.lead.clone(),
-            job,
-            in_flight,
-            reservations,
+            source: StreamSource::Target {
+                target: placement.lead.clone(),
+                _job: job,
+                _in_flight: in_flight,
+                reservations,
+            },
         }),
         buffer,
     }
 }
 
-fn stream_response(head: &actix_http::ResponseHead, relay: StreamRelay) -> Response<BoxBody> {
+/// Builds the response whose body is the events of `relay`.
+pub fn stream_response(head: &actix_http::ResponseHead, relay: StreamRelay) -> Response<BoxBody> {
     let events = unfold(Some(relay), |relay| async move {
         let mut relay = relay?;
         match relay.next().await? {
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -15,13 +15,14 @@
     directory_response, is_ready, metrics_response, readiness_response, serve_http,
 };
 use super::state::NodeState;
-use super::{feeds, peer_calls, peers, placement, request_handler};
+use super::{feeds, paths, peer_calls, peers, placement, request_handler};
 use crate::clock::TimeSource;
 use crate::fleet::catalog::RecordDecoder;
 use crate::fleet::members::{MemberRecord, OwnState};
 use crate::fleet::settings::NodeSettings;
 use crate::platform::records::{decode_routes, decode_target, operator_record_kind};
 use crate::platform::store::StoreClient;
+use crate::policy::target_paths::TargetPaths;
 
 const DROPPED_LINES_INTERVAL: Duration = Duration::from_secs(1); // collectors scrape the metrics every few seconds
 const OWN_RECORD_INTERVAL: Duration = Duration::from_millis(50);
@@ -37,7 +38,7 @@
 ///
 /// # Errors
 ///
-/// Fails when a signal handler cannot be installed or an address cannot be bound.
+/// Fails when a signal handler cannot be installed, an address cannot be bound or a chart is invalid.
 pub async fn run(
     settings: NodeSettings,
     metrics: SocketAddr,
@@ -47,7 +48,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let node = Rc::new(initial_state(settings, clock));
+    let node = Rc::new(initial_state(settings, clock)?);
     let store = StoreClient::new(&node.settings.store);
     actix_rt::spawn(feeds::follow_operators(node.clone(), store.clone()));
     actix_rt::spawn(feeds::follow_targets(node.clone(), store.clone()));
@@ -59,6 +60,7 @@
     actix_rt::spawn(placement::send_updates_loop(node.clone()));
     actix_rt::spawn(placement::report_jobs_loop(node.clone()));
     actix_rt::spawn(own_record_loop(node.clone()));
+    actix_rt::spawn(paths::watch_paths(node.clone()));
     actix_rt::spawn(peer_calls::log_traffic(node.clone()));
     actix_rt::spawn(report_dropped_lines(node.clone(), dropped_lines));
     tracing::info!(
@@ -78,7 +80,7 @@
     Ok(())
 }
 
-fn initial_state(settings: NodeSettings, clock: TimeSource) -> NodeState {
+fn initial_state(settings: NodeSettings, clock: TimeSource) -> Result<NodeState> {
     let since_epoch = SystemTime::now()
         .duration_since(UNIX_EPOCH)
         .unwrap_or_default();
@@ -95,6 +97,7 @@
         leaving: false,
         store_reachable: true,
         is_settled: false,
+        reaches_targets: true,
     };
     let decoder = RecordDecoder {
         kind: operator_record_kind,
@@ -103,7 +106,15 @@
     };
     let seed = format!("{}\n{}", settings.vm, since_epoch.as_nanos());
     let first_job_id = xxh3_64(seed.as_bytes()) >> JOB_ID_COUNTER_BITS << JOB_ID_COUNTER_BITS;
-    NodeState::new(settings, own, decoder, clock, first_job_id)
+    let paths = TargetPaths::new()?;
+    Ok(NodeState::new(
+        settings,
+        own,
+        decoder,
+        clock,
+        first_job_id,
+        paths,
+    ))
 }
 
 async fn listen(node: &Rc<NodeState>, metrics: SocketAddr) -> Result<()> {
@@ -168,6 +179,7 @@
                 leaving: node.stopping.get(),
                 store_reachable: node.store_reachable.get(),
                 is_settled,
+                reaches_targets: node.paths.borrow().may_carry(),
             });
             (was_ready, changed)
         };
@@ -210,6 +222,7 @@
             leaving: true,
             store_reachable: node.store_reachable.get(),
             is_settled,
+            reaches_targets: node.paths.borrow().may_carry(),
         });
     }
     node.heartbeat_now.notify_one();
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -226,4 +226,6 @@
     Records(PackedRecords),
     /// The permit or its refusal, in reply to [`NodeCall::TakePermit`].
     Permit(PermitAnswer),
+    /// The receiver has lost its paths to all targets, and does not place for others.
+    NoPath,
 }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -106,6 +106,12 @@
     pub feed_age_seconds: Family<TopicLabel, Gauge<f64, AtomicU64>>,
     /// Era of the store at the last read of each topic that this VM reads from it.
     pub store_era: Family<TopicLabel, Gauge>,
+    /// Whether this node has lost its paths to all targets.
+    pub paths_lost: Gauge,
+    /// Requests that another node answered because this one had lost its paths.
+    pub carried: Counter,
+    /// Reports that were asked of targets because the paths were in doubt or lost.
+    pub probes: Counter,
     /// Placements and permits, refusals included, that this node decided after an owner of placement
     /// did not answer.
     pub placed_alone: Counter,
@@ -143,6 +149,9 @@
             banned_requests: Gauge::default(),
             feed_age_seconds: Family::default(),
             store_era: Family::default(),
+            paths_lost: Gauge::default(),
+            carried: Counter::default(),
+            probes: Counter::default(),
             placed_alone: Counter::default(),
             log_lines_dropped: Gauge::default(),
             oversized_responses: Family::default(),
@@ -229,6 +238,21 @@
             "How often the store came back from an older copy, at the last read of a topic",
             self.store_era.clone(),
         );
+        registry.register(
+            "paths_lost",
+            "Whether this node reaches no target",
+            self.paths_lost.clone(),
+        );
+        registry.register(
+            "carried",
+            "Requests that another node answered because this one reaches no target",
+            self.carried.clone(),
+        );
+        registry.register(
+            "probes",
+            "Reports asked of targets because the paths were in doubt or lost",
+            self.probes.clone(),
+        );
         registry.register(
             "placed_alone",
             "Placements without a coordinator",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! directory look-ups and coordinates with the nodes of other VMs.
 
 pub mod attempt;
+pub mod carrying;
 pub mod connection;
 pub mod crash_bans;
 pub mod feeds;
@@ -11,6 +12,7 @@
 pub mod messages;
 pub mod metrics;
 pub mod packed_records;
+pub mod paths;
 pub mod peer_calls;
 pub mod peers;
 pub mod placement;
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -41,6 +41,9 @@
             NodeCall::Heartbeat(message) => {
                 NodeReply::Heartbeat(Box::new(answer_heartbeat(&node, message)))
             }
+            NodeCall::Place(_) | NodeCall::TakePermit(_) if node.paths.borrow().are_lost() => {
+                NodeReply::NoPath
+            }
             NodeCall::Place(request) => NodeReply::Placed(place_locally(&node, request).await),
             NodeCall::Updates(report) => {
                 for update in &report.updates {
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -5,19 +5,21 @@
 
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::attempt::{AttemptOutcome, CallerRequest, TargetInFlightGuard};
+use super::carrying::{self, CarriedGuard, lose_paths, may_move};
 use super::connection::TargetConnection;
 use super::crash_bans::{report_broken, report_served};
 use super::generation::{Reservations, send_placed};
 use super::placement::{JobGuard, place};
 use super::state::NodeState;
 use crate::fleet::routes::RerunPolicy;
-use crate::ids::TargetName;
+use crate::ids::{TargetName, VmName};
 use crate::policy::dispatch::{DispatchAnswer, PlacementRequest};
 
 const EVENT_TIMEOUT_SHARE: f64 = 0.7; // of the time after which the caller gives up; the rest is left to resume elsewhere
+const LOST_PATH_GAPS: f64 = 2.0; // longest gaps after which the paths are checked and, once they are lost, a stream moves to another VM
 const MAX_EVENT_BYTES: usize = 32 * 1024; // of an event with an id, and all that precedes it
 
 /// The error with which a stream ends early, so that the caller sees that it is incomplete.
@@ -109,18 +111,53 @@
     Silent(Duration),
 }
 
-/// The resources of a stream at one target, released when dropped.
+/// A stream's connection and where it comes from.
 pub struct TargetStream {
     /// The connection from which events are read.
     pub connection: TargetConnection,
-    /// The target that generates the stream; the lead if the prompt was split.
-    pub target: TargetName,
-    /// Ends the job at the dispatchers when dropped.
-    pub job: JobGuard,
-    /// Counts the request as in flight at its target.
-    pub in_flight: TargetInFlightGuard,
-    /// Releases the helpers' reserved memory when dropped.
-    pub reservations: Reservations,
+    /// What sends the events.
+    pub source: StreamSource,
+}
+
+/// What sends the events of a stream, with the resources held there, released when dropped.
+pub enum StreamSource {
+    /// A target.
+    Target {
+        /// The target that generates the stream; the lead if the prompt was split.
+        target: TargetName,
+        /// Ends the job at the dispatchers when dropped.
+        _job: JobGuard,
+        /// Counts the request as in flight at its target.
+        _in_flight: TargetInFlightGuard,
+        /// Releases the helpers' reserved memory when dropped.
+        reservations: Reservations,
+    },
+    /// Another VM, which reaches targets while this one does not.
+    Carrier {
+        /// The VM.
+        vm: VmName,
+        /// Counts the request as carried.
+        _guard: CarriedGuard,
+    },
+}
+
+impl StreamSource {
+    /// The target, unless another VM carries the request.
+    fn target(&self) -> Option<&TargetName> {
+        match self {
+            Self::Target { target, .. } => Some(target),
+            Self::Carrier { .. } => None,
+        }
+    }
+}
+
+impl std::fmt::Display for StreamSource {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Target { target, .. } => write!(f, "{target}"),
+            Self::Carrier { vm, .. } => write!(f, "{vm}"),
+        }
+    }
 }
 
 /// A stream from its current target to its caller.
@@ -216,17 +253,23 @@
         self.last_event_id = Some(id);
         self.numbered_events += 1;
         if self.numbered_events == 1
-            && let Some(stream) = &self.stream
+            && let Some(target) = self
+                .stream
+                .as_ref()
+                .and_then(|stream| stream.source.target())
         {
             let parts = &self.caller.parsed_headers.shared_parts;
-            report_served(&self.node, self.caller.digest, parts, &stream.target);
+            report_served(&self.node, self.caller.digest, parts, target);
         }
         self.bytes_since_event = self.buffer.bytes.len();
         let now = self.node.now();
         self.longest_gap = self.longest_gap.max(now - self.last_event_at);
         self.last_event_at = now;
-        if let Some(stream) = &mut self.stream {
-            stream.reservations.renew_if_due();
+        if let Some(stream) = &mut self.stream
+            && let StreamSource::Target { reservations, .. } = &mut stream.source
+        {
+            reservations.renew_if_due();
+            self.node.paths.borrow_mut().record_received(now);
         }
         Ok(Some(event.bytes))
     }
@@ -238,11 +281,15 @@
         // A stream that cannot be resumed elsewhere is not ended for silence alone. Bytes without
         // an event do not end a silence.
         let silence = now.saturating_duration_since(self.last_event_at);
-        let max_silence = self
-            .caller
-            .route
-            .event_timeout()
-            .mul_f64(EVENT_TIMEOUT_SHARE);
+        let reads_target = self.reads_target();
+        let check_after = self.caller.route.max_event_gap.mul_f64(LOST_PATH_GAPS);
+        let is_cut_off = reads_target && may_move(&self.node, &self.caller);
+        let max_silence = if is_cut_off {
+            check_after
+        } else {
+            let event_timeout = self.caller.route.event_timeout();
+            event_timeout.mul_f64(EVENT_TIMEOUT_SHARE)
+        };
         let read_timeout = if self.may_resume(now) {
             max_silence.saturating_sub(silence).min(left)
         } else {
@@ -251,7 +298,18 @@
         let Some(stream) = &mut self.stream else {
             return Err("no target".to_owned());
         };
-        match timeout(read_timeout, stream.connection.next_chunk()).await {
+        let read = tokio::select! {
+            read = timeout(read_timeout, stream.connection.next_chunk()) => read,
+            () = sleep(check_after.saturating_sub(silence)), if reads_target && silence < check_after => {
+                if let Some(target) = stream.source.target() {
+                    self.node.paths.borrow_mut().record_silence(target);
+                }
+                return Ok(ReadOutcome::More);
+            }
+            // The stream may be silent for less time from now on.
+            () = lose_paths(&self.node, &self.caller), if reads_target && !is_cut_off => return Ok(ReadOutcome::More),
+        };
+        match read {
             Ok(Ok(Some(chunk))) => {
                 self.buffer.push(&chunk);
                 self.bytes_since_event += chunk.len();
@@ -269,15 +327,18 @@
             Ok(Ok(None))
                 if self.numbered_events == 0 && stream.connection.ends_with_connection() =>
             {
-                let parts = &self.caller.parsed_headers.shared_parts;
-                report_broken(&self.node, self.caller.digest, parts, &stream.target);
+                report_lost(&self.node, &self.caller, &stream.source);
                 Err(ENDED_BEFORE_FIRST_EVENT.to_owned())
             }
             Ok(Ok(None)) => Ok(ReadOutcome::End),
             Ok(Err(error)) => {
                 if self.numbered_events == 0 && error.is_lost_connection() {
-                    let parts = &self.caller.parsed_headers.shared_parts;
-                    report_broken(&self.node, self.caller.digest, parts, &stream.target);
+                    report_lost(&self.node, &self.caller, &stream.source);
+                }
+                if let Some(target) = stream.source.target()
+                    && error.is_lost_connection()
+                {
+                    self.node.record_path_failure(target);
                 }
                 if let Some(part) = error.oversized_part() {
                     self.node.metrics.count_oversized_response(part);
@@ -292,14 +353,16 @@
     /// Records the success at the end of the stream, and pools the connection.
     fn finish(&mut self) {
         if let Some(stream) = self.stream.take() {
-            self.node.record_target_success(&stream.target);
+            if let Some(target) = stream.source.target() {
+                self.node.record_target_success(target);
+            }
             self.node
                 .connection_pool
                 .borrow_mut()
                 .put(stream.connection, self.node.now());
             tracing::info!(
                 id = self.caller.parsed_headers.id,
-                replica = %stream.target,
+                replica = %stream.source,
                 events = self.numbered_events,
                 runs = self.runs,
                 longest_pause_ms = self.longest_gap.as_millis() as u64,
@@ -340,7 +403,9 @@
     async fn replace_silent_target(&mut self, silent_for: Duration) -> Result<(), String> {
         let failure = format!("silent for {} ms", silent_for.as_millis());
         let silent_stream = self.stream.take();
-        let target = silent_stream.as_ref().map(|stream| stream.target.clone());
+        let target = silent_stream
+            .as_ref()
+            .and_then(|stream| stream.source.target().cloned());
         match self
             .resume_on_another_target(target.as_ref(), &failure)
             .await
@@ -348,6 +413,7 @@
             Ok(()) => {
                 if let Some(target) = target {
                     self.node.record_target_failure(&target, false, &failure);
+                    self.node.record_path_failure(&target);
                 }
                 self.buffer = EventBuffer::default();
             }
@@ -367,7 +433,8 @@
 
     /// Resumes the stream at another target after a failure, if the route and the retry budget allow.
     async fn resume(&mut self, failure: String) -> Result<(), String> {
-        let failed_target = self.stream.take().map(|stream| stream.target);
+        let failed_stream = self.stream.take();
+        let failed_target = failed_stream.and_then(|stream| stream.source.target().cloned());
         if let Some(target) = &failed_target {
             self.node.record_target_failure(target, false, &failure);
         }
@@ -376,6 +443,38 @@
             .await
     }
 
+    /// Whether the events come from a target, and not from another VM.
+    fn reads_target(&self) -> bool {
+        let stream = self.stream.as_ref();
+        stream.is_some_and(|stream| stream.source.target().is_some())
+    }
+
+    async fn resume_through_carrier(&mut self, failure: &str) -> Result<(), String> {
+        let sent = carrying::send(&self.node, &self.caller, self.runs, self.last_event_id).await;
+        self.runs += 1;
+        let response = sent.map_err(|error| format!("{failure}; {}", error.reason))?;
+        if !response.head.status.is_success() {
+            let status = response.head.status;
+            return Err(format!("{failure}; not resumed: status {status}"));
+        }
+        tracing::info!(
+            id = self.caller.parsed_headers.id,
+            failure,
+            last_event = self.last_event_id,
+            carrier = %response.vm,
+            "stream resumed through another VM"
+        );
+        self.resumed = true;
+        self.stream = Some(TargetStream {
+            connection: response.connection,
+            source: StreamSource::Carrier {
+                vm: response.vm,
+                _guard: response.guard,
+            },
+        });
+        Ok(())
+    }
+
     async fn resume_on_another_target(
         &mut self,
         failed_target: Option<&TargetName>,
@@ -385,6 +484,9 @@
         if !self.may_resume(now) || !self.node.try_take_retry(&self.caller.service) {
             return Err(failure.to_owned());
         }
+        if may_move(&self.node, &self.caller) {
+            return self.resume_through_carrier(failure).await;
+        }
         self.placement_request.excluded_targets = self.node.avoided_targets();
         self.placement_request
             .excluded_targets
@@ -426,10 +528,12 @@
                 self.resumed = true;
                 self.stream = Some(TargetStream {
                     connection: target_response.connection,
-                    in_flight: TargetInFlightGuard::new(&self.node, &placement.lead),
-                    target: placement.lead,
-                    job,
-                    reservations,
+                    source: StreamSource::Target {
+                        _in_flight: TargetInFlightGuard::new(&self.node, &placement.lead),
+                        target: placement.lead,
+                        _job: job,
+                        reservations,
+                    },
                 });
                 Ok(())
             }
@@ -444,12 +548,20 @@
     }
 }
 
+/// Reports a request as broken whose target lost the connection before the first event.
+fn report_lost(node: &Rc<NodeState>, caller: &CallerRequest, source: &StreamSource) {
+    if let Some(target) = source.target() {
+        let parts = &caller.parsed_headers.shared_parts;
+        report_broken(node, caller.digest, parts, target);
+    }
+}
+
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         if let Some(stream) = &self.stream {
             tracing::info!(
                 id = self.caller.parsed_headers.id,
-                replica = %stream.target,
+                replica = %stream.source,
                 events = self.numbered_events,
                 "caller left its stream"
             );
--- a/src/node/request_handler.rs
+++ b/src/node/request_handler.rs
@@ -45,7 +45,7 @@
     let in_flight = InFlightGuard::new(&node);
     let parsed_headers = decode_caller_headers(request.headers());
     let mut response = match read_and_serve(&node, &mut request, parsed_headers.clone()).await {
-        ServedResponse::Target(response) => response,
+        ServedResponse::Target(response) | ServedResponse::Carried(response) => response,
         ServedResponse::Node(node_response) => {
             tracing::info!(
                 id = parsed_headers.id,
@@ -154,7 +154,9 @@
         deadline_at: arrived_at + time_allowed.saturating_sub(RESPONSE_MARGIN),
         route,
     });
-    node.count_request(&caller.service);
+    if caller.parsed_headers.carried_runs.is_none() {
+        node.count_request(&caller.service);
+    }
     serve_until_deadline(node, &table, caller).await
 }
 
@@ -181,6 +183,7 @@
     let outcome = match &response {
         ServedResponse::Target(response) if response.status().is_success() => "served",
         ServedResponse::Target(_) => "failed_by_target",
+        ServedResponse::Carried(_) => "carried",
         ServedResponse::Node(response) => response.outcome,
     };
     let elapsed = node.now().saturating_duration_since(caller.arrived_at);
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -13,6 +13,7 @@
 use super::attempt::{
     AttemptOutcome, AttemptPlan, CallerRequest, TargetInFlightGuard, TargetResponse, send_attempt,
 };
+use super::carrying::carry_if_lost;
 use super::crash_bans::{check_given_up, refuse_banned, report_broken, report_served};
 use super::messages::PermitRequest;
 use super::rate_limits::take_permit;
@@ -36,6 +37,8 @@
 pub enum ServedResponse {
     /// A target's response, forwarded to the caller.
     Target(Response<BoxBody>),
+    /// The response of another VM, which carried the request.
+    Carried(Response<BoxBody>),
     /// A response that this node generates.
     Node(NodeResponse),
 }
@@ -102,10 +105,11 @@
 ///
 /// Tries other targets until one responds, the route's attempts or the retry budget are used
 /// up, or the request may have been executed and must not be repeated.
-pub async fn serve(node: &Rc<NodeState>, caller: &CallerRequest) -> ServedResponse {
+pub async fn serve(node: &Rc<NodeState>, caller: &Rc<CallerRequest>) -> ServedResponse {
     let rerun_policy = caller.route.rerun_policy;
     let mut excluded_targets: Vec<TargetName> = Vec::new();
-    let mut runs = 0; // attempts that executed the request, or may have
+    // Attempts that executed the request, or may have.
+    let mut runs = caller.parsed_headers.carried_runs.unwrap_or(0);
     let mut attempts = 0;
     let mut next_is_retry = false;
     let mut node_response =
@@ -121,6 +125,9 @@
             }
             break;
         }
+        if let Some(carried) = carry_if_lost(node, caller, runs, next_is_retry).await {
+            return carried;
+        }
         let target = match next_target(node, caller, &excluded_targets).await {
             Ok(target) => target,
             Err(no_target) => {
@@ -153,6 +160,7 @@
         let result = timeout(attempt_timeout, send_and_buffer(node, caller, &target)).await;
         let outcome = result.unwrap_or_else(|_| {
             node.record_target_failure(&target.name, false, "silent");
+            node.record_path_failure(&target.name);
             check_given_up(node, caller.digest, &target);
             BufferedOutcome::Unknown(format!(
                 "no answer within {} ms",
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 
 use super::connection::{BodyBudget, ConnectionPool, ExchangeError};
 use super::messages::JobUpdate;
@@ -29,6 +29,7 @@
 use crate::policy::request_guard::RequestGuard;
 use crate::policy::retry_share::RetryShare;
 use crate::policy::target_choice::TargetHealth;
+use crate::policy::target_paths::TargetPaths;
 use crate::wire::PeerClient;
 
 /// What a node's tasks share; cells suffice, since the tasks run on one thread.
@@ -70,6 +71,16 @@
     pub permit_ledger: RefCell<PermitLedger>,
     /// Retry budget of each service.
     pub retry_shares: RefCell<HashMap<String, RetryShare>>,
+    /// Whether this node reaches targets.
+    pub paths: RefCell<TargetPaths>,
+    /// Tells waiting requests whether the paths to targets are lost.
+    pub paths_lost: watch::Sender<bool>,
+    /// Wakes the task that probes paths.
+    pub paths_doubted: Notify,
+    /// Crashes reported while the paths were in doubt, sent once they are not.
+    pub doubtful_crashes: RefCell<Vec<JobUpdate>>,
+    /// Requests that other VMs carry for this one, by VM.
+    pub carried: RefCell<HashMap<VmName, usize>>,
     /// Job updates not yet sent to the owner of placement.
     pub pending_updates: RefCell<Vec<JobUpdate>>,
     /// Wakes the task that sends `pending_updates`.
@@ -110,6 +121,7 @@
         decoder: RecordDecoder,
         clock: TimeSource,
         first_job_id: u64,
+        paths: TargetPaths,
     ) -> Self {
         Self {
             settings,
@@ -130,6 +142,11 @@
             limits_differ: Cell::new(false),
             permit_ledger: RefCell::default(),
             retry_shares: RefCell::default(),
+            paths: RefCell::new(paths),
+            paths_lost: watch::channel(false).0,
+            paths_doubted: Notify::new(),
+            doubtful_crashes: RefCell::default(),
+            carried: RefCell::default(),
             pending_updates: RefCell::default(),
             updates_ready: Notify::new(),
             heartbeat_now: Notify::new(),
@@ -271,17 +288,23 @@
         };
         let pause_ms = suspension.as_millis() as u64;
         tracing::info!(replica = %target, reason, pause_ms, "target passed over");
+        self.refresh_dispatchers();
+        if self.paths.borrow().are_lost() {
+            return;
+        }
         let update = JobUpdate::TargetFailed {
             target: target.clone(),
             refused,
         };
         self.pending_updates.borrow_mut().push(update);
         self.updates_ready.notify_one();
-        self.refresh_dispatchers();
     }
 
     /// Records an exchange that failed after or before the request was sent, as a failed attempt.
     pub fn record_exchange_failure(&self, target: &TargetName, error: &ExchangeError) {
+        if error.is_path_failure() {
+            self.record_path_failure(target);
+        }
         if let Some(part) = error.oversized_part() {
             self.metrics.count_oversized_response(part);
         }
@@ -291,10 +314,13 @@
     /// Records that `vm` reported a failed attempt at a target.
     pub fn record_peer_reported_failure(&self, target: &TargetName, refused: bool, vm: &VmName) {
         let now = self.now();
+        if self.members.borrow().has_lost_targets(vm, now) {
+            return;
+        }
         let suspension = {
             let mut health = self.target_health.borrow_mut();
             let health = health.entry(target.clone()).or_default();
-            health.record_reported_failure(refused, now)
+            health.record_reported_failure(refused, vm, now)
         };
         if let Some(suspension) = suspension {
             let pause_ms = suspension.as_millis() as u64;
@@ -303,6 +329,49 @@
         }
     }
 
+    /// Ends the suspensions that VMs reported which have lost their paths since.
+    pub fn withdraw_reports(&self) {
+        let now = self.now();
+        let members = self.members.borrow();
+        let mut withdrawn = 0;
+        for member in members.live(now) {
+            if member.reaches_targets {
+                continue;
+            }
+            for health in self.target_health.borrow_mut().values_mut() {
+                withdrawn += usize::from(health.withdraw_report(&member.vm, now));
+            }
+        }
+        if withdrawn > 0 {
+            tracing::info!(
+                withdrawn,
+                "targets are used again: the VMs that reported them have lost their paths"
+            );
+        }
+    }
+
+    /// Records that a target did not answer on the path from this VM.
+    pub fn record_path_failure(&self, target: &TargetName) {
+        let known = self.probe_candidates().len();
+        let mut paths = self.paths.borrow_mut();
+        paths.record_failure(target, known, self.now());
+        if paths.are_doubtful() {
+            self.paths_doubted.notify_one();
+        }
+    }
+
+    /// Names of the targets of all services that take requests.
+    pub fn probe_candidates(&self) -> Vec<TargetName> {
+        let now = self.now();
+        let catalog = self.catalog.borrow();
+        let Some(table) = catalog.table() else {
+            return Vec::new();
+        };
+        let services = table.services.keys();
+        let targets = services.flat_map(|service| catalog.usable_targets(service, now));
+        targets.map(|target| target.record.name.clone()).collect()
+    }
+
     /// Names of the targets that are suspended or asked for a pause, sorted.
     pub fn avoided_targets(&self) -> Vec<TargetName> {
         let now = self.now();
--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -22,6 +22,7 @@
 const FAILED_TARGET: HeaderName = HeaderName::from_static("at-server");
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+const CARRIED_RUNS: HeaderName = HeaderName::from_static("x-notch-carried-runs");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 
 const MAX_SECONDS: f64 = 86_400.0;
@@ -29,7 +30,7 @@
 const MAX_SHARED_PARTS: usize = 32;
 
 /// Headers dropped in both directions: hop-by-hop headers, and headers that only this system sets.
-const UNFORWARDED_HEADERS: [&str; 14] = [
+const UNFORWARDED_HEADERS: [&str; 15] = [
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -44,6 +45,7 @@
     "x-plantainnotch-tenant",
     "x-plantainnotch-target-replica",
     "x-plantainnotch-helpers",
+    "x-notch-carried-runs",
 ];
 
 /// Decoded headers of a caller's request.
@@ -63,6 +65,8 @@
     pub shared_parts: Vec<PartName>,
     /// Id of the last event that the caller received of this stream.
     pub last_event: Option<u64>,
+    /// How often the request may have run already, if another VM sends it because it reaches no target.
+    pub carried_runs: Option<u32>,
 }
 
 fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
@@ -90,6 +94,7 @@
         output_tokens: tokens.next().unwrap_or(0),
         shared_parts: decode_shared_parts(headers),
         last_event: header_text(headers, &LAST_EVENT).and_then(|value| value.parse().ok()),
+        carried_runs: header_text(headers, &CARRIED_RUNS).and_then(|value| value.parse().ok()),
     }
 }
 
@@ -136,25 +141,8 @@
 
 /// Builds the headers of a request to a target from those of the caller.
 pub fn encode_target_headers(caller: &HeaderMap, target_headers: &TargetHeaders<'_>) -> HeaderMap {
-    let connection_options: Vec<String> = caller
-        .get_all("connection")
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let mut headers = HeaderMap::with_capacity(caller.len() + 4);
-    for (name, value) in caller {
-        let is_dropped = UNFORWARDED_HEADERS.contains(&name.as_str())
-            || *name == TARGET_PRIORITY
-            || (*name == LAST_EVENT && target_headers.last_event.is_some())
-            || (connection_options
-                .iter()
-                .any(|option| option == name.as_str())
-                && *name != "host");
-        if !is_dropped {
-            headers.append(name.clone(), value.clone());
-        }
-    }
+    let mut headers = end_to_end_headers(caller);
+    headers.remove(&TARGET_PRIORITY);
     let deadline_ms = u64::try_from(target_headers.deadline.as_millis()).unwrap_or(u64::MAX);
     headers.insert(DEADLINE, HeaderValue::from(deadline_ms));
     insert_header(&mut headers, TARGET, target_headers.target.as_str());
@@ -181,6 +169,60 @@
     headers
 }
 
+/// Values of the headers that this system sets on a request to a VM that carries it.
+#[derive(Debug)]
+pub struct CarrierHeaders<'a> {
+    /// Key that the caller sent.
+    pub key: Option<&'a str>,
+    /// Time left until the caller's deadline.
+    pub deadline: Duration,
+    /// How often the request may have run already.
+    pub runs: u32,
+    /// Id of the event after which a stream is resumed.
+    pub last_event: Option<u64>,
+}
+
+/// Builds the headers of a request to another VM, which serves it like a caller's own, from those of
+/// the caller.
+pub fn encode_carrier_headers(
+    caller: &HeaderMap,
+    carrier_headers: &CarrierHeaders<'_>,
+) -> HeaderMap {
+    let mut headers = end_to_end_headers(caller);
+    let deadline_ms = u64::try_from(carrier_headers.deadline.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(DEADLINE, HeaderValue::from(deadline_ms));
+    headers.insert(CARRIED_RUNS, HeaderValue::from(carrier_headers.runs));
+    if let Some(key) = carrier_headers.key {
+        insert_header(&mut headers, TEAM_KEY, key);
+    }
+    if let Some(last_event_id) = carrier_headers.last_event {
+        headers.insert(LAST_EVENT, HeaderValue::from(last_event_id));
+    }
+    headers
+}
+
+/// The headers of a caller's request that are forwarded unchanged.
+fn end_to_end_headers(caller: &HeaderMap) -> HeaderMap {
+    let connection_options: Vec<String> = caller
+        .get_all("connection")
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut headers = HeaderMap::with_capacity(caller.len() + 4);
+    for (name, value) in caller {
+        let is_dropped = UNFORWARDED_HEADERS.contains(&name.as_str())
+            || (connection_options
+                .iter()
+                .any(|option| option == name.as_str())
+                && *name != "host");
+        if !is_dropped {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    headers
+}
+
 fn insert_header(headers: &mut HeaderMap, name: HeaderName, value: &str) {
     match HeaderValue::from_str(value) {
         Ok(value) => {
--- a/src/platform/orders.rs
+++ b/src/platform/orders.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Path at which a target reports its state, at once and to anyone.
+pub const REPORT_PATH: &str = "/api/report";
 /// Path of the endpoint at which a target takes orders to reserve or release its memory.
 pub const ORDER_PATH: &str = "/api/order";
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,6 +1,7 @@
 //! Scheduling policy: lanes, placement, retries, and the estimates that these use.
 
 pub mod ban_book;
+pub mod carrier_choice;
 pub mod dispatch;
 pub mod engine_model;
 pub mod estimate;
@@ -15,3 +16,4 @@
 pub mod retry;
 pub mod retry_share;
 pub mod target_choice;
+pub mod target_paths;
--- a/src/policy/target_choice.rs
+++ b/src/policy/target_choice.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::ids::{DomainName, TargetName};
+use crate::ids::{DomainName, TargetName, VmName};
 
 /// Suspension after a first failure; short, since a restarted target is back within seconds.
 const FIRST_SUSPENSION: Duration = Duration::from_millis(400);
@@ -23,6 +23,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct TargetHealth {
     suspended_until: Option<Instant>,
+    /// The VM whose report suspended the target, unless this VM's own failure did.
+    reported_by: Option<VmName>,
     consecutive_failures: u32,
     failure_rate: f64,
     /// Requests of this VM in flight at the target.
@@ -62,13 +64,19 @@
         let doubled = first * 2_u32.pow(self.consecutive_failures.min(5) - 1);
         let suspension = doubled.min(MAX_SUSPENSION);
         self.suspended_until = Some(now + suspension);
+        self.reported_by = None;
         Some(suspension)
     }
 
-    /// Records a failed send that another VM reported and suspends the target, unless it already
+    /// Records a failed send that `vm` reported and suspends the target, unless it already
     /// is; returns for how long. Repeated reports do not lengthen it, since the fault may be that
     /// VM's.
-    pub fn record_reported_failure(&mut self, refused: bool, now: Instant) -> Option<Duration> {
+    pub fn record_reported_failure(
+        &mut self,
+        refused: bool,
+        vm: &VmName,
+        now: Instant,
+    ) -> Option<Duration> {
         if self.is_suspended(now) {
             return None;
         }
@@ -78,9 +86,27 @@
             REPORTED_SUSPENSION
         };
         self.suspended_until = Some(now + suspension);
+        self.reported_by = Some(vm.clone());
         Some(suspension)
     }
 
+    /// Ends a suspension that a report of `vm` began: its path was lost, not the target. Returns
+    /// whether there was one.
+    pub fn withdraw_report(&mut self, vm: &VmName, now: Instant) -> bool {
+        let withdrawn = self.is_suspended(now) && self.reported_by.as_ref() == Some(vm);
+        if withdrawn {
+            self.suspended_until = None;
+        }
+        withdrawn
+    }
+
+    /// Forgets failures of this VM's own sends, which were those of its paths.
+    pub fn forget_failures(&mut self) {
+        self.consecutive_failures = 0;
+        self.suspended_until = None;
+        self.failure_rate = 0.0;
+    }
+
     /// Records an error response, which raises the failure rate but does not suspend the target.
     pub fn record_error_answer(&mut self) {
         self.failure_rate += FAILURE_SAMPLE_WEIGHT * (1.0 - self.failure_rate);
--- a/tests/core/fixtures.rs
+++ b/tests/core/fixtures.rs
@@ -203,5 +203,6 @@
         leaving: false,
         store_reachable: true,
         is_settled: true,
+        reaches_targets: true,
     }
 }
--- a/tests/core/hubs.rs
+++ b/tests/core/hubs.rs
@@ -127,6 +127,7 @@
             leaving: false,
             store_reachable: true,
             is_settled,
+            reaches_targets: true,
         });
         let table = &self.vms[sender].table;
         let tried = table.addresses_to_try(&self.seeds, &mut self.rng, now);
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -31,4 +31,5 @@
 mod routes;
 mod steward;
 mod store_eras;
+mod target_paths;
 mod untrusted_input;
--- a/tests/core/members.rs
+++ b/tests/core/members.rs
@@ -108,6 +108,7 @@
             leaving: true,
             store_reachable: true,
             is_settled: true,
+            reaches_targets: true,
         });
     } else {
         table.record_heartbeat(leaving, now);
