Probe targets of each service in turn

With all engines dead, four probes could all go to engines, so that the paths to the record services, which answered, counted as lost, on all VMs: look-ups would have been refused at once. Found by reading; the test of it fails when targets are probed in the order of their services.

--- a/src/node/paths.rs
+++ b/src/node/paths.rs
@@ -16,6 +16,7 @@
 use crate::fleet::catalog::TargetRecord;
 use crate::ids::TargetName;
 use crate::platform::orders::REPORT_PATH;
+use crate::policy::target_paths::probe_order;
 
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250); // targets report at once; a throttled VM pauses for up to 75 ms
@@ -39,8 +40,11 @@
 }
 
 async fn probe_due_targets(node: &Rc<NodeState>) {
-    let mut known = node.probe_candidates();
-    known.shuffle(&mut rand::rng());
+    let mut services = node.targets_by_service();
+    for names in &mut services {
+        names.shuffle(&mut rand::rng());
+    }
+    let known = probe_order(&services);
     let due = node.paths.borrow_mut().due_probes(&known, node.now());
     join_all(due.iter().map(|name| probe(node, name))).await;
 }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -352,7 +352,7 @@
 
     /// Records that a target did not answer on the path from this VM.
     pub fn record_path_failure(&self, target: &TargetName) {
-        let known = self.probe_candidates().len();
+        let known = self.targets_by_service().iter().map(Vec::len).sum();
         let mut paths = self.paths.borrow_mut();
         paths.record_failure(target, known, self.now());
         if paths.are_doubtful() {
@@ -360,16 +360,18 @@
         }
     }
 
-    /// Names of the targets of all services that take requests.
-    pub fn probe_candidates(&self) -> Vec<TargetName> {
+    /// Names of the targets that take requests, by service.
+    pub fn targets_by_service(&self) -> Vec<Vec<TargetName>> {
         let now = self.now();
         let catalog = self.catalog.borrow();
         let Some(table) = catalog.table() else {
             return Vec::new();
         };
-        let services = table.services.keys();
-        let targets = services.flat_map(|service| catalog.usable_targets(service, now));
-        targets.map(|target| target.record.name.clone()).collect()
+        let names = |service: &String| {
+            let targets = catalog.usable_targets(service, now);
+            targets.map(|target| target.record.name.clone()).collect()
+        };
+        table.services.keys().map(names).collect()
     }
 
     /// Names of the targets that are suspended or asked for a pause, sorted.
--- a/src/policy/target_paths.rs
+++ b/src/policy/target_paths.rs
@@ -24,6 +24,23 @@
 const LOST: &str = "lost";
 const RETURNING: &str = "returning";
 
+/// The order in which targets are probed: one of each service in turn, so that one whose targets are
+/// all dead is not taken for a lost path.
+///
+/// ```
+/// use plantainnotch::ids::TargetName;
+/// use plantainnotch::policy::target_paths::probe_order;
+/// let names = |names: [&str; 2]| names.map(TargetName::new).to_vec();
+/// let order = probe_order(&[names(["a", "b"]), names(["x", "y"])]);
+/// assert_eq!(order, ["a", "x", "b", "y"].map(TargetName::new));
+/// ```
+pub fn probe_order(services: &[Vec<TargetName>]) -> Vec<TargetName> {
+    let longest = services.iter().map(Vec::len).max().unwrap_or(0);
+    let turns =
+        (0..longest).flat_map(|turn| services.iter().filter_map(move |names| names.get(turn)));
+    turns.cloned().collect()
+}
+
 /// This VM's paths to its targets.
 ///
 /// A failure tells of the path between one VM and one target only. Paths are in doubt after failures
@@ -145,8 +162,8 @@
         self.silent_target = Some(target.clone());
     }
 
-    /// The targets among `known` to probe now, in random order as given: some that have not failed
-    /// while the paths are in doubt, any while they are lost.
+    /// The targets among `known` to probe now, in that order: some that have not failed while the paths
+    /// are in doubt, any while they are lost.
     pub fn due_probes(&mut self, known: &[TargetName], now: Instant) -> Vec<TargetName> {
         if self.state == RETURNING && self.own_share(now) >= 1.0 {
             self.apply("steady", now);
--- a/tests/core/target_paths.rs
+++ b/tests/core/target_paths.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use plantainnotch::ids::TargetName;
-use plantainnotch::policy::target_paths::TargetPaths;
+use plantainnotch::policy::target_paths::{TargetPaths, probe_order};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
@@ -78,6 +78,22 @@
     assert!(lost <= 20, "{lost} of 1,000");
 }
 
+#[test]
+fn a_service_without_live_targets_is_no_lost_path_to_the_others() {
+    let now = Instant::now();
+    let (engines, replicas) = (targets(TARGET_COUNT), vec![TargetName::new("replica")]);
+    let mut paths = paths();
+    paths.record_failure(&engines[0], TARGET_COUNT + 1, now);
+    paths.record_failure(&engines[1], TARGET_COUNT + 1, now);
+    let known = probe_order(&[engines, replicas.clone()]);
+
+    probe_for(&mut paths, &known, now, Duration::from_secs(2), |name| {
+        replicas.contains(name)
+    });
+
+    assert!(paths.may_carry());
+}
+
 #[test]
 fn paths_to_no_target_are_lost_after_one_round_of_probes() {
     let (now, known) = (Instant::now(), targets(TARGET_COUNT));
