--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -9,7 +9,7 @@
 
 use crate::support::bed::{TestBed, config};
 use crate::support::proxy::ProxyFault;
-use crate::support::store::StoreMode;
+use crate::support::store::{StoreCopy, StoreMode};
 use crate::support::target::TargetMode;
 
 const DENSE_PAUSE_MS: std::ops::Range<u64> = 50..500;
@@ -17,6 +17,9 @@
 const WAIT_SLICE: Duration = Duration::from_millis(50);
 const STOP_TIMEOUT: Duration = Duration::from_secs(8); // grace_s in the nodes' settings
 const FAULT_DURATION_MS: std::ops::Range<u64> = 100..2_000;
+const CUT_DURATION_MS: std::ops::Range<u64> = 500..5_000;
+const CUT_SHARE: f64 = 0.12;
+const STORE_COPY_SHARE: f64 = 0.12;
 
 /// How often faults begin.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -38,6 +41,7 @@
     ClearTargetProxy(usize),
     MarkTargetReady(usize),
     RestoreDomain(usize),
+    RestorePaths(usize),
 }
 
 /// A time in which a node was killed, stopping or paused.
@@ -58,6 +62,9 @@
 /// Injects faults and ends each after a random time.
 pub struct FaultInjector {
     rng: StdRng,
+    /// Draws lost paths and older copies of the store apart, so that the other faults of a seed stay.
+    second_rng: StdRng,
+    store_copy: Option<StoreCopy>,
     pace: FaultPace,
     started_at: Instant,
     pending_ends: Vec<(Instant, FaultEnd)>,
@@ -72,6 +79,8 @@
     pub fn new(seed: u64, pace: FaultPace, bed: &TestBed) -> Self {
         Self {
             rng: StdRng::seed_from_u64(seed),
+            second_rng: StdRng::seed_from_u64(!seed),
+            store_copy: None,
             pace,
             started_at: Instant::now(),
             pending_ends: Vec::new(),
@@ -112,6 +121,8 @@
     /// called again and again while it waits.
     pub fn step(&mut self, bed: &mut TestBed, mut during: impl FnMut(&TestBed)) {
         self.inject(bed);
+        self.lose_paths(bed);
+        self.restore_store_copy(bed);
         let pause_ms = match self.pace {
             FaultPace::Dense => self.rng.random_range(DENSE_PAUSE_MS),
             FaultPace::Sparse => self.rng.random_range(SPARSE_PAUSE_MS),
@@ -257,6 +268,40 @@
         }
     }
 
+    /// At times cuts a node off from all targets.
+    fn lose_paths(&mut self, bed: &TestBed) {
+        if !self.second_rng.random_bool(CUT_SHARE) {
+            return;
+        }
+        let node = self.second_rng.random_range(0..bed.nodes.len());
+        let faults = [ProxyFault::Reset, ProxyFault::ResetNew, ProxyFault::Silence];
+        let fault = faults[self.second_rng.random_range(0..faults.len())];
+        let duration = Duration::from_millis(self.second_rng.random_range(CUT_DURATION_MS));
+        self.log_event(&format!("node {node} and all targets: {fault:?}"));
+        self.begin_node_fault(node);
+        set_paths(bed, node, fault);
+        let end = (Instant::now() + duration, FaultEnd::RestorePaths(node));
+        self.pending_ends.push(end);
+    }
+
+    /// At times lets the store come back from a copy made some steps before; operators and targets
+    /// then write again.
+    fn restore_store_copy(&mut self, bed: &TestBed) {
+        if !self.second_rng.random_bool(STORE_COPY_SHARE) {
+            return;
+        }
+        let Some(copy) = self.store_copy.replace(bed.store.copy()) else {
+            return;
+        };
+        self.log_event("the store comes back from a copy");
+        bed.store.restore(&copy);
+        bed.put_config(&config(self.config_version));
+        for target in 0..self.target_count {
+            bed.put_target(target, "ready");
+        }
+        self.store_copy = Some(bed.store.copy());
+    }
+
     fn draw_proxy_fault(&mut self) -> ProxyFault {
         let faults = [
             ProxyFault::Delay(Duration::from_millis(40)),
@@ -278,6 +323,10 @@
             FaultEnd::ClearStoreProxy(node) => bed.store_proxies[node].set(ProxyFault::None),
             FaultEnd::RestoreTarget(target) => bed.target(target).set_mode(TargetMode::Healthy),
             FaultEnd::ClearTargetProxy(target) => bed.target_proxies[target].set(ProxyFault::None),
+            FaultEnd::RestorePaths(node) => {
+                set_paths(bed, node, ProxyFault::None);
+                self.end_node_faults(node);
+            }
             FaultEnd::MarkTargetReady(target) => bed.put_target(target, "ready"),
             FaultEnd::RestoreDomain(domain) => {
                 let key = format!("evacuate/domain-{domain}");
@@ -301,3 +350,10 @@
         self.end_node_faults(node);
     }
 }
+
+fn set_paths(bed: &TestBed, node: usize, fault: ProxyFault) {
+    let source = bed.node_configs[node].callers.ip();
+    for proxy in &bed.target_proxies {
+        proxy.set_from(source, fault);
+    }
+}
