--- a/src/platform/callers.rs
+++ b/src/platform/callers.rs
@@ -94,7 +94,9 @@
         output_tokens: tokens.next().unwrap_or(0),
         shared_parts: decode_shared_parts(headers),
         last_event: header_text(headers, &LAST_EVENT).and_then(|value| value.parse().ok()),
-        carried_runs: header_text(headers, &CARRIED_RUNS).and_then(|value| value.parse().ok()),
+        carried_runs: header_text(headers, &CARRIED_RUNS)
+            .and_then(|value| value.parse::<u8>().ok())
+            .map(u32::from),
     }
 }
 
