--- a/src/node/carrying.rs
+++ b/src/node/carrying.rs
@@ -30,6 +30,9 @@
 const ANSWER_OBJECTIVES: f64 = 2.0; // a carrier tries a second target within the first objective
 const NO_PATH_RETRY_AFTER: Duration = Duration::from_secs(1); // two probes of this VM and a heartbeat of another
 
+/// Result of sending a request to VMs that reach targets.
+pub type Result<T> = std::result::Result<T, CarryFailure>;
+
 /// Counts a request as carried by a VM until dropped.
 pub struct CarriedGuard {
     node: Rc<NodeState>,
@@ -130,7 +133,7 @@
     caller: &CallerRequest,
     mut runs: u32,
     last_event: Option<u64>,
-) -> std::result::Result<CarrierResponse, CarryFailure> {
+) -> Result<CarrierResponse> {
     let mut tried: Vec<VmName> = Vec::new();
     let mut reason = "this VM reaches no target, and no other VM does".to_owned();
     while tried.len() < MAX_CARRIERS_TRIED && !caller.time_left(node.now()).is_zero() {
@@ -251,7 +254,7 @@
     node: &NodeState,
     caller: &CallerRequest,
     carrier: &MemberRecord,
-) -> Result<TargetConnection, ExchangeError> {
+) -> std::result::Result<TargetConnection, ExchangeError> {
     let max_idle = if caller.route.rerun_policy.allows_rerun() {
         CARRIER_MAX_IDLE
     } else {
--- a/src/node/feeds.rs
+++ b/src/node/feeds.rs
@@ -261,8 +261,8 @@
 }
 
 /// Keeps addresses in the store at which VMs that know no other find the fleet: a hub writes its
-/// own, again in each era of the store. Hubs read the others now and then, so that parts of the fleet that lost sight of each
-/// other meet again; another VM reads them only while it knows no other.
+/// own, again in each era of the store. Hubs read the others now and then, so that parts of the fleet
+/// that lost sight of each other meet again; another VM reads them only while it knows no other.
 pub async fn member_loop(node: Rc<NodeState>, store: StoreClient) {
     let own_address = node.settings.addresses.peers.to_string();
     let key = node.settings.vm.to_string();
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -398,9 +398,13 @@
             return;
         }
         let mode = *self.mode.lock().unwrap_or_else(PoisonError::into_inner);
-        if request.path == "/api/report" && mode != TargetMode::Hangs {
-            let response = encode_response(200, &[], br#"{"waiting":0,"running":0}"#);
-            steps.send(ResponseStep::Write(response)).await.ok();
+        if request.path == "/api/report" {
+            let step = if mode == TargetMode::Hangs {
+                ResponseStep::Silence
+            } else {
+                ResponseStep::Write(encode_response(200, &[], br#"{"waiting":0,"running":0}"#))
+            };
+            steps.send(step).await.ok();
             return;
         }
         if mode == TargetMode::Full {
