Do not send a request again that a carrier may have run

A carrier that did not answer within two objectives had made both attempts, and counted as one; the request then went to another VM. What a carrier takes is now left to it: it makes the attempts that the route allows, and the sender none after it, also for streams. The test has replicas that hang; it failed before with a run at a third one, and passes.

--- a/src/node/carrying.rs
+++ b/src/node/carrying.rs
@@ -26,8 +26,6 @@
 const MAX_CARRIERS_TRIED: usize = 3;
 const CARRIER_MAX_IDLE: Duration = Duration::from_secs(4);
 const NON_IDEMPOTENT_MAX_IDLE: Duration = Duration::from_millis(300); // if a pooled connection is reset, it is unknown whether the request was executed
-const EVENT_TIMEOUT_SHARE: f64 = 0.55; // of the time after which the caller gives up; a second VM needs the rest
-const ANSWER_OBJECTIVES: f64 = 2.0; // a carrier tries a second target within the first objective
 const NO_PATH_RETRY_AFTER: Duration = Duration::from_secs(1); // two probes of this VM and a heartbeat of another
 
 /// Result of sending a request to VMs that reach targets.
@@ -123,7 +121,13 @@
     pub reason: String,
 }
 
-/// Sends a request to VMs that reach targets, until one answers or the request may not be sent again.
+/// Attempts that may have run the request once a carrier has taken it: all that are left, since the
+/// carrier makes them.
+fn attempts_after_carrier(caller: &CallerRequest, runs: u32) -> u32 {
+    caller.route.max_attempts.max(runs + 1)
+}
+
+/// Sends a request to VMs that reach targets, until one takes it.
 ///
 /// # Errors
 ///
@@ -131,7 +135,7 @@
 pub async fn send(
     node: &Rc<NodeState>,
     caller: &CallerRequest,
-    mut runs: u32,
+    runs: u32,
     last_event: Option<u64>,
 ) -> Result<CarrierResponse> {
     let mut tried: Vec<VmName> = Vec::new();
@@ -153,13 +157,10 @@
             }
             CarrierOutcome::Unknown(cause) => {
                 tracing::info!(id = caller.parsed_headers.id, carrier = %carrier.vm, reason = cause, "carrier did not answer");
-                runs += 1;
-                reason = cause;
-                let may_rerun =
-                    caller.route.rerun_policy.allows_rerun() && runs < caller.route.max_attempts;
-                if !may_rerun || !node.try_take_retry(&caller.service) {
-                    break;
-                }
+                return Err(CarryFailure {
+                    runs: attempts_after_carrier(caller, runs),
+                    reason: cause,
+                });
             }
         }
     }
@@ -214,8 +215,8 @@
         },
     );
     let head = target_request_head(caller.method.clone(), caller.uri.clone(), headers);
-    let answer_timeout = answer_timeout(caller, runs).min(caller.time_left(now));
-    let exchanged = timeout(answer_timeout, connection.exchange(head, &caller.body)).await;
+    let time_left = caller.time_left(now);
+    let exchanged = timeout(time_left, connection.exchange(head, &caller.body)).await;
     let head = match exchanged {
         Ok(Ok(head)) => head,
         Ok(Err(error)) => {
@@ -223,7 +224,7 @@
             return CarrierOutcome::Unknown(error.to_string());
         }
         Err(_) => {
-            let waited_ms = answer_timeout.as_millis();
+            let waited_ms = time_left.as_millis();
             return CarrierOutcome::Unknown(format!("no answer within {waited_ms} ms"));
         }
     };
@@ -276,19 +277,6 @@
     node.members.borrow_mut().mark_suspect(&carrier.vm, now);
 }
 
-/// How long a carrier may take to answer before the request is sent to another one.
-fn answer_timeout(caller: &CallerRequest, runs: u32) -> Duration {
-    let route = &caller.route;
-    let may_rerun = route.rerun_policy.allows_rerun() && runs + 1 < route.max_attempts;
-    if !may_rerun {
-        return Duration::MAX;
-    }
-    if route.rerun_policy.is_stream() {
-        return route.event_timeout().mul_f64(EVENT_TIMEOUT_SHARE);
-    }
-    route.objective.mul_f64(ANSWER_OBJECTIVES)
-}
-
 async fn forward_response(
     node: &Rc<NodeState>,
     caller: &Rc<CallerRequest>,
@@ -312,7 +300,7 @@
             new_placement_request(node, caller),
             stream,
             EventBuffer::default(),
-            runs + 1,
+            attempts_after_carrier(caller, runs),
         );
         return ServedResponse::Carried(stream_response(&head, relay));
     }
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -451,7 +451,7 @@
 
     async fn resume_through_carrier(&mut self, failure: &str) -> Result<(), String> {
         let sent = carrying::send(&self.node, &self.caller, self.runs, self.last_event_id).await;
-        self.runs += 1;
+        self.runs = self.caller.route.max_attempts.max(self.runs + 1);
         let response = sent.map_err(|error| format!("{failure}; {}", error.reason))?;
         if !response.head.status.is_success() {
             let status = response.head.status;
--- a/tests/platform/lost_paths.rs
+++ b/tests/platform/lost_paths.rs
@@ -7,6 +7,7 @@
 use crate::support::bed::TestBed;
 use crate::support::caller::send;
 use crate::support::proxy::ProxyFault;
+use crate::support::target::TargetMode;
 
 /// Time after the beginning of a cut from which its callers are to be served.
 const DETECTION_TIME: Duration = Duration::from_secs(3);
@@ -252,3 +253,21 @@
     let served_share = served.len() as f64 / (served.len() + missed.len()) as f64;
     assert!(served_share >= MIN_SERVED_SHARE, "not served: {missed:?}");
 }
+
+#[test]
+fn a_carried_request_runs_at_no_more_targets_than_its_route_allows() {
+    let bed = TestBed::start(3);
+    let cut_node = other_than(owner_of_placement(&bed));
+    cut(&bed, &[cut_node], ProxyFault::Reset);
+    send_for(&bed, DETECTION_TIME);
+    bed.set_replicas(TargetMode::Hangs);
+
+    for request in 0..4 {
+        bed.lookup(cut_node, &format!("hangs-{request}"));
+    }
+
+    for request in 0..4 {
+        let runs = bed.runs(&format!("hangs-{request}"));
+        assert!(runs.len() <= 2, "{runs:?}");
+    }
+}
