--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 //! was broken, 0 if it held and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod bed;
+mod cold;
 mod http;
 mod memory;
 mod replica;
@@ -22,6 +23,7 @@
     bed::open_record(record);
     let outcome = match case.as_str() {
         "memory" => memory::play(trouble),
+        "cold" => cold::play(trouble),
         "tickets" => tickets::play(trouble),
         _ => Err(format!("no case {case}")),
     };
