--- a/review/standin/bed.rs
+++ b/review/standin/bed.rs
@@ -393,13 +393,6 @@
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.join("node.log")).unwrap_or_default()
     }
-
-    /// Whether the process has ended.
-    pub fn has_ended(&self) -> bool {
-        let mut children = CHILDREN.lock().unwrap();
-        let child = children.iter_mut().find(|child| child.id() == self.process());
-        child.is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
-    }
 }
 
 impl Drop for Node {
--- a/review/standin/cold.rs
+++ b/review/standin/cold.rs
@@ -295,6 +295,8 @@
         count(0, unknown),
         count(6, unknown)
     ));
+    let others: Vec<&Option<u16>> = statuses.iter().map(|(_, status)| status).filter(|status| unknown(**status)).collect();
+    record(&format!("answers without a promise (None: closed or none in time): {others:?}"));
     if count(0, |status| status == Some(200)) == 0 {
         return Err("no request was served".to_owned());
     }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod memory;
 mod replica;
+mod stop;
 mod tickets;
 
 use std::process::exit;
@@ -24,6 +25,7 @@
     let outcome = match case.as_str() {
         "memory" => memory::play(trouble),
         "cold" => cold::play(trouble),
+        "stop" => stop::play(trouble),
         "tickets" => tickets::play(trouble),
         _ => Err(format!("no case {case}")),
     };
--- a/review/standin/tickets.rs
+++ b/review/standin/tickets.rs
@@ -11,7 +11,7 @@
 use crate::bed::{Route, Store, loopback, publish, put_config, record, start_nodes};
 use crate::http::{Connection, Request, find, read_response, serve};
 
-const ENGINE_TOKENS: u64 = 90_000; // as in the example of /api/report
+pub const ENGINE_TOKENS: u64 = 90_000; // as in the example of /api/report
 const PROMPT_TOKENS: u64 = 110_000; // the longest of dossier-review
 const OUTPUT_TOKENS: u64 = 4_200;
 const STEPS_PER_EVENT: u64 = 43;
@@ -25,10 +25,12 @@
 
 /// What the engines of a case share with its checks.
 #[derive(Default)]
-struct Engines {
+pub struct Engines {
     /// By the engine's address and the ticket's id.
     tickets: Mutex<HashMap<(String, String), Ticket>>,
     runs: AtomicUsize,
+    /// Ids of the requests that ran.
+    ran: Mutex<Vec<String>>,
     /// Tickets that two runs used at the same time.
     shared: AtomicUsize,
     /// Runs that were cut off since their ticket was released while they used it.
@@ -70,6 +72,10 @@
         }
     }
 
+    pub fn has_run(&self, request_id: &str) -> bool {
+        self.ran.lock().unwrap().iter().any(|id| id == request_id)
+    }
+
     /// Takes a run's tickets into use; `None` if one is missing.
     fn use_tickets(&self, run: usize, wanted: &[(String, String)]) -> Option<()> {
         let mut tickets = self.tickets.lock().unwrap();
@@ -119,7 +125,7 @@
     rest.trim_start().trim_start_matches('"').split('"').next().unwrap_or_default()
 }
 
-fn start_engine(engines: &Arc<Engines>, index: usize) -> std::io::Result<SocketAddr> {
+pub fn start_engine(engines: &Arc<Engines>, index: usize) -> std::io::Result<SocketAddr> {
     let engines = engines.clone();
     let id = format!("e-{index}");
     let address = Arc::new(Mutex::new(String::new()));
@@ -185,6 +191,7 @@
     let read_ms = (prompt / 206.0 + prompt * prompt / 2e6 * 0.138) / parts;
     let step_ms = 1.02 + 0.002_26 + 0.004_31 * prompt / parts / 1_000.0 + 0.075;
     let event_time = Duration::from_secs_f64(step_ms * STEPS_PER_EVENT as f64 / 1_000.0);
+    engines.ran.lock().unwrap().push(request_id.clone());
     record(&format!("{id} runs {request_id} as run {run}, read in {parts} parts, tickets {wanted:?}"));
     // The connections that are open now go silent for good; new ones work.
     let silent = prompt as u64 == PROMPT_TOKENS && engines.silences.swap(false, Ordering::Relaxed);
@@ -246,12 +253,21 @@
     None
 }
 
-fn stream(front: SocketAddr, id: &str, prompt: u64, output: u64) -> Option<(u16, Vec<u64>, bool)> {
+/// Sends a prompt with a time limit of `limit_s`; returns the status, the events' ids and whether the
+/// answer is complete, or `None` if the connection ends, or the time is over, without an answer.
+pub fn stream(
+    front: SocketAddr,
+    id: &str,
+    prompt: u64,
+    output: u64,
+    limit_s: u64,
+) -> Option<(u16, Vec<u64>, bool)> {
     let mut stream = TcpStream::connect(front).ok()?;
-    stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(limit_s))).ok()?;
     write!(
         stream,
-        "POST /review/{id} HTTP/1.1\r\nhost: callers.example\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-deadline: 10000\r\nx-plantainnotch-key: key-a\r\nx-plantainnotch-model: m\r\nx-plantainnotch-token-count: {prompt},{output}\r\nx-plantainnotch-prefix-hash: 5c1e07a2:40,{id}:{}\r\ncontent-length: 6\r\n\r\nprompt",
+        "POST /review/{id} HTTP/1.1\r\nhost: callers.example\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-deadline: {}\r\nx-plantainnotch-key: key-a\r\nx-plantainnotch-model: m\r\nx-plantainnotch-token-count: {prompt},{output}\r\nx-plantainnotch-prefix-hash: 5c1e07a2:40,{id}:{}\r\ncontent-length: 6\r\n\r\nprompt",
+        limit_s * 1_000,
         prompt - 40
     )
     .ok()?;
@@ -286,12 +302,12 @@
     }
     let nodes = start_nodes(3, store_address)?;
     std::thread::sleep(Duration::from_millis(3_500));
-    let small = stream(nodes[0].front, "5ma11", 1_000, 80);
+    let small = stream(nodes[0].front, "5ma11", 1_000, 80, 10);
     if !small.is_some_and(|(status, _, complete)| status == 200 && complete) {
         return Err("a short prompt is not served".to_owned());
     }
     engines.silences.store(trouble, Ordering::Relaxed);
-    let seen = stream(nodes[0].front, "d0551e4", PROMPT_TOKENS, OUTPUT_TOKENS);
+    let seen = stream(nodes[0].front, "d0551e4", PROMPT_TOKENS, OUTPUT_TOKENS, 10);
     std::thread::sleep(Duration::from_millis(500));
     let events = OUTPUT_TOKENS.div_ceil(STEPS_PER_EVENT) as usize;
     let (shared, cut) = (engines.shared.load(Ordering::Relaxed), engines.cut.load(Ordering::Relaxed));
