--- a/review/standin/cold.rs
+++ b/review/standin/cold.rs
@@ -181,6 +181,7 @@
             let Some(id) = self.arrive() else {
                 return;
             };
+            record(&format!("{id} runs {request_id}"));
             std::thread::sleep(WORK);
             if !self.is_up(&id) {
                 return;
@@ -271,7 +272,10 @@
             let statuses = &statuses;
             let at = started_at.elapsed();
             scope.spawn(move || {
-                let status = issue(front, &format!("{sent:016x}"));
+                let id = format!("{sent:08x}");
+                let status = issue(front, &id);
+                let seen = status.map_or("no answer".to_owned(), |status| status.to_string());
+                record(&format!("client of {id}, sent to {front} {:.3} s into the traffic, has: {seen}", at.as_secs_f64()));
                 statuses.lock().unwrap().push((at, status));
             });
             sent += 1;
