Keep a leaving VM without a hub in its domain in sight of the others

Callers saw: a prompt at a VM that got SIGTERM was placed there without regard to the other VMs' jobs, at engines whose memory was full, 2.5 s after the signal.

Cause: a leaving VM is no hub any more. If its domain has no other hub, it has no VM to send heartbeats to, so it takes the others for dead after 1.4 to 2.4 s and so do they; it then decides alone, and the owner of placement drops its jobs while they still run.

Ruled out: the listener for callers, which closes after the same 2.5 s, has no part in heartbeats.

Such a VM now sends heartbeats to the first hub of each other domain, as hubs do. hubs::a_leaving_vm_that_is_alone_in_its_domain_and_the_others_keep_sight_of_each_other failed before ("3 VMs: [1, 2]" disagree) and passes now; all 15 tests of hubs pass.

--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -472,8 +472,8 @@
         hubs
     }
 
-    /// The VMs to send heartbeats to: the hubs of this VM's domain and, from a hub, the first hub
-    /// of each other domain.
+    /// The VMs to send heartbeats to: the hubs of this VM's domain and, from a hub or a VM whose domain
+    /// has no other hub, the first hub of each other domain.
     pub fn heartbeat_recipients(&self, now: Instant) -> Vec<MemberRecord> {
         let mut hubs = self.hubs(now);
         let own_hubs = hubs.remove(&self.own.domain).unwrap_or_default();
@@ -483,7 +483,7 @@
             .filter(|hub| hub.vm != self.own.vm)
             .cloned()
             .collect();
-        if is_hub {
+        if is_hub || recipients.is_empty() {
             let first_hubs = hubs.values().filter_map(|of_domain| of_domain.first());
             recipients.extend(first_hubs.copied().cloned());
         }
--- a/tests/core/hubs.rs
+++ b/tests/core/hubs.rs
@@ -27,6 +27,7 @@
     next_heartbeat: Instant,
     is_up: bool,
     is_paused: bool,
+    is_leaving: bool,
 }
 
 impl SimulatedVm {
@@ -95,6 +96,7 @@
             next_heartbeat: self.now + delay,
             is_up: true,
             is_paused: false,
+            is_leaving: false,
         }
     }
 
@@ -123,8 +125,8 @@
             .table
             .settles(now.saturating_duration_since(vm.started_at), now);
         vm.table.update_own(OwnState {
-            ready: true,
-            leaving: false,
+            ready: !vm.is_leaving,
+            leaving: vm.is_leaving,
             store_reachable: true,
             is_settled,
             reaches_targets: true,
@@ -467,6 +469,45 @@
 }
 
 /// While the VMs that restarted learn what runs, the others agree on an owner among themselves.
+#[test]
+fn a_leaving_vm_that_is_alone_in_its_domain_and_the_others_keep_sight_of_each_other() {
+    for (count, leaving_count) in [(3, 1), (6, 2)] {
+        let mut fleet = settled_fleet(count, 3, 11);
+        let all = fleet.all();
+        let leaving = fleet.in_domain("domain-0");
+        let staying: BTreeSet<usize> = all.difference(&leaving).copied().collect();
+        assert_eq!(leaving.len(), leaving_count);
+        for index in &leaving {
+            fleet.vms[*index].is_leaving = true;
+            fleet.vms[*index].next_heartbeat = fleet.now;
+        }
+
+        for _ in 0..80 {
+            fleet.run_for(Duration::from_millis(100));
+
+            let disagreeing = fleet.disagreeing(&all);
+            let staying_disagree = disagreeing.iter().any(|index| staying.contains(index));
+            assert!(!staying_disagree, "{count} VMs: {disagreeing:?}");
+            for index in &leaving {
+                let table = &fleet.vms[*index].table;
+                let live: Vec<&str> = table
+                    .live(fleet.now)
+                    .iter()
+                    .map(|vm| vm.vm.as_str())
+                    .collect();
+                let lost: Vec<&usize> = staying
+                    .iter()
+                    .filter(|other| !live.contains(&fleet.vms[**other].table.own().vm.as_str()))
+                    .collect();
+                assert!(
+                    lost.is_empty(),
+                    "{count} VMs: {index} lost sight of {lost:?}"
+                );
+            }
+        }
+    }
+}
+
 #[test]
 fn an_owner_that_restarts_is_replaced_by_one_that_all_agree_on() {
     let mut fleet = settled_fleet(60, 3, 40);
