Answer every request before the process of a stopping node ends

Cause: all waits of a request were bounded by its own deadline only: for a placement, a permit, a target, a carrier, a resumed stream, or the rest of the body. The process ended at its own time and dropped them with their connections.

A stop now has a time by which all requests are answered, 0.6 s before the platform kills the process. It bounds the time left of every request, so also the deadline that targets and carriers are given. A prompt that waits for its placement is asked for again with what is left, and refused when it could no longer be finished; a request that does not fit from the start is refused at once. What has not run gets 503 with the time at which another VM, or this one, takes it; what may have run gets 502; a carried request gets 421, so that the VM that sent it asks another one. A stream that began is broken off. Requests on kept connections are served after the listener has closed, too, while there is time, and the process ends only after a second without one.

Ruled out: closing idle connections sooner. A request that crosses the close would get no answer.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: a request sent to one target, and what is known of its execution afterwards.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,6 +13,7 @@
 use super::connection::{ExchangeError, TargetConnection, open_connection, target_request_head};
 use super::rate_limits::observe_limit;
 use super::state::NodeState;
+use super::stopping::StopWatch;
 use crate::fleet::catalog::TargetRecord;
 use crate::fleet::routes::RouteRule;
 use crate::ids::{RequestDigest, TargetName, TeamName};
@@ -49,9 +51,13 @@
     pub config_version: u64,
     /// When the head of the request was read.
     pub arrived_at: Instant,
-    /// When the response is due: the caller's deadline or the route's timeout, whichever is
-    /// earlier, less the time that the response takes to reach the caller.
+    /// When the caller's time is over: its deadline or the route's timeout, whichever is earlier,
+    /// less the time that the response takes to reach the caller.
     pub deadline_at: Instant,
+    /// The stop of this node, which may come before the deadline.
+    pub stop: StopWatch,
+    /// Attempts by this node that have run the request or may have.
+    pub possible_runs: Cell<u32>,
 }
 
 impl CallerRequest {
@@ -66,9 +72,28 @@
         self.route.objective.saturating_sub(spent)
     }
 
-    /// Time left at `now` until the response is due.
+    /// Time left at `now` until the response is due: by the deadline, and by the time when this
+    /// node must have answered all requests if it stops.
     pub fn time_left(&self, now: Instant) -> Duration {
-        self.deadline_at.saturating_duration_since(now)
+        let answer_by = self.stop.answer_by();
+        let due_at = answer_by.map_or(self.deadline_at, |at| at.min(self.deadline_at));
+        due_at.saturating_duration_since(now)
+    }
+
+    /// Whether the request has run or may have, here or where it was before it was carried.
+    pub fn may_have_run(&self) -> bool {
+        self.possible_runs.get() > 0 || self.parsed_headers.carried_runs.unwrap_or(0) > 0
+    }
+
+    /// Counts an attempt as one that may run the request, before it is sent.
+    pub fn count_possible_run(&self) {
+        self.possible_runs.set(self.possible_runs.get() + 1);
+    }
+
+    /// Takes back [`Self::count_possible_run`] for an attempt that has not run and never will.
+    pub fn uncount_possible_run(&self) {
+        let runs = self.possible_runs.get();
+        self.possible_runs.set(runs.saturating_sub(1));
     }
 }
 
@@ -184,6 +209,7 @@
         },
     );
     let head = target_request_head(caller.method.clone(), caller.uri.clone(), headers);
+    caller.count_possible_run();
     let exchange = connection.exchange(head, &caller.body);
     match watch_silence(node, &plan.target.name, exchange).await {
         Ok(head) => {
@@ -275,6 +301,7 @@
         node.record_pause(plan.target, pause);
     }
     if parsed_headers.not_run || status == MISDIRECTED_REQUEST {
+        caller.uncount_possible_run();
         drain_body(node, connection).await;
         if status == MISDIRECTED_REQUEST {
             node.record_target_failure(&plan.target.name, false, "another target has its address");
--- a/src/node/carrying.rs
+++ b/src/node/carrying.rs
@@ -216,6 +216,7 @@
     );
     let head = target_request_head(caller.method.clone(), caller.uri.clone(), headers);
     let time_left = caller.time_left(now);
+    caller.count_possible_run();
     let exchanged = timeout(time_left, connection.exchange(head, &caller.body)).await;
     let head = match exchanged {
         Ok(Ok(head)) => head,
@@ -232,7 +233,7 @@
     if parsed_headers.id != caller.parsed_headers.id {
         return CarrierOutcome::Unknown(format!("answer to request {:?}", parsed_headers.id));
     }
-    // A carrier that reaches no target either, or does not know the route or key yet.
+    // A carrier that reaches no target either, stops, or does not know the route or key yet.
     let is_rejection = matches!(
         head.status,
         StatusCode::MISDIRECTED_REQUEST
@@ -241,6 +242,7 @@
             | StatusCode::FORBIDDEN
     );
     if is_rejection && !parsed_headers.has_seal {
+        caller.uncount_possible_run();
         return CarrierOutcome::NotRun(format!("carrier answered {}", head.status.as_u16()));
     }
     CarrierOutcome::Responded(Box::new(CarrierResponse {
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -17,18 +17,20 @@
 use super::carrying::{carry_if_lost, lose_paths};
 use super::connection::open_connection;
 use super::crash_bans::{part_names, refuse_banned, report_broken};
-use super::placement::{JobGuard, place};
+use super::messages::JobUpdate;
+use super::placement::{JobGuard, PlacementOutcome, place, record_update};
 use super::rate_limits::observe_limit;
 use super::relay::{
     ENDED_BEFORE_FIRST_EVENT, EventBuffer, StreamRelay, StreamSource, TargetStream,
 };
 use super::service::{NodeResponse, ServedResponse};
 use super::state::NodeState;
+use super::stopping::{self, lacks_time, refuse_for_stop};
 use crate::fleet::catalog::TargetRecord;
 use crate::ids::TargetName;
 use crate::platform::callers::{SplitHelper, decode_response_headers, forwarded_headers};
 use crate::platform::orders::{ORDER_PATH, encode_memory_release, encode_memory_reserve};
-use crate::policy::dispatch::{DispatchAnswer, EnginePlacement, PlacementRequest};
+use crate::policy::dispatch::{DispatchAnswer, EnginePlacement, PlacementRequest, RefusalReason};
 
 const FIRST_EVENT_MARGIN: Duration = Duration::from_millis(150); // time for the first event to reach the caller
 const MAX_EXTRA_ATTEMPTS: u32 = 6; // beyond the route's max_attempts, for engines that did not execute the request; a lost domain refuses several in a row
@@ -209,14 +211,19 @@
             return refuse(last_failure, runs, NodeResponse::paused(pause));
         }
         let now = node.now();
-        placement_request.objective = caller.objective_left(now);
-        placement_request.give_up_after = first_event_time_left(caller, now);
-        placement_request.job = node.new_job_id();
         placement_request.excluded_targets = node.avoided_targets();
         placement_request
             .excluded_targets
             .extend(excluded_targets.iter().cloned());
-        let outcome = place(node, &placement_request).await;
+        let limits = |now| PlacementLimits {
+            objective: caller.objective_left(now),
+            give_up_after: first_event_time_left(caller, now),
+        };
+        let placed = place_in_time(node, caller, &mut placement_request, limits).await;
+        let Some(outcome) = placed else {
+            let is_carried = caller.parsed_headers.carried_runs.is_some();
+            return refuse(last_failure, runs, refuse_for_stop(node, is_carried));
+        };
         let waited = node.now().saturating_duration_since(now);
         node.metrics.placing_seconds.observe(waited.as_secs_f64());
         let placement = match outcome.answer {
@@ -348,6 +355,55 @@
     }))
 }
 
+/// Times left to a prompt that is to be placed.
+pub struct PlacementLimits {
+    /// Until its objective.
+    pub objective: Duration,
+    /// Until its caller gives up.
+    pub give_up_after: Duration,
+}
+
+/// Has a prompt placed within `limits` as of a time, and asks again when this node begins to stop, which
+/// leaves less time. `None` if the node stops before it could serve the prompt.
+pub async fn place_in_time(
+    node: &Rc<NodeState>,
+    caller: &CallerRequest,
+    request: &mut PlacementRequest,
+    limits: impl Fn(Instant) -> PlacementLimits,
+) -> Option<PlacementOutcome> {
+    loop {
+        let now = node.now();
+        if lacks_time(node, caller, now) {
+            return None;
+        }
+        let PlacementLimits {
+            objective,
+            give_up_after,
+        } = limits(now);
+        let time_before_stop = stopping::first_event_time_left(node, caller, now);
+        request.objective = objective;
+        request.give_up_after =
+            time_before_stop.map_or(give_up_after, |left| left.min(give_up_after));
+        request.job = node.new_job_id();
+        let outcome = tokio::select! {
+            outcome = place(node, request) => outcome,
+            () = caller.stop.begins() => {
+                record_update(node, JobUpdate::Ended(request.job));
+                continue;
+            }
+        };
+        let is_too_late = matches!(
+            outcome.answer,
+            DispatchAnswer::Refused {
+                reason: RefusalReason::TooLate,
+                ..
+            }
+        );
+        let is_cut_short = time_before_stop.is_some_and(|left| left < give_up_after);
+        return (!is_too_late || !is_cut_short).then_some(outcome);
+    }
+}
+
 fn helper_names(placement: &EnginePlacement) -> String {
     let names: Vec<&str> = placement
         .helpers
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -29,6 +29,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(400); // the process must exit before the platform kills it
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_500); // callers cache the directory's response for 2 s
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const RESPONSE_TIME: Duration = Duration::from_millis(200); // from the decision on a response to its last byte
+const QUIET_TIME: Duration = Duration::from_secs(1); // callers that keep a connection use it again after less
 const JOB_ID_COUNTER_BITS: u32 = 24; // low bits of a job id, free for the counter
 
 /// Runs a node until it receives SIGTERM or SIGINT. SIGHUP only checks that the
@@ -176,7 +178,7 @@
             let is_settled = members.settles(node.running_for(now), now);
             let changed = members.update_own(OwnState {
                 ready,
-                leaving: node.stopping.get(),
+                leaving: node.stop.has_begun(),
                 store_reachable: node.store_reachable.get(),
                 is_settled,
                 reaches_targets: node.paths.borrow().may_carry(),
@@ -209,11 +211,17 @@
 
 /// Shuts down gracefully within the platform's grace period.
 ///
-/// The node leaves the directory at once, accepts requests while callers may still have its
-/// address cached, then finishes the requests in flight.
+/// The node leaves the directory at once, and accepts connections while callers may still have its
+/// address cached. It ends when it has answered all requests and no more come on open connections.
 async fn shut_down(node: &Rc<NodeState>) {
-    tracing::info!(in_flight = node.in_flight.get(), "stopping");
-    node.stopping.set(true);
+    let grace = node.settings.bounds.stop_grace.saturating_sub(STOP_MARGIN);
+    tracing::info!(
+        in_flight = node.in_flight.get(),
+        waiting = node.placement_waiters.borrow().len(),
+        "stopping"
+    );
+    node.stop
+        .begin(node.now() + grace.saturating_sub(RESPONSE_TIME));
     {
         let mut members = node.members.borrow_mut();
         let is_settled = members.own().is_settled;
@@ -228,14 +236,18 @@
     node.heartbeat_now.notify_one();
     let finish = async {
         sleep(ACCEPT_AFTER_STOP).await;
-        // A later request might not finish before the kill; other VMs serve it instead.
-        node.rejecting_requests.set(true);
         node.close_listener.notify_one();
-        while node.in_flight.get() > 0 {
+        while node.in_flight.get() > 0 || !is_quiet(node) {
             sleep(IDLE_CHECK_INTERVAL).await;
         }
     };
-    let grace = node.settings.bounds.stop_grace.saturating_sub(STOP_MARGIN);
     let finished = timeout(grace, finish).await.is_ok();
     tracing::info!(finished, in_flight = node.in_flight.get(), "stopped");
 }
+
+/// Whether no request has come for so long that none is likely to come on an open connection.
+fn is_quiet(node: &NodeState) -> bool {
+    node.now()
+        .saturating_duration_since(node.last_request_at.get())
+        >= QUIET_TIME
+}
--- a/src/node/listeners.rs
+++ b/src/node/listeners.rs
@@ -115,7 +115,7 @@
 
 /// Whether this node accepts callers' requests: it has a configuration and is not stopping.
 pub fn is_ready(node: &NodeState) -> bool {
-    !node.stopping.get() && node.catalog.borrow().table().is_some()
+    !node.stop.has_begun() && node.catalog.borrow().table().is_some()
 }
 
 /// Responds with all metrics in the `OpenMetrics` text format, on any path.
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -21,3 +21,4 @@
 pub mod request_handler;
 pub mod service;
 pub mod state;
+pub mod stopping;
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -11,9 +11,11 @@
 use super::carrying::{self, CarriedGuard, lose_paths, may_move};
 use super::connection::TargetConnection;
 use super::crash_bans::{report_broken, report_served};
-use super::generation::{Reservations, send_placed};
-use super::placement::{JobGuard, place};
+use super::generation::{PlacementLimits, Reservations, place_in_time, send_placed};
+use super::messages::JobUpdate;
+use super::placement::{JobGuard, record_update};
 use super::state::NodeState;
+use super::stopping::wait_until_due;
 use crate::fleet::routes::RerunPolicy;
 use crate::ids::{TargetName, VmName};
 use crate::policy::dispatch::{DispatchAnswer, PlacementRequest};
@@ -306,6 +308,8 @@
                 }
                 return Ok(ReadOutcome::More);
             }
+            // The stream has less time from now on.
+            () = self.caller.stop.begins() => return Ok(ReadOutcome::More),
             // The stream may be silent for less time from now on.
             () = lose_paths(&self.node, &self.caller), if reads_target && !is_cut_off => return Ok(ReadOutcome::More),
         };
@@ -345,7 +349,7 @@
                 }
                 Err(error.to_string())
             }
-            Err(_) if read_timeout == left => Err("the request's time is over".to_owned()),
+            Err(_) if read_timeout == left => Err(self.overdue_reason()),
             Err(_) => Ok(ReadOutcome::Silent(max_silence)),
         }
     }
@@ -443,6 +447,15 @@
             .await
     }
 
+    fn overdue_reason(&self) -> String {
+        let reason = if self.caller.deadline_at <= self.node.now() {
+            "the request's time is over"
+        } else {
+            "this VM stops"
+        };
+        reason.to_owned()
+    }
+
     /// Whether the events come from a target, and not from another VM.
     fn reads_target(&self) -> bool {
         let stream = self.stream.as_ref();
@@ -491,20 +504,28 @@
         self.placement_request
             .excluded_targets
             .extend(failed_target.cloned());
-        self.placement_request.job = self.node.new_job_id();
         // The next event is late already; the stream only has to continue.
-        self.placement_request.objective = self.caller.route.max_event_gap;
-        let placed = timeout(
-            self.caller.time_left(now),
-            place(&self.node, &self.placement_request),
-        )
-        .await;
-        let placement = match placed.map(|outcome| outcome.answer) {
-            Ok(DispatchAnswer::Placed(placement)) => placement,
-            Ok(DispatchAnswer::Refused { reason, .. }) => {
+        let objective = self.caller.route.max_event_gap;
+        let give_up_after = self.placement_request.give_up_after;
+        let limits = |_| PlacementLimits {
+            objective,
+            give_up_after,
+        };
+        let placed = tokio::select! {
+            placed = place_in_time(&self.node, &self.caller, &mut self.placement_request, limits) => {
+                placed.map(|outcome| outcome.answer)
+            }
+            () = wait_until_due(&self.node, &self.caller) => None,
+        };
+        let placement = match placed {
+            Some(DispatchAnswer::Placed(placement)) => placement,
+            Some(DispatchAnswer::Refused { reason, .. }) => {
                 return Err(format!("{failure}; not resumed: {}", reason.as_str()));
             }
-            Err(_) => return Err(format!("{failure}; not resumed in time")),
+            None => {
+                record_update(&self.node, JobUpdate::Ended(self.placement_request.job));
+                return Err(format!("{failure}; not resumed in time"));
+            }
         };
         let job = JobGuard::new(self.node.clone(), self.placement_request.job);
         // Logged before the request is sent, which may still fail.
@@ -516,10 +537,12 @@
             "stream resumed elsewhere"
         );
         self.runs += 1;
-        let left = self.caller.time_left(self.node.now());
-        let sent = send_placed(&self.node, &self.caller, &placement, self.last_event_id);
-        let sent = timeout(left, sent).await;
-        let (outcome, reservations) = sent.map_err(|_| format!("{failure}; no answer in time"))?;
+        let sent = tokio::select! {
+            sent = send_placed(&self.node, &self.caller, &placement, self.last_event_id) => Some(sent),
+            () = wait_until_due(&self.node, &self.caller) => None,
+        };
+        let (outcome, reservations) =
+            sent.ok_or_else(|| format!("{failure}; no answer in time"))?;
         match outcome {
             AttemptOutcome::Responded(target_response)
                 if target_response.head.status.is_success() =>
--- a/src/node/request_handler.rs
+++ b/src/node/request_handler.rs
@@ -1,5 +1,6 @@
 //! Receives callers' requests, finds their route and team, and passes them to a service.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,18 +9,19 @@
 use actix_http::{HttpMessage, Request, Response, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use tokio::time::timeout;
 
 use super::attempt::CallerRequest;
 use super::service::{NodeResponse, ServedResponse};
 use super::state::NodeState;
+use super::stopping::{
+    lacks_time, overdue_response, refuse_for_stop, wait_until_all_due, wait_until_due,
+};
 use super::{generation, service};
 use crate::fleet::routes::{RouteRule, RouteTable};
 use crate::ids::{RequestDigest, TeamName};
 use crate::platform::callers::{CallerHeaders, decode_caller_headers, node_response_headers};
 
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
-const OTHER_VM_RETRY_AFTER: Duration = Duration::from_millis(50); // another VM serves the request at once
 const RETRY_AFTER_JITTER: std::ops::Range<f64> = 0.85..1.25; // spreads the retries of callers refused together
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20); // time for the response to reach the caller
 
@@ -57,7 +59,7 @@
             encode_node_response(&parsed_headers.id, &node_response)
         }
     };
-    if node.stopping.get() {
+    if node.stop.has_begun() {
         response
             .head_mut()
             .set_connection_type(actix_http::ConnectionType::Close);
@@ -100,13 +102,8 @@
     parsed_headers: CallerHeaders,
 ) -> ServedResponse {
     let arrived_at = node.now();
-    if node.rejecting_requests.get() {
-        return from_node(NodeResponse::not_run(
-            "stopping",
-            "this VM is about to stop",
-            OTHER_VM_RETRY_AFTER,
-        ));
-    }
+    let is_carried = parsed_headers.carried_runs.is_some();
+    node.last_request_at.set(arrived_at);
     let table = node.catalog.borrow().table().cloned();
     let Some(table) = table else {
         return from_node(NodeResponse::not_run(
@@ -115,7 +112,11 @@
             NO_CONFIG_RETRY_AFTER,
         ));
     };
-    let body = match read_body(request, table.limits.body_bytes).await {
+    let body = tokio::select! {
+        body = read_body(request, table.limits.body_bytes) => body,
+        () = wait_until_all_due(node) => Err(refuse_for_stop(node, is_carried)),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(rejection) => return from_node(rejection),
     };
@@ -152,8 +153,13 @@
         config_version: table.version,
         arrived_at,
         deadline_at: arrived_at + time_allowed.saturating_sub(RESPONSE_MARGIN),
+        stop: node.stop.subscribe(),
+        possible_runs: Cell::new(0),
         route,
     });
+    if lacks_time(node, &caller, node.now()) {
+        return from_node(refuse_for_stop(node, is_carried));
+    }
     if caller.parsed_headers.carried_runs.is_none() {
         node.count_request(&caller.service);
     }
@@ -169,7 +175,6 @@
         .services
         .get(&caller.service)
         .is_some_and(|service| service.engine.is_some());
-    let left = caller.time_left(node.now());
     let served = async {
         if is_engine && caller.route.rerun_policy.is_stream() {
             generation::serve(node, &caller).await
@@ -177,9 +182,11 @@
             service::serve(node, &caller).await
         }
     };
-    let response = timeout(left, served)
-        .await
-        .unwrap_or_else(|_| from_node(NodeResponse::timed_out("no answer in the request's time")));
+    let response = tokio::select! {
+        biased;
+        response = served => response,
+        () = wait_until_due(node, &caller) => from_node(overdue_response(node, &caller)),
+    };
     let outcome = match &response {
         ServedResponse::Target(response) if response.status().is_success() => "served",
         ServedResponse::Target(_) => "failed_by_target",
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -12,6 +12,7 @@
 use super::messages::JobUpdate;
 use super::metrics::NodeMetrics;
 use super::packed_records::RecordPacker;
+use super::stopping::StopState;
 use crate::clock::TimeSource;
 use crate::fleet::catalog::{
     CatalogChange, FleetCatalog, RecordDecoder, TargetRecord, TargetState,
@@ -89,11 +90,10 @@
     pub heartbeat_now: Notify,
     /// Updated by the tasks, served by the metrics listener.
     pub metrics: NodeMetrics,
-    /// Whether the node has left the directory and will stop.
-    pub stopping: Cell<bool>,
-    /// Whether new requests are refused: set while stopping, when the directory's cached
-    /// responses have expired.
-    pub rejecting_requests: Cell<bool>,
+    /// Whether the node stops, and by when it answers all requests then.
+    pub stop: StopState,
+    /// When the last request of a caller arrived.
+    pub last_request_at: Cell<Instant>,
     /// Closes the listener for callers.
     pub close_listener: Notify,
     /// Requests whose response is not completely sent.
@@ -123,9 +123,10 @@
         first_job_id: u64,
         paths: TargetPaths,
     ) -> Self {
+        let started_at = clock.now();
         Self {
             settings,
-            started_at: clock.now(),
+            started_at,
             clock,
             catalog: RefCell::new(FleetCatalog::new(decoder)),
             members: RefCell::new(MemberTable::new(own)),
@@ -151,8 +152,8 @@
             updates_ready: Notify::new(),
             heartbeat_now: Notify::new(),
             metrics: NodeMetrics::new(),
-            stopping: Cell::new(false),
-            rejecting_requests: Cell::new(false),
+            stop: StopState::default(),
+            last_request_at: Cell::new(started_at),
             close_listener: Notify::new(),
             in_flight: Cell::new(0),
             fetching_records: Cell::new(false),
--- a/src/policy/dispatch/choice.rs
+++ b/src/policy/dispatch/choice.rs
@@ -6,7 +6,7 @@
 use super::ledger::{EngineLedger, LATE_VALUE_SHARE, prompt_value};
 use super::request::{EnginePlacement, PlacementRequest, SplitPart};
 use super::{EngineDispatcher, MAX_SHORT_PREFILL, QueuedRequest, decode_pass_time};
-use crate::policy::engine_model::{pass_time, prefill_time};
+use crate::policy::engine_model::{decode_time, pass_time, prefill_time};
 
 /// Share of an on-time request's value that is lost per objective that passes before its first
 /// event: engines that are busy for longer delay the requests that follow.
@@ -31,11 +31,16 @@
 
 impl EngineDispatcher {
     /// Time to the first event if the prompt started now on as many idle engines as possible.
-    pub(super) fn min_first_event_time(&self, prompt_tokens: u64) -> Duration {
+    pub fn min_first_event_time(&self, prompt_tokens: u64) -> Duration {
         let parts = self.accepting_engine_count().clamp(1, MAX_PARTS);
         prefill_time(&self.spec, prompt_tokens, parts) + pass_time(&self.spec, 1, prompt_tokens)
     }
 
+    /// Time from the first event to the last one on an idle engine.
+    pub fn min_decode_time(&self, prompt_tokens: u64, output_tokens: u64) -> Duration {
+        decode_time(&self.spec, prompt_tokens, output_tokens)
+    }
+
     /// Time to the first event of a short prompt that starts now on an engine with half of its
     /// slots in use; zero for a longer prompt.
     pub(super) fn typical_first_event_time(&self, prompt_tokens: u64) -> Duration {
--- a/tests/platform/lost_paths.rs
+++ b/tests/platform/lost_paths.rs
@@ -16,7 +16,7 @@
 const MIN_SERVED_SHARE: f64 = 2.0 / 3.0;
 
 /// Cuts nodes off from all targets, or ends that with [`ProxyFault::None`].
-fn cut(bed: &TestBed, nodes: &[usize], fault: ProxyFault) {
+pub fn cut(bed: &TestBed, nodes: &[usize], fault: ProxyFault) {
     for proxy in &bed.target_proxies {
         for node in nodes {
             proxy.set_from(source_of(bed, *node), fault);
@@ -76,7 +76,7 @@
 }
 
 /// The node whose dispatcher places requests.
-fn owner_of_placement(bed: &TestBed) -> usize {
+pub fn owner_of_placement(bed: &TestBed) -> usize {
     let logs: Vec<String> = bed.nodes.iter().map(|node| node.log()).collect();
     let decided = logs.iter().flat_map(|log| log.lines().rev());
     let last = decided
@@ -108,7 +108,7 @@
     }
 }
 
-fn other_than(owner: usize) -> usize {
+pub fn other_than(owner: usize) -> usize {
     (owner + 1) % 3
 }
 
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -11,5 +11,6 @@
 mod members;
 mod rate_limits;
 mod records;
+mod stops;
 mod store_copies;
 mod streams;
--- /dev/null
+++ b/tests/platform/stops.rs
@@ -0,0 +1,397 @@
+//! Nodes that are told to stop while requests wait there: each is served in time or answered truthfully
+//! before the process ends, and never has its connection closed without an answer.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use crate::lost_paths::{cut, other_than, owner_of_placement};
+use crate::support::bed::{TestBed, config, wait_until};
+use crate::support::caller::{CallerRequest, CallerResponse, send};
+use crate::support::proxy::ProxyFault;
+use crate::support::target::TargetMode;
+
+/// `grace_s` of the nodes' settings: the platform kills a process that long after SIGTERM.
+const GRACE: Duration = Duration::from_secs(8);
+const CALLER_DEADLINE: Duration = Duration::from_secs(15);
+/// Tokens of a prompt that leaves no engine room for another one.
+const FILLING_TOKENS: &str = "76000,10000";
+const WAITING_TOKENS: &str = "100000,400";
+
+/// Starts nodes whose engines have little memory, and whose routes wait longer than a stop lasts.
+fn start_bed(count: usize) -> TestBed {
+    let bed = TestBed::start(count);
+    let mut table = config(2);
+    for route in table["routes"].as_array_mut().expect("a list of routes") {
+        route["timeout_ms"] = json!(20_000);
+    }
+    table["services"][1]["engine"]["kv_capacity_tokens"] = json!(90_000);
+    bed.put_config(&table);
+    wait_until(Duration::from_secs(5), "all nodes have the table", || {
+        bed.nodes
+            .iter()
+            .all(|node| node.log().contains("\"version\":2"))
+    });
+    bed
+}
+
+fn prompt(bed: &TestBed, id: &str, tokens: &str) -> CallerRequest {
+    let mut request = bed.stream(id, "/archive/a");
+    request.tokens = Some(tokens.to_owned());
+    request.deadline = CALLER_DEADLINE;
+    request
+}
+
+type SentRequest = JoinHandle<(Option<CallerResponse>, Duration)>;
+
+/// Sends a request on a thread of its own, which returns the response and when it was complete.
+fn send_aside(address: SocketAddr, request: CallerRequest) -> SentRequest {
+    std::thread::spawn(move || {
+        let sent_at = Instant::now();
+        let response = send(address, &request);
+        (response, sent_at.elapsed())
+    })
+}
+
+/// Fills the memory of all engines with streams through `node`, each of which lasts eight times
+/// `event_gap`.
+fn fill_engines(bed: &TestBed, node: usize, event_gap: Duration) -> Vec<SentRequest> {
+    let mut fillers = Vec::new();
+    for engine in &bed.engines {
+        engine.set_delay(event_gap);
+    }
+    for index in 0..bed.engines.len() {
+        let id = format!("filler-{index}");
+        let request = prompt(bed, &id, FILLING_TOKENS);
+        fillers.push(send_aside(bed.node_configs[node].callers, request));
+        wait_until(Duration::from_secs(4), "the engine is filled", || {
+            !bed.runs(&id).is_empty()
+        });
+    }
+    // A prompt without its first event yet keeps its engines busy, so that further ones are refused.
+    std::thread::sleep(event_gap + Duration::from_millis(200));
+    fillers
+}
+
+/// Sends a prompt to `node` and waits until it waits for its placement there.
+fn send_waiting(bed: &TestBed, node: usize, id: &str) -> SentRequest {
+    let waiting = send_aside(
+        bed.node_configs[node].callers,
+        prompt(bed, id, WAITING_TOKENS),
+    );
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(
+        bed.runs(id).is_empty() && !waiting.is_finished(),
+        "{id} does not wait"
+    );
+    waiting
+}
+
+/// Waits for the response to a request that was under way at `stopped_at`.
+fn join_within_grace(request: SentRequest, stopped_at: Instant) -> CallerResponse {
+    let (response, _) = request.join().expect("the caller's thread ends");
+    assert!(stopped_at.elapsed() < GRACE, "answered after the grace");
+    response.expect("an answer, not a closed connection")
+}
+
+/// Checks that a response says that the request has not run, and when to come back.
+fn assert_refused(response: &CallerResponse, retry_after: std::ops::RangeInclusive<f64>) {
+    assert_eq!(response.status, 503);
+    assert!(response.complete);
+    let seconds: Option<f64> = response
+        .header("retry-after")
+        .and_then(|value| value.parse().ok());
+    assert!(
+        seconds.is_some_and(|seconds| retry_after.contains(&seconds)),
+        "Retry-After {seconds:?} is not in {retry_after:?}"
+    );
+}
+
+#[test]
+fn a_prompt_that_waits_for_placement_at_a_stop_is_refused_once_it_cannot_finish() {
+    let mut bed = start_bed(3);
+    let stopped_node = other_than(owner_of_placement(&bed));
+    let _fillers = fill_engines(&bed, (stopped_node + 1) % 3, Duration::from_millis(1_700));
+    let waiting = send_waiting(&bed, stopped_node, "waiting");
+
+    bed.nodes[stopped_node].signal("TERM");
+    let stopped_at = Instant::now();
+    let response = join_within_grace(waiting, stopped_at);
+
+    assert_refused(&response, 0.0..=0.2);
+    assert!(bed.runs("waiting").is_empty());
+    assert!(bed.nodes[stopped_node].exited_cleanly(GRACE));
+}
+
+#[test]
+fn a_prompt_that_waits_for_placement_at_a_stop_is_served_if_an_engine_has_room_in_time() {
+    let mut bed = start_bed(3);
+    let stopped_node = other_than(owner_of_placement(&bed));
+    let _fillers = fill_engines(&bed, (stopped_node + 1) % 3, Duration::from_millis(500));
+    let waiting = send_waiting(&bed, stopped_node, "waiting");
+
+    bed.nodes[stopped_node].signal("TERM");
+    let stopped_at = Instant::now();
+    for engine in &bed.engines {
+        engine.set_delay(Duration::from_millis(20));
+    }
+    let response = join_within_grace(waiting, stopped_at);
+
+    assert_eq!(response.status, 200);
+    assert!(response.complete);
+    assert_eq!(bed.runs("waiting").len(), 1);
+    assert!(bed.nodes[stopped_node].exited_cleanly(GRACE));
+}
+
+#[test]
+fn a_prompt_without_another_vm_to_go_to_is_told_when_this_one_may_be_back() {
+    let mut bed = start_bed(1);
+    let _fillers = fill_engines(&bed, 0, Duration::from_millis(1_700));
+    let waiting = send_waiting(&bed, 0, "waiting");
+
+    bed.nodes[0].signal("TERM");
+    let stopped_at = Instant::now();
+    let response = join_within_grace(waiting, stopped_at);
+
+    assert_refused(&response, 0.8..=10.0);
+    assert!(bed.runs("waiting").is_empty());
+    assert!(bed.nodes[0].exited_cleanly(GRACE));
+}
+
+#[test]
+fn a_prompt_that_waits_for_a_retry_at_a_stop_is_answered_as_possibly_run() {
+    let mut bed = start_bed(3);
+    let stopped_node = other_than(owner_of_placement(&bed));
+    let mut fillers = Vec::new();
+    for engine in &bed.engines {
+        engine.set_delay(Duration::from_millis(1_700));
+    }
+    // One engine breaks the prompt off before its first event, when the others have no room.
+    bed.engines[0].set_mode(TargetMode::UnframedEmpty);
+    let callers = bed.node_configs[(stopped_node + 1) % 3].callers;
+    for index in 0..4 {
+        let request = prompt(&bed, &format!("filler-{index}"), FILLING_TOKENS);
+        fillers.push(send_aside(callers, request));
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    let waiting = send_aside(
+        bed.node_configs[stopped_node].callers,
+        prompt(&bed, "waiting", "76000,400"),
+    );
+    std::thread::sleep(Duration::from_millis(500));
+
+    bed.nodes[stopped_node].signal("TERM");
+    let stopped_at = Instant::now();
+    let response = join_within_grace(waiting, stopped_at);
+
+    let ran = !bed.runs("waiting").is_empty();
+    match response.status {
+        503 => assert!(!ran, "refused but run"),
+        status => assert_eq!(status, 502),
+    }
+    assert!(response.complete);
+    assert!(bed.nodes[stopped_node].exited_cleanly(GRACE));
+}
+
+#[test]
+fn requests_whose_target_does_not_answer_before_a_stop_ends_are_answered_as_possibly_run() {
+    let mut bed = start_bed(3);
+    bed.set_replicas(TargetMode::Hangs);
+    bed.set_engines(TargetMode::Hangs);
+    let callers = bed.node_configs[0].callers;
+    let mut issue = CallerRequest::new("issue", "POST", "/issue/7");
+    issue.deadline = CALLER_DEADLINE;
+    let mut lookup = CallerRequest::new("lookup", "GET", "/lookup/7");
+    lookup.deadline = CALLER_DEADLINE;
+    let requests = [issue, lookup, prompt(&bed, "stream", "1000,400")];
+    let sent: Vec<SentRequest> = requests
+        .into_iter()
+        .map(|request| send_aside(callers, request))
+        .collect();
+    wait_until(Duration::from_secs(2), "the targets run them", || {
+        ["issue", "lookup", "stream"]
+            .iter()
+            .all(|id| !bed.runs(id).is_empty())
+    });
+
+    bed.nodes[0].signal("TERM");
+    let stopped_at = Instant::now();
+
+    for request in sent {
+        let response = join_within_grace(request, stopped_at);
+        assert!(
+            [502, 504].contains(&response.status),
+            "status {}",
+            response.status
+        );
+        assert!(response.complete);
+    }
+    assert_eq!(bed.runs("issue").len(), 1);
+    assert!(bed.nodes[0].exited_cleanly(GRACE));
+}
+
+#[test]
+fn a_request_whose_body_is_half_read_at_a_stop_is_refused_before_the_process_ends() {
+    let mut bed = start_bed(2);
+    let mut stream = TcpStream::connect(bed.node_configs[0].callers).expect("a connection");
+    let head = "POST /issue/7 HTTP/1.1\r\nhost: callers.example\r\nx-plantainnotch-request-id: half\r\nx-plantainnotch-key: key-a\r\ncontent-length: 100\r\n\r\nfirst half";
+    stream.write_all(head.as_bytes()).expect("half is sent");
+    std::thread::sleep(Duration::from_millis(200));
+
+    bed.nodes[0].signal("TERM");
+    stream
+        .set_read_timeout(Some(GRACE))
+        .expect("the limit is set");
+    let mut received = Vec::new();
+    stream
+        .read_to_end(&mut received)
+        .expect("an answer and an orderly end");
+
+    let text = String::from_utf8_lossy(&received);
+    assert!(text.starts_with("HTTP/1.1 503"), "{text:?}");
+    assert!(text.contains("retry-after: 0.0"), "{text:?}");
+    assert!(bed.nodes[0].exited_cleanly(GRACE));
+}
+
+/// Reads one response with a length from a kept connection; `None` if the connection ends first.
+fn read_response(stream: &mut TcpStream) -> Option<String> {
+    let mut received = Vec::new();
+    let mut chunk = [0; 1024];
+    loop {
+        let text = String::from_utf8_lossy(&received).into_owned();
+        let length = text.split("content-length: ").nth(1).and_then(|rest| {
+            let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+            digits.parse::<usize>().ok()
+        });
+        let head_end = text.find("\r\n\r\n").map(|at| at + 4);
+        if let (Some(length), Some(head_end)) = (length, head_end)
+            && received.len() >= head_end + length
+        {
+            return Some(text);
+        }
+        match stream.read(&mut chunk) {
+            Ok(count) if count > 0 => received.extend_from_slice(&chunk[..count]),
+            _ => return None,
+        }
+    }
+}
+
+#[test]
+fn kept_connections_get_an_answer_to_each_request_until_the_node_says_that_it_closes() {
+    let mut bed = start_bed(2);
+    let callers = bed.node_configs[0].callers;
+    let senders: Vec<JoinHandle<()>> = (0..12)
+        .map(|sender| {
+            std::thread::spawn(move || {
+                let mut stream = TcpStream::connect(callers).expect("a connection");
+                let started_at = Instant::now();
+                // The first requests come before the stop, the later ones one by one after it.
+                for request in 0..2 {
+                    if request == 1 {
+                        let at = Duration::from_millis(900 + sender * 250);
+                        std::thread::sleep(at.saturating_sub(started_at.elapsed()));
+                    }
+                    let head = format!(
+                        "GET /lookup/7 HTTP/1.1\r\nhost: callers.example\r\nx-plantainnotch-request-id: kept-{sender}-{request}\r\nx-plantainnotch-key: key-a\r\nx-plantainnotch-deadline: 6000\r\n\r\n"
+                    );
+                    stream.write_all(head.as_bytes()).expect("a request is sent");
+                    let response = read_response(&mut stream);
+                    let response = response.unwrap_or_else(|| {
+                        panic!("kept-{sender}-{request}: closed without an answer")
+                    });
+                    let served = response.starts_with("HTTP/1.1 200");
+                    let refused =
+                        response.starts_with("HTTP/1.1 503") && response.contains("retry-after: ");
+                    assert!(served || refused, "{response}");
+                    assert_eq!(request == 1, response.contains("connection: close"));
+                }
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(700));
+
+    bed.nodes[0].signal("TERM");
+
+    for sender in senders {
+        sender.join().expect("each request has an answer");
+    }
+    assert!(bed.nodes[0].exited_cleanly(GRACE));
+}
+
+#[test]
+fn a_stream_that_outlasts_a_stop_is_broken_off_with_its_events_in_order() {
+    let mut bed = start_bed(2);
+    bed.engines
+        .iter()
+        .for_each(|engine| engine.set_delay(Duration::from_millis(1_300)));
+    let callers = bed.node_configs[0].callers;
+    let stream = send_aside(callers, prompt(&bed, "long", "1000,400"));
+    wait_until(Duration::from_secs(2), "the stream begins", || {
+        !bed.runs("long").is_empty()
+    });
+
+    bed.nodes[0].signal("TERM");
+    let stopped_at = Instant::now();
+    let response = join_within_grace(stream, stopped_at);
+
+    assert_eq!(response.status, 200);
+    assert!(!response.complete, "an unfinished stream looks complete");
+    let ids = response.event_ids();
+    assert_eq!(ids, (1..=ids.len() as u64).collect::<Vec<u64>>());
+    assert!(bed.nodes[0].exited_cleanly(GRACE));
+    assert!(bed.nodes[0].log().contains("stream broken off"));
+}
+
+#[test]
+fn requests_for_a_stopping_carrier_go_through_another_vm() {
+    let mut bed = start_bed(3);
+    let cut_node = other_than(owner_of_placement(&bed));
+    cut(&bed, &[cut_node], ProxyFault::Refuse);
+    wait_until(Duration::from_secs(6), "requests are carried", || {
+        bed.lookup(cut_node, "probe");
+        bed.nodes[cut_node].log().contains("carried by another VM")
+    });
+    let callers = bed.node_configs[cut_node].callers;
+    let stopped_node = (cut_node + 1) % 3;
+
+    bed.nodes[stopped_node].signal("TERM");
+    let stopped_at = Instant::now();
+    let mut unserved = 0;
+    let mut count = 0;
+    while stopped_at.elapsed() < Duration::from_secs(6) {
+        let id = format!("carried-{count}");
+        count += 1;
+        let response = send(callers, &CallerRequest::new(&id, "GET", "/lookup/7"));
+        let response = response.expect("an answer, not a closed connection");
+        unserved += usize::from(response.status != 200);
+        std::thread::sleep(Duration::from_millis(40));
+    }
+
+    assert_eq!(unserved, 0, "of {count}");
+    assert!(bed.nodes[stopped_node].exited_cleanly(GRACE));
+}
+
+#[test]
+fn a_prompt_that_waits_at_stopping_carriers_is_refused() {
+    let bed = start_bed(3);
+    let cut_node = other_than(owner_of_placement(&bed));
+    cut(&bed, &[cut_node], ProxyFault::Refuse);
+    wait_until(Duration::from_secs(6), "requests are carried", || {
+        bed.lookup(cut_node, "probe");
+        bed.nodes[cut_node].log().contains("carried by another VM")
+    });
+    let _fillers = fill_engines(&bed, (cut_node + 1) % 3, Duration::from_millis(1_700));
+    let waiting = send_waiting(&bed, cut_node, "waiting");
+
+    for node in (0..3).filter(|node| *node != cut_node) {
+        bed.nodes[node].signal("TERM");
+    }
+    let stopped_at = Instant::now();
+    let response = join_within_grace(waiting, stopped_at);
+
+    assert_refused(&response, 0.8..=2.0);
+    assert!(bed.runs("waiting").is_empty());
+}
