Let the next owner decide on prompts that wait at a stopping owner of placement

Callers saw: prompts of other VMs that waited at an owner of placement that got SIGTERM waited on there until its process ended, and were then placed by each VM alone, without knowledge of the others' jobs.

Cause: the VMs report the ends of their jobs to the new owner from the moment the old one leaves, so the old one learns of no room any more, but its callers waited while it was alive. After that the search for another owner, 200 ms from the first call, was over at once.

Evidence: log of the waiting VM before: "owner of placement passed over ... broken pipe" 2.9 s after the signal, then "placed ... decided_by" itself; now "the peer answered 502" at once and a decision of the next owner. stops::prompts_that_wait_at_a_stopping_owner_of_placement_are_decided_by_the_next_one failed before and passes.

--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -226,6 +226,6 @@
     Records(PackedRecords),
     /// The permit or its refusal, in reply to [`NodeCall::TakePermit`].
     Permit(PermitAnswer),
-    /// The receiver has lost its paths to all targets, and does not place for others.
+    /// The receiver does not place for others: it has lost its paths to all targets, or stops.
     NoPath,
 }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -41,10 +41,18 @@
             NodeCall::Heartbeat(message) => {
                 NodeReply::Heartbeat(Box::new(answer_heartbeat(&node, message)))
             }
-            NodeCall::Place(_) | NodeCall::TakePermit(_) if node.paths.borrow().are_lost() => {
+            NodeCall::Place(_) | NodeCall::TakePermit(_)
+                if node.paths.borrow().are_lost() || node.stop.has_begun() =>
+            {
                 NodeReply::NoPath
             }
-            NodeCall::Place(request) => NodeReply::Placed(place_locally(&node, request).await),
+            NodeCall::Place(request) => {
+                let stop = node.stop.subscribe();
+                tokio::select! {
+                    answer = place_locally(&node, request) => NodeReply::Placed(answer),
+                    () = stop.begins() => NodeReply::NoPath,
+                }
+            }
             NodeCall::Updates(report) => {
                 for update in &report.updates {
                     apply_update(&node, update, &report.vm);
--- a/src/node/placement.rs
+++ b/src/node/placement.rs
@@ -94,11 +94,9 @@
     node: &Rc<NodeState>,
     ask: impl AsyncFn(&MemberRecord) -> Result<T, CallError>,
 ) -> Option<(VmName, T)> {
-    let asked_at = node.now();
+    let mut search_ends_at = node.now() + MAX_OWNER_SEARCH;
     let mut tried = 0;
-    while tried < MAX_OWNERS_TRIED
-        && node.now().saturating_duration_since(asked_at) < MAX_OWNER_SEARCH
-    {
+    while tried < MAX_OWNERS_TRIED && node.now() < search_ends_at {
         let owner = {
             let members = node.members.borrow();
             members.coordinators(node.now()).into_iter().next()
@@ -108,9 +106,14 @@
             break;
         }
         tried += 1;
+        let asked_at = node.now();
         match ask(&owner).await {
             Ok(answer) => return Some((owner.vm, answer)),
             Err(error) => {
+                // An owner that took the call was lost while the request waited there.
+                if node.now().saturating_duration_since(asked_at) > MAX_OWNER_SEARCH {
+                    search_ends_at = node.now() + MAX_OWNER_SEARCH;
+                }
                 tracing::info!(owner = %owner.vm, %error, "owner of placement passed over");
                 node.metrics.count_failure("placement_owner");
                 node.members
@@ -138,11 +141,10 @@
             checks.tick().await;
             let now = node.now();
             let members = node.members.borrow();
-            let alive = members
-                .live(now)
-                .iter()
-                .any(|member| member.vm == owner.vm && member.incarnation == owner.incarnation);
-            if !alive || members.is_suspect(&owner.vm, now) {
+            let stays = members.live(now).iter().any(|member| {
+                member.vm == owner.vm && member.incarnation == owner.incarnation && !member.leaving
+            });
+            if !stays || members.is_suspect(&owner.vm, now) {
                 return;
             }
         }
@@ -152,7 +154,7 @@
             NodeReply::Placed(answer) => Ok(answer),
             _ => Err(CallError::Status(http::StatusCode::BAD_GATEWAY)),
         },
-        // A lost or suspect owner is reported as a timeout, however long the call took.
+        // A lost, leaving or suspect owner is reported as a timeout, however long the call took.
         () = owner_lost => Err(CallError::Timeout(OWNER_CHECK_INTERVAL)),
     }
 }
--- a/tests/platform/stops.rs
+++ b/tests/platform/stops.rs
@@ -161,6 +161,38 @@
     assert!(bed.nodes[0].exited_cleanly(GRACE));
 }
 
+#[test]
+fn prompts_that_wait_at_a_stopping_owner_of_placement_are_decided_by_the_next_one() {
+    let mut bed = start_bed(3);
+    let owner = owner_of_placement(&bed);
+    let waiting_node = other_than(owner);
+    let _fillers = fill_engines(&bed, waiting_node, Duration::from_millis(700));
+    let waiting = send_waiting(&bed, waiting_node, "waiting");
+
+    bed.nodes[owner].signal("TERM");
+    let (response, _) = waiting.join().expect("the caller's thread ends");
+
+    let response = response.expect("an answer");
+    assert_eq!(response.status, 200);
+    assert!(response.complete);
+    assert_eq!(bed.runs("waiting").len(), 1);
+    let log = bed.nodes[waiting_node].log();
+    let placed = log
+        .lines()
+        .filter(|line| line.contains("\"waiting\"") && line.contains("\"placed\""));
+    for line in placed {
+        assert!(
+            !line.contains(&format!("\"decided_by\":\"vm-{owner}\"")),
+            "decided by the stopping owner: {line}"
+        );
+    }
+    let alone = log
+        .lines()
+        .any(|line| line.contains("owner of placement passed over") && line.contains("answered 5"));
+    assert!(alone, "the stopping owner did not turn the prompt away");
+    assert!(bed.nodes[owner].exited_cleanly(GRACE));
+}
+
 #[test]
 fn a_prompt_that_waits_for_a_retry_at_a_stop_is_answered_as_possibly_run() {
     let mut bed = start_bed(3);
