Take no target from a record with the address or name of none

Report of other operators: odd entries among those of the replicas, very deep, with numbers too large or a port out of range, ended the machines that read the list, or they stopped following it.

Callers here saw: 503 for look-ups while such records exist. No node ended or stopped following: the JSON decoder bounds the depth of what it decodes, skips the rest without recursion, refuses numbers out of range, and durations are clamped.

Cause: a port of 0, and an address of no single host (0.0.0.0, multicast, broadcast) decode as an address, so that such a record named a usable target; each request lost its attempts there. A key that is no header value was a name under which the target could not be asked to answer itself.

Also: one malformed item made a whole page of the newest records unreadable (bytes that are not UTF-8 in a key, an unpaired surrogate). The store encodes these items, so this was not seen; a node that starts on such a page would never have a target. Items are decoded one by one now.

records::odd_entries_among_the_targets_end_no_node_and_name_no_target failed on (503 for the first look-up) and passes; adapter::a_malformed_record_on_a_page_of_the_store_hides_no_other_record is new.

--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -1,7 +1,7 @@
 //! Decoders of the store's records: configuration, failure domains out of service, targets.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -284,11 +284,22 @@
             });
         }
     };
-    let address: SocketAddr = body.address.parse().map_err(|_| RecordError::Unknown {
-        key: key.to_owned(),
-        field: "address",
-        value: body.address.clone(),
-    })?;
+    let address: Option<SocketAddr> = body.address.parse().ok();
+    let address = address
+        .filter(is_host_address)
+        .ok_or_else(|| RecordError::Unknown {
+            key: key.to_owned(),
+            field: "address",
+            value: body.address.clone(),
+        })?;
+    // Requests name their target in a header.
+    if key.is_empty() || !key.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(RecordError::Unknown {
+            key: key.escape_debug().to_string(),
+            field: "key",
+            value: key.escape_debug().to_string(),
+        });
+    }
     Ok(TargetRecord {
         name: TargetName::new(key),
         service: body.service,
@@ -302,6 +313,13 @@
     })
 }
 
+/// Whether a process on one host can listen at an address.
+fn is_host_address(address: &SocketAddr) -> bool {
+    let ip = address.ip();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
+
 fn decode_json<T: for<'de> Deserialize<'de>>(key: &str, value: &[u8]) -> Result<T> {
     serde_json::from_slice(value).map_err(|source| RecordError::Malformed {
         key: key.to_owned(),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -7,6 +7,7 @@
 use base64::engine::general_purpose::STANDARD;
 use futures_util::StreamExt;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use thiserror::Error;
 
 use crate::fleet::feed::{KeyedItem, LogPosition, TopicSnapshot};
@@ -79,8 +80,9 @@
 }
 
 #[derive(Debug, Deserialize)]
-struct NewestPage {
-    items: Vec<NewestItem>,
+struct NewestPage<'a> {
+    #[serde(borrow)]
+    items: Vec<&'a RawValue>,
     has_more: bool,
     end: u64,
 }
@@ -132,11 +134,7 @@
             let response = self
                 .fetch("log-newest", &url, Duration::ZERO, CALL_TIMEOUT)
                 .await?;
-            let page: NewestPage =
-                serde_json::from_slice(&response.body).map_err(|error| StoreError::Unreadable {
-                    call: "log-newest",
-                    reason: error.to_string(),
-                })?;
+            let page = decode_newest_page(&response.body)?;
             let era = response.era;
             check_era("log-newest", era, known_era)?;
             // The topic may change between pages. A reader that continues at the end offset of
@@ -148,23 +146,14 @@
             if snapshot_end.era != era {
                 return Err(StoreError::Expired);
             }
-            last_key = page.items.last().map(|item| item.key.clone());
-            for item in page.items {
-                let value =
-                    STANDARD
-                        .decode(&item.value)
-                        .map_err(|error| StoreError::Unreadable {
-                            call: "log-newest",
-                            reason: error.to_string(),
-                        })?;
-                items.push(KeyedItem {
-                    key: item.key,
-                    position: LogPosition::after(era, item.offset),
-                    value: Some(value),
-                    lapsed: false,
-                    carried_over: false,
-                });
-            }
+            last_key = page.records.last().map(|record| record.key.clone());
+            items.extend(page.records.into_iter().map(|record| KeyedItem {
+                key: record.key,
+                position: LogPosition::after(era, record.offset),
+                value: Some(record.value),
+                lapsed: false,
+                carried_over: false,
+            }));
             if !page.has_more || last_key.is_none() {
                 return Ok(TopicSnapshot {
                     items,
@@ -245,6 +234,72 @@
     }
 }
 
+/// A page of the newest records of a topic.
+#[derive(Debug, PartialEq)]
+pub struct NewestRecords {
+    /// The records in the order of their keys; malformed ones are left out.
+    pub records: Vec<NewestRecord>,
+    /// Whether further keys follow.
+    pub has_more: bool,
+    /// Offset after the topic's last record.
+    pub end: u64,
+}
+
+/// The newest record of a key.
+#[derive(Debug, PartialEq)]
+pub struct NewestRecord {
+    /// Its key.
+    pub key: String,
+    /// Its value as the writer encoded it.
+    pub value: Vec<u8>,
+    /// Its offset in the topic.
+    pub offset: u64,
+}
+
+/// Decodes a page of the newest records of a topic. Anyone may have written a key that JSON does not
+/// represent, so that bytes which are not UTF-8 are replaced and malformed records left out.
+///
+/// # Errors
+///
+/// Fails when the bytes are not JSON with the fields of a page.
+///
+/// ```
+/// use plantainnotch::platform::store::decode_newest_page;
+/// let body = br#"{"items":[{"key":"a","value":"eA==","offset":3},{"key":7}],"has_more":false,"end":9}"#;
+/// let page = decode_newest_page(body).unwrap();
+/// assert_eq!((page.records.len(), page.records[0].value.as_slice()), (1, &b"x"[..]));
+/// ```
+pub fn decode_newest_page(body: &[u8]) -> Result<NewestRecords> {
+    let text = String::from_utf8_lossy(body);
+    let page: NewestPage<'_> =
+        serde_json::from_str(&text).map_err(|error| StoreError::Unreadable {
+            call: "log-newest",
+            reason: error.to_string(),
+        })?;
+    let decode = |item: &RawValue| {
+        let item: NewestItem = serde_json::from_str(item.get()).ok()?;
+        let value = STANDARD.decode(&item.value).ok()?;
+        Some(NewestRecord {
+            key: item.key,
+            value,
+            offset: item.offset,
+        })
+    };
+    let records: Vec<NewestRecord> = page.items.iter().filter_map(|item| decode(item)).collect();
+    let left_out = page.items.len() - records.len();
+    if left_out > 0 {
+        tracing::warn!(
+            left_out,
+            "malformed records of the store ignored; remove them"
+        );
+    }
+    Ok(NewestRecords {
+        records,
+        has_more: page.has_more,
+        end: page.end,
+    })
+}
+
 /// Decodes the era that a response names; a store that names none never came back older.
 fn decode_era(call: &'static str, header: Option<&HeaderValue>) -> Result<u64> {
     let Some(value) = header else {
--- a/tests/core/adapter.rs
+++ b/tests/core/adapter.rs
@@ -11,7 +11,7 @@
     encode_target_headers,
 };
 use plantainnotch::platform::settings::parse_settings;
-use plantainnotch::platform::store::{decode_records_after, encode_item};
+use plantainnotch::platform::store::{decode_newest_page, decode_records_after, encode_item};
 use plantainnotch::policy::retry_share::RetryShare;
 use plantainnotch::policy::target_choice::{TargetCandidate, TargetHealth, rank_targets};
 
@@ -362,3 +362,39 @@
         Some(&&target_a)
     );
 }
+
+#[test]
+fn a_malformed_record_on_a_page_of_the_store_hides_no_other_record() {
+    let deep = format!("{}0{}", "[".repeat(100_000), "]".repeat(100_000));
+    let odd_items = [
+        deep.clone(),
+        format!("{{\"key\":\"x\",\"value\":\"eA==\",\"offset\":1,\"more\":{deep}}}"),
+        "{\"key\":\"x\",\"value\":\"not base64!\",\"offset\":1}".to_owned(),
+        "{\"key\":\"\\ud800\",\"value\":\"eA==\",\"offset\":1}".to_owned(),
+        "{\"key\":\"x\",\"value\":\"eA==\",\"offset\":1e400}".to_owned(),
+        "{\"key\":\"x\",\"value\":\"eA==\",\"offset\":-1}".to_owned(),
+        "null".to_owned(),
+    ];
+    for odd in odd_items {
+        let body = format!(
+            "{{\"items\":[{{\"key\":\"a\",\"value\":\"eA==\",\"offset\":3}},{odd},{{\"key\":\"b\",\"value\":\"\",\"offset\":4}}],\"has_more\":false,\"end\":5}}"
+        );
+        let page = decode_newest_page(body.as_bytes()).expect("the page is readable");
+        let keys: Vec<&str> = page
+            .records
+            .iter()
+            .map(|record| record.key.as_str())
+            .collect();
+        assert!(
+            keys.starts_with(&["a"]) && keys.ends_with(&["b"]),
+            "{keys:?}"
+        );
+    }
+    let mut bytes = b"{\"items\":[{\"key\":\"a".to_vec();
+    bytes.push(0xff);
+    bytes.extend(b"\",\"value\":\"eA==\",\"offset\":3}],\"has_more\":false,\"end\":5}");
+    assert_eq!(
+        decode_newest_page(&bytes).expect("readable").records.len(),
+        1
+    );
+}
--- a/tests/platform/records.rs
+++ b/tests/platform/records.rs
@@ -289,3 +289,124 @@
         logged("store answers again", "unread_ms")
     });
 }
+
+/// Values that another writer may leave among the records of targets: very deep, with numbers or ports
+/// out of range, or no JSON. The ones without `state` name no target at all.
+fn odd_values() -> Vec<Vec<u8>> {
+    let nested = |open: &str, close: &str| {
+        let (open, close) = (open.repeat(100_000), close.repeat(100_000));
+        format!("{open}0{close}")
+    };
+    let record = |field: &str, value: &str| {
+        let mut fields = vec![
+            ("service", "\"records\"".to_owned()),
+            ("address", "\"127.0.0.1:9\"".to_owned()),
+            ("zone", "\"domain-0\"".to_owned()),
+            ("slots", "16".to_owned()),
+            ("state", "\"ready\"".to_owned()),
+            ("warmup_left_ms", "0".to_owned()),
+            ("sequence", "1".to_owned()),
+            ("born", "1".to_owned()),
+        ];
+        fields.retain(|(name, _)| *name != field);
+        fields.push((field, value.to_owned()));
+        let fields: Vec<String> = fields
+            .into_iter()
+            .map(|(name, value)| format!("\"{name}\":{value}"))
+            .collect();
+        format!("{{{}}}", fields.join(","))
+    };
+    let mut values = vec![
+        nested("[", "]"),
+        nested("{\"a\":", "}"),
+        nested("[", ""),
+        record("state", "\"sideways\""),
+        record("state", "null"),
+        "{".to_owned(),
+        "null".to_owned(),
+        "\u{0}".to_owned(),
+    ];
+    for field in [
+        "service",
+        "address",
+        "zone",
+        "slots",
+        "warmup_left_ms",
+        "sequence",
+        "born",
+    ] {
+        values.push(record(field, &nested("[", "]")));
+        values.push(record(field, "null"));
+    }
+    for number in [
+        "-1",
+        "1e400",
+        "-1e400",
+        "1e308",
+        "18446744073709551616",
+        "1.5",
+        &"9".repeat(400),
+    ] {
+        for field in ["slots", "sequence", "born"] {
+            values.push(record(field, number));
+        }
+    }
+    values.push(record("warmup_left_ms", "1e400"));
+    for port in ["0", "65536", "99999999999999999999", "-1", "", "9x"] {
+        values.push(record("address", &format!("\"127.0.0.1:{port}\"")));
+    }
+    for address in [
+        "0.0.0.0:9",
+        "255.255.255.255:9",
+        "224.0.0.1:9",
+        "[::]:9",
+        "localhost:9",
+        "127.0.0.1",
+    ] {
+        values.push(record("address", &format!("\"{address}\"")));
+    }
+    let mut values: Vec<Vec<u8>> = values.into_iter().map(String::into_bytes).collect();
+    values.push(vec![0xff, 0xfe, 0x00]);
+    values
+}
+
+#[test]
+fn odd_entries_among_the_targets_end_no_node_and_name_no_target() {
+    let mut bed = TestBed::start(2);
+    for (index, value) in odd_values().iter().enumerate() {
+        bed.store
+            .put("keyed.servers", &format!("odd-{index}"), value);
+    }
+    let sound_value = bed.replicas[0].record(bed.replicas[0].address, "ready");
+    for key in ["", "a\nb", "a b", "\u{e9}", "\u{1f980}", &"k".repeat(255)] {
+        let mut value = sound_value.clone();
+        value["service"] = json!("nothing");
+        value["other"] = json!([[0]]);
+        bed.store
+            .put("keyed.servers", key, value.to_string().as_bytes());
+    }
+    // Both the follower of the topic and a node that starts on it are to pass the entries.
+    bed.nodes[1].restart();
+    bed.nodes[1].wait_ready();
+
+    // A later change of a sound target takes effect on both.
+    bed.put_target(3, "draining");
+    bed.put_target(4, "draining");
+    std::thread::sleep(Duration::from_millis(1_200));
+
+    for request in 0..30 {
+        let id = format!("beside-odd-{request}");
+        let response = bed.lookup(request % 2, &id).expect("a response");
+        assert_eq!(response.status, 200, "{id}");
+        let runs = bed.runs(&id);
+        assert!(runs.iter().all(|run| run.target == "replica-2"), "{runs:?}");
+    }
+    for node in &mut bed.nodes {
+        assert!(!node.has_ended(), "a node ended");
+        let log = node.log();
+        let odd_used = log
+            .lines()
+            .find(|line| line.contains("\"replica\":\"odd-") || line.contains("to 127.0.0.1:9"));
+        assert!(odd_used.is_none(), "{odd_used:?}");
+    }
+}
