Send a request on no connection that carried the same id before

Report of other operators: a faulty replica wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that had run, or these ran at a second replica.

Callers here saw: a certificate request that came again with its id ran three times (/issue, replicas that send a connection's first refusal again before each later response).

Cause: a response is told from one to another request by the id that it echoes. When the same id comes again on the same kept connection, the refusal of its first attempt matches: the request counts as not run, is sent to the next replica, and runs at each. The same holds for requests without an id. Refusals of other ids were recognised, and answered 502.

A connection now remembers the ids of the requests that it carried, and is not taken for one of them again; after 4,096 requests it is not pooled any more. This holds for connections to other VMs, too. Orders and probes have no id; their responses promise nothing to callers.

answers::an_earlier_refusal_that_comes_once_more_is_not_taken_for_an_answer failed on ("/issue/7 one ran 3 times") and passes now, as do the other tests of answers.rs.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -186,7 +186,7 @@
     plan: &AttemptPlan<'_>,
 ) -> AttemptOutcome {
     let now = node.now();
-    let (mut connection, is_new) = match connect(node, plan, now).await {
+    let (mut connection, is_new) = match connect(node, caller, plan, now).await {
         Ok(connected) => connected,
         Err(error) => {
             node.record_exchange_failure(&plan.target.name, &error);
@@ -210,7 +210,8 @@
     );
     let head = target_request_head(caller.method.clone(), caller.uri.clone(), headers);
     caller.count_possible_run();
-    let exchange = connection.exchange(head, &caller.body);
+    let id = Some(caller.parsed_headers.id.as_str());
+    let exchange = connection.exchange(id, head, &caller.body);
     match watch_silence(node, &plan.target.name, exchange).await {
         Ok(head) => {
             if is_new {
@@ -233,14 +234,16 @@
 /// Returns a connection to the target, and whether it is new.
 async fn connect(
     node: &Rc<NodeState>,
+    caller: &CallerRequest,
     plan: &AttemptPlan<'_>,
     now: Instant,
 ) -> Result<(TargetConnection, bool), ExchangeError> {
     let address = plan.target.address;
+    let id = Some(caller.parsed_headers.id.as_str());
     let pooled = node
         .connection_pool
         .borrow_mut()
-        .take(address, plan.max_idle, now);
+        .take(address, id, plan.max_idle, now);
     if let Some(connection) = pooled {
         return Ok((connection, false));
     }
--- a/src/node/carrying.rs
+++ b/src/node/carrying.rs
@@ -216,8 +216,9 @@
     );
     let head = target_request_head(caller.method.clone(), caller.uri.clone(), headers);
     let time_left = caller.time_left(now);
+    let id = Some(caller.parsed_headers.id.as_str());
     caller.count_possible_run();
-    let exchanged = timeout(time_left, connection.exchange(head, &caller.body)).await;
+    let exchanged = timeout(time_left, connection.exchange(id, head, &caller.body)).await;
     let head = match exchanged {
         Ok(Ok(head)) => head,
         Ok(Err(error)) => {
@@ -264,10 +265,11 @@
         NON_IDEMPOTENT_MAX_IDLE
     };
     let (address, now) = (carrier.caller_address, node.now());
+    let id = Some(caller.parsed_headers.id.as_str());
     let pooled = node
         .connection_pool
         .borrow_mut()
-        .take(address, max_idle, now);
+        .take(address, id, max_idle, now);
     match pooled {
         Some(connection) => Ok(connection),
         None => open_connection(address, None, now).await,
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -2,7 +2,7 @@
 //! be left.
 
 use std::cell::Cell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::time::{Duration, Instant};
 
@@ -16,11 +16,13 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder, Encoder};
+use xxhash_rust::xxh3::xxh3_64;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300); // domains are a few ms apart; a dead host never answers
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(4); // for targets that send no keep-alive limit
 const IDLE_LIMIT_MARGIN: Duration = Duration::from_millis(700); // a target may close before the limit that it sent
 const MAX_IDLE_PER_TARGET: usize = 6;
+const MAX_REQUESTS_PER_CONNECTION: usize = 4_096; // whose ids it remembers
 const INITIAL_BUFFER_BYTES: usize = 16 * 1024;
 const MAX_HEAD_BYTES: usize = 32 * 1024; // of one response, interim heads included
 const MAX_INTERIM_HEADS: usize = 8; // of one response; each takes as much time to decode as a final one
@@ -140,6 +142,9 @@
     stream: TcpStream,
     received: BytesMut,
     state: ResponseState,
+    /// Hashes of the ids of all requests that were sent on it. A faulty target may send an earlier
+    /// response again, which only the id tells from the response to a later request.
+    sent_ids: HashSet<u64>,
     /// Bytes of the body's content returned so far.
     content_bytes: usize,
     /// Bytes of the body as received, with its framing.
@@ -184,6 +189,7 @@
             stream,
             received: BytesMut::with_capacity(INITIAL_BUFFER_BYTES),
             state: ResponseState::Done,
+            sent_ids: HashSet::new(),
             content_bytes: 0,
             body_bytes: 0,
             until_close: false,
@@ -202,13 +208,22 @@
         )
     }
 
-    /// Sends a request and reads the head of its response.
+    /// Sends a request and reads the head of its response. `request_id` is the id that the response
+    /// must have, or `None` for requests without one.
     ///
     /// # Errors
     ///
     /// Fails when the connection fails or the bytes are not an HTTP response; the request may
     /// have been executed.
-    pub async fn exchange(&mut self, head: RequestHead, body: &Bytes) -> Result<ResponseHead> {
+    pub async fn exchange(
+        &mut self,
+        request_id: Option<&str>,
+        head: RequestHead,
+        body: &Bytes,
+    ) -> Result<ResponseHead> {
+        if let Some(id) = request_id {
+            self.sent_ids.insert(xxh3_64(id.as_bytes()));
+        }
         let mut codec = ClientCodec::default();
         let mut out = BytesMut::with_capacity(1024 + body.len());
         let size = match body.len() {
@@ -374,6 +389,7 @@
             && self.request_fully_sent
             && !self.until_close
             && self.idle_limit.is_some()
+            && self.sent_ids.len() < MAX_REQUESTS_PER_CONNECTION
             && self.received.is_empty()
             && self.has_no_input()
     }
@@ -451,15 +467,21 @@
 }
 
 impl ConnectionPool {
-    /// Takes the newest connection that was idle for less than `max_idle` and its own limit.
+    /// Takes the newest connection that was idle for less than `max_idle` and its own limit, and on
+    /// which no request with `request_id` was sent before.
     pub fn take(
         &mut self,
         address: SocketAddr,
+        request_id: Option<&str>,
         max_idle: Duration,
         now: Instant,
     ) -> Option<TargetConnection> {
         let idle_connections = self.idle.get_mut(&address)?;
-        while let Some(connection) = idle_connections.pop() {
+        let id = request_id.map(|id| xxh3_64(id.as_bytes()));
+        let is_unused =
+            |connection: &TargetConnection| id.is_none_or(|id| !connection.sent_ids.contains(&id));
+        while let Some(index) = idle_connections.iter().rposition(is_unused) {
+            let connection = idle_connections.remove(index);
             let idle_for = now.saturating_duration_since(connection.idle_since);
             let idle_limit = connection.idle_limit.unwrap_or_default().min(max_idle);
             if idle_for < idle_limit && connection.has_no_input() {
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -692,10 +692,10 @@
 ) -> Result<(), String> {
     let send = async {
         let now = node.now();
-        let pooled = node
-            .connection_pool
-            .borrow_mut()
-            .take(target.address, ENGINE_MAX_IDLE, now);
+        let pooled =
+            node.connection_pool
+                .borrow_mut()
+                .take(target.address, None, ENGINE_MAX_IDLE, now);
         let mut connection = match pooled {
             Some(connection) => connection,
             None => {
@@ -707,7 +707,7 @@
         };
         let head = reservation_request_head(target);
         let body = Bytes::from(body);
-        let exchanged = connection.exchange(head, &body).await;
+        let exchanged = connection.exchange(None, head, &body).await;
         let response_head = exchanged.map_err(|error| error.to_string())?;
         let parsed_headers = decode_response_headers(&response_head.headers);
         if parsed_headers.leaving {
--- a/src/node/paths.rs
+++ b/src/node/paths.rs
@@ -79,7 +79,7 @@
         headers.insert(header::HOST, host);
     }
     let head = target_request_head(Method::GET, Uri::from_static(REPORT_PATH), headers);
-    connection.exchange(head, &Bytes::new()).await?;
+    connection.exchange(None, head, &Bytes::new()).await?;
     connection.read_body(&node.body_budget).await?;
     Ok(connection)
 }
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -222,3 +222,54 @@
     assert!(response.is_none_or(|response| response.status == 413));
     assert!(bed.runs("large").is_empty());
 }
+
+/// Statuses by which callers take a request for not run, now or later.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// Sends a non-idempotent request and checks that it runs at most once more, and not at all if the
+/// response promises so. Returns whether it ran.
+fn runs_at_most_once(bed: &TestBed, request: &CallerRequest) -> bool {
+    let runs_before = bed.runs(&request.id).len();
+
+    let response = send(bed.node_configs[0].callers, request);
+
+    // A target may begin to run a request while the response is under way.
+    std::thread::sleep(Duration::from_millis(60));
+    let runs = bed.runs(&request.id).len() - runs_before;
+    let status = response.map_or(0, |response| response.status);
+    let (id, path) = (&request.id, &request.path);
+    assert!(runs <= 1, "{path} {id} ran {runs} times");
+    assert!(
+        runs == 0 || !PROMISES.contains(&status),
+        "{path} {id} has run, and its caller got {status}"
+    );
+    runs > 0
+}
+
+#[test]
+fn an_earlier_refusal_that_comes_once_more_is_not_taken_for_an_answer() {
+    for path in ["/issue/7", "/single/a"] {
+        for ids in [["one", "one"], ["one", "other"], ["", ""]] {
+            let bed = TestBed::start(1);
+            let new_request = |id: &str| {
+                let mut request = bed.stream(id, path);
+                request.deadline = Duration::from_secs(3);
+                request
+            };
+            runs_at_most_once(&bed, &new_request("before"));
+            bed.set_replicas(TargetMode::RepeatsRefusal);
+            bed.set_engines(TargetMode::RepeatsRefusal);
+
+            let mut ran = false;
+            for round in 0..3 {
+                for id in ids {
+                    let unique = format!("{id}-{round}");
+                    let id = if id == "other" { &unique } else { id };
+                    ran |= runs_at_most_once(&bed, &new_request(id));
+                }
+            }
+
+            assert!(ran, "{path} {ids:?}: no request ran");
+        }
+    }
+}
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -3,15 +3,20 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
+static NEXT_CONNECTION: AtomicU64 = AtomicU64::new(1);
+
 /// A request as the server received it.
 #[derive(Debug, Clone)]
 pub struct ReceivedRequest {
+    /// Number of the connection that it came on, unique in the process.
+    pub connection: u64,
     pub method: String,
     pub path: String,
     pub headers: BTreeMap<String, String>,
@@ -78,8 +83,9 @@
     F: Future<Output = ()> + Send + 'static,
 {
     stream.set_nodelay(true).ok();
+    let connection = NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed);
     let mut buffer = Vec::new();
-    while let Some(request) = read_request(&mut stream, &mut buffer).await {
+    while let Some(request) = read_request(&mut stream, connection, &mut buffer).await {
         let (sender, mut steps) = mpsc::channel(1);
         let task = tokio::spawn(handler(request, sender));
         loop {
@@ -134,7 +140,11 @@
     matches!(stream.read_buf(buffer).await, Ok(0) | Err(_))
 }
 
-async fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<ReceivedRequest> {
+async fn read_request(
+    stream: &mut TcpStream,
+    connection: u64,
+    buffer: &mut Vec<u8>,
+) -> Option<ReceivedRequest> {
     let head_end = loop {
         if let Some(end) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
             break end + 4;
@@ -163,6 +173,7 @@
     let body = buffer[head_end..head_end + length].to_vec();
     buffer.drain(..head_end + length);
     Some(ReceivedRequest {
+        connection,
         method,
         path,
         headers,
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -27,6 +27,12 @@
     Truncates,
     /// Sends each response twice.
     AnswersTwice,
+    /// Refuses a connection's first request without running it, and sends that refusal once more
+    /// before the response to each later request on the connection.
+    RepeatsRefusal,
+    /// Runs requests and responds with this status and the seal, but does not state whether it ran
+    /// them.
+    RunsAndAnswers(u16),
     /// Sends responses without a length and closes the connection in order.
     Unframed,
     /// Sends part of a response without a length and resets the connection.
@@ -188,6 +194,8 @@
     leaving: Arc<AtomicBool>,
     /// Milliseconds in the `Retry-After` of its refusals, 0 for none.
     retry_after_ms: Arc<AtomicU64>,
+    /// The refusals that [`TargetMode::RepeatsRefusal`] sent, by connection.
+    sent_refusals: Arc<Mutex<BTreeMap<u64, Vec<u8>>>>,
     /// Requests a second that its responses name as its limit, if any.
     rate_limit: Arc<Mutex<Option<f64>>>,
     ledger: SharedRunLedger,
@@ -225,6 +233,7 @@
             proxy: Arc::default(),
             leaving: Arc::default(),
             retry_after_ms: Arc::default(),
+            sent_refusals: Arc::default(),
             rate_limit: Arc::default(),
             ledger,
         };
@@ -428,6 +437,18 @@
                 .ok();
             return;
         }
+        if mode == TargetMode::RepeatsRefusal {
+            match self.earlier_refusal(&request, &id) {
+                Ok(refusal) => {
+                    steps.send(ResponseStep::Write(refusal)).await.ok();
+                }
+                Err(refusal) => {
+                    self.record_refusal(&id);
+                    steps.send(ResponseStep::Write(refusal)).await.ok();
+                    return;
+                }
+            }
+        }
         self.record_run(&request, &id);
         if let Some(delay) = self.crash_delay(&request.path) {
             tokio::spawn(self.clone().crash_after(delay));
@@ -441,7 +462,12 @@
         };
         if let TargetMode::Endless(part, pace) = mode {
             self.send_endless(&id, part, pace, &steps).await;
-        } else if self.is_engine && !matches!(mode, TargetMode::Fails | TargetMode::Hangs) {
+        } else if self.is_engine
+            && !matches!(
+                mode,
+                TargetMode::Fails | TargetMode::Hangs | TargetMode::RunsAndAnswers(_)
+            )
+        {
             self.send_stream(&request, &id, mode, &steps).await;
         } else {
             self.send_plain(&id, mode, &steps).await;
@@ -449,6 +475,28 @@
         guard.completed = true;
     }
 
+    /// The refusal that was sent on the connection before, or as an error the one to send now.
+    fn earlier_refusal(&self, request: &ReceivedRequest, id: &str) -> Result<Vec<u8>, Vec<u8>> {
+        let headers = [
+            ("x-plantainnotch-request-id", id),
+            ("x-plantainnotch-not-executed", "1"),
+        ];
+        let refusal = encode_response(503, &headers, b"");
+        let mut sent = self
+            .sent_refusals
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        match sent.get(&request.connection) {
+            Some(earlier) => Ok(earlier.clone()),
+            // Only the first connection is refused, so that requests are served at all.
+            None if !sent.is_empty() => Ok(Vec::new()),
+            None => {
+                sent.insert(request.connection, refusal.clone());
+                Err(refusal)
+            }
+        }
+    }
+
     fn record_refusal(&self, id: &str) {
         let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
         let refusal = (self.id.clone(), id.to_owned(), Instant::now());
@@ -519,9 +567,13 @@
             TargetMode::Fails => vec![ResponseStep::Write(encode_response(
                 500, &headers, b"failed",
             ))],
+            TargetMode::RunsAndAnswers(status) => vec![ResponseStep::Write(encode_response(
+                status, &headers, b"failed",
+            ))],
             TargetMode::Healthy
             | TargetMode::Full
             | TargetMode::Early
+            | TargetMode::RepeatsRefusal
             | TargetMode::UnframedInsideEvent
             | TargetMode::UnframedEmpty
             | TargetMode::Endless(..) => vec![ResponseStep::Write(whole)],
