Forward no status that promises not to have run unless the target states it

Callers saw: 408, 429 or 503 for a non-idempotent request that had run, when a target responded so with its seal and without the header that states that it did not run the request.

Cause: such a response was forwarded as the target's own. Callers take these statuses for a promise, and may send the request again. Idempotent requests are tried elsewhere, as before.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -315,6 +315,12 @@
             reached_target: true,
         };
     }
+    if !caller.route.rerun_policy.allows_rerun() && promises_not_run(head.status) {
+        return AttemptOutcome::Unknown {
+            reason: format!("target answered {status} without stating that it did not run it"),
+            connection_lost: false,
+        };
+    }
     // Targets set the seal header on responses of their own and never encode the body; another
     // success may come from something else at their address.
     let success = head.status.is_success();
@@ -342,6 +348,17 @@
     }))
 }
 
+/// Whether callers take a status for the promise that the request has not run and never will.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Discards the rest of a response so that its connection can be reused.
 async fn drain_body(node: &Rc<NodeState>, mut connection: TargetConnection) {
     let read = async {
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -273,3 +273,20 @@
         }
     }
 }
+
+#[test]
+fn a_request_that_has_run_is_not_answered_with_a_status_that_promises_otherwise() {
+    let bed = TestBed::start(1);
+    for status in [408, 429, 503] {
+        bed.set_replicas(TargetMode::RunsAndAnswers(status));
+        bed.set_engines(TargetMode::RunsAndAnswers(status));
+        for path in ["/issue/7", "/single/a"] {
+            let mut request = bed.stream(&format!("promised-{status}"), path);
+            request.deadline = Duration::from_secs(3);
+
+            let ran = runs_at_most_once(&bed, &request);
+
+            assert!(ran, "{path}: the request did not run");
+        }
+    }
+}
