Continue a broken stream only with the events of another one

Report of other operators: a stream broke off, the next replica answered with an error, and callers found the error's text in the middle of their stream, or the stream ended as if it were complete.

Callers here saw: a stream of 8 events that broke off after 3 and then ended as complete with "error: out of memory" as its last lines. An error status was not taken for a continuation, and no head of a response ever got into a stream, since each is decoded on its own connection.

Cause: any response with a success status counted as the rest of the stream: a text or JSON body, an event without an id, status 204, a response without an event. Bytes that end in an empty line passed as an event, and the end of a response as the end of the stream.

A stream is now resumed only by status 200 of type text/event-stream, through another VM too; an event without an id, other than a comment, breaks a resumed stream off, and so does a response that ends without any event, as it is not known whether the broken source had sent its last one. The caller may resume such a stream itself.

--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use actix_http::header;
+use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
 use tokio::time::{sleep, timeout};
@@ -23,6 +25,7 @@
 const EVENT_TIMEOUT_SHARE: f64 = 0.7; // of the time after which the caller gives up; the rest is left to resume elsewhere
 const LOST_PATH_GAPS: f64 = 2.0; // longest gaps after which the paths are checked and, once they are lost, a stream moves to another VM
 const MAX_EVENT_BYTES: usize = 32 * 1024; // of an event with an id, and all that precedes it
+const EVENT_STREAM: &str = "text/event-stream";
 
 /// The error with which a stream ends early, so that the caller sees that it is incomplete.
 #[derive(Debug, Error)]
@@ -48,6 +51,14 @@
     pub bytes: Bytes,
 }
 
+impl StreamEvent {
+    /// Whether it has comment lines only, which callers ignore.
+    fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| line.is_empty() || line == b"\r" || line.starts_with(b":"))
+    }
+}
+
 impl EventBuffer {
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
@@ -174,6 +185,8 @@
     runs: u32,
     /// Events with an id that were passed to the caller.
     numbered_events: u64,
+    /// Those of them that the present source sent.
+    source_events: u64,
     /// Bytes received since the last event with an id.
     bytes_since_event: usize,
     first_event_at: Instant,
@@ -205,6 +218,7 @@
             resumed: false,
             runs,
             numbered_events: 0,
+            source_events: 0,
             bytes_since_event: 0,
             first_event_at,
             last_event_at: first_event_at,
@@ -242,6 +256,9 @@
     /// measures the time since the last one and renews the helpers' reservations.
     fn accept_event(&mut self, event: StreamEvent) -> Result<Option<Bytes>, String> {
         let Some(id) = event.id else {
+            if self.resumed && !event.is_comment() {
+                return Err("an event without an id does not continue the stream".to_owned());
+            }
             return Ok(Some(event.bytes));
         };
         if let Some(last) = self.last_event_id {
@@ -254,6 +271,7 @@
         }
         self.last_event_id = Some(id);
         self.numbered_events += 1;
+        self.source_events += 1;
         if self.numbered_events == 1
             && let Some(target) = self
                 .stream
@@ -334,6 +352,10 @@
                 report_lost(&self.node, &self.caller, &stream.source);
                 Err(ENDED_BEFORE_FIRST_EVENT.to_owned())
             }
+            // Whether the broken source had sent its last event is not known.
+            Ok(Ok(None)) if self.resumed && self.source_events == 0 => {
+                Err("the resumed response ended without an event".to_owned())
+            }
             Ok(Ok(None)) => Ok(ReadOutcome::End),
             Ok(Err(error)) => {
                 if self.numbered_events == 0 && error.is_lost_connection() {
@@ -447,6 +469,13 @@
             .await
     }
 
+    /// Prepares for the events of another source.
+    fn begin_resumed(&mut self) {
+        self.resumed = true;
+        self.source_events = 0;
+        self.bytes_since_event = 0;
+    }
+
     fn overdue_reason(&self) -> String {
         let reason = if self.caller.deadline_at <= self.node.now() {
             "the request's time is over"
@@ -466,9 +495,8 @@
         let sent = carrying::send(&self.node, &self.caller, self.runs, self.last_event_id).await;
         self.runs = self.caller.route.max_attempts.max(self.runs + 1);
         let response = sent.map_err(|error| format!("{failure}; {}", error.reason))?;
-        if !response.head.status.is_success() {
-            let status = response.head.status;
-            return Err(format!("{failure}; not resumed: status {status}"));
+        if !is_event_stream(&response.head) {
+            return Err(format!("{failure}; {}", not_resumed(&response.head)));
         }
         tracing::info!(
             id = self.caller.parsed_headers.id,
@@ -477,7 +505,7 @@
             carrier = %response.vm,
             "stream resumed through another VM"
         );
-        self.resumed = true;
+        self.begin_resumed();
         self.stream = Some(TargetStream {
             connection: response.connection,
             source: StreamSource::Carrier {
@@ -545,10 +573,10 @@
             sent.ok_or_else(|| format!("{failure}; no answer in time"))?;
         match outcome {
             AttemptOutcome::Responded(target_response)
-                if target_response.head.status.is_success() =>
+                if is_event_stream(&target_response.head) =>
             {
                 job.report_first_event();
-                self.resumed = true;
+                self.begin_resumed();
                 self.stream = Some(TargetStream {
                     connection: target_response.connection,
                     source: StreamSource::Target {
@@ -560,10 +588,9 @@
                 });
                 Ok(())
             }
-            AttemptOutcome::Responded(target_response) => Err(format!(
-                "{failure}; not resumed: status {}",
-                target_response.head.status
-            )),
+            AttemptOutcome::Responded(target_response) => {
+                Err(format!("{failure}; {}", not_resumed(&target_response.head)))
+            }
             AttemptOutcome::NotRun { reason, .. } | AttemptOutcome::Unknown { reason, .. } => {
                 Err(format!("{failure}; {reason}"))
             }
@@ -571,6 +598,24 @@
     }
 }
 
+/// Whether a response to a request to resume a stream may continue it.
+fn is_event_stream(head: &ResponseHead) -> bool {
+    let content_type = head.headers.get(header::CONTENT_TYPE);
+    let media_type = content_type
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.split(';').next());
+    head.status == StatusCode::OK
+        && media_type.is_some_and(|text| text.trim().eq_ignore_ascii_case(EVENT_STREAM))
+}
+
+fn not_resumed(head: &ResponseHead) -> String {
+    let content_type = head.headers.get(header::CONTENT_TYPE);
+    format!(
+        "not resumed: status {}, content type {content_type:?}",
+        head.status.as_u16()
+    )
+}
+
 /// Reports a request as broken whose target lost the connection before the first event.
 fn report_lost(node: &Rc<NodeState>, caller: &CallerRequest, source: &StreamSource) {
     if let Some(target) = source.target() {
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -6,7 +6,7 @@
 
 use crate::support::bed::{TestBed, wait_until};
 use crate::support::caller::send;
-use crate::support::target::TargetMode;
+use crate::support::target::{ResumeAnswer, TargetMode};
 
 const ALL_EVENT_IDS: [u64; 8] = [1, 2, 3, 4, 5, 6, 7, 8];
 
@@ -53,6 +53,43 @@
     assert!(resumed, "no stream was resumed");
 }
 
+#[test]
+fn an_answer_that_does_not_continue_a_broken_stream_is_not_part_of_it() {
+    for answer in ResumeAnswer::ALL {
+        let bed = TestBed::start(1);
+        bed.set_engines(TargetMode::BreaksThenAnswers(answer));
+        for request in 0..3 {
+            let id = format!("continued-{answer:?}-{request}");
+
+            let stream = bed.stream(&id, "/resumable/a");
+            let response = send(bed.node_configs[0].callers, &stream).expect("a response");
+
+            if response.status != 200 {
+                // A broken engine is passed over for a moment.
+                assert_eq!(response.status, 503, "{answer:?}");
+                std::thread::sleep(Duration::from_millis(500));
+                continue;
+            }
+            assert!(!response.complete, "{answer:?}: the stream looks complete");
+            let events: String = response
+                .event_ids()
+                .iter()
+                .map(|event| format!("id: {event}\ndata: {id} {event}\n\n"))
+                .collect();
+            assert_eq!(
+                String::from_utf8_lossy(&response.body),
+                events,
+                "{answer:?}"
+            );
+            assert_eq!(response.event_ids(), ALL_EVENT_IDS[..3], "{answer:?}");
+        }
+        let resumed = bed.ledger().runs.iter().any(|run| {
+            run.id.starts_with(&format!("continued-{answer:?}-")) && run.last_event.is_some()
+        });
+        assert!(resumed, "{answer:?}: no stream was resumed");
+    }
+}
+
 #[test]
 fn streams_delimited_by_connection_close_are_complete() {
     let bed = TestBed::start(1);
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -43,12 +43,81 @@
     UnframedEmpty,
     /// Responds with an error of its own, seal included.
     Fails,
+    /// Closes the connection inside a stream, and answers a request to resume it like this.
+    BreaksThenAnswers(ResumeAnswer),
     /// Responds before it has read the body.
     Early,
     /// Sends a part of a response without end, until the connection is closed.
     Endless(EndlessPart, FloodPace),
 }
 
+/// A response, with id and seal, that is no continuation of a stream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum ResumeAnswer {
+    Error,
+    ErrorAsEvents,
+    /// Success with a text that ends like an event.
+    Text,
+    Json,
+    NoContent,
+    /// Success without any event.
+    Empty,
+    /// Success of which only the head arrives, without a length or chunks.
+    HeadOnly,
+    /// An event without an id, then the rest of the stream.
+    ErrorEvent,
+    /// The head of an error, in a stream.
+    HeadOfError,
+}
+
+impl ResumeAnswer {
+    pub const ALL: [Self; 9] = [
+        Self::Error,
+        Self::ErrorAsEvents,
+        Self::Text,
+        Self::Json,
+        Self::NoContent,
+        Self::Empty,
+        Self::HeadOnly,
+        Self::ErrorEvent,
+        Self::HeadOfError,
+    ];
+
+    fn encode(self, id: &str, seal: &str) -> Vec<u8> {
+        let events = "text/event-stream";
+        let (status, content_type, body) = match self {
+            Self::Error => (500, "text/plain", "error: out of memory"),
+            Self::ErrorAsEvents => (500, events, "id: 5\ndata: error: out of memory\n\n"),
+            Self::Text => (200, "text/plain", "error: out of memory\n\n"),
+            Self::Json => (200, "application/json", "{\"error\":\"out of memory\"}"),
+            Self::NoContent => (204, events, ""),
+            Self::Empty | Self::HeadOnly => (200, events, ""),
+            Self::ErrorEvent => (
+                200,
+                events,
+                "event: error\ndata: error\n\nid: 5\ndata: x\n\n",
+            ),
+            Self::HeadOfError => (
+                200,
+                events,
+                "HTTP/1.1 500 X\r\ncontent-length: 5\r\n\r\nerror",
+            ),
+        };
+        if self == Self::HeadOnly {
+            let head = format!(
+                "HTTP/1.1 200 X\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-replica-seal: {seal}\r\ncontent-type: {events}\r\n\r\n"
+            );
+            return head.into_bytes();
+        }
+        let headers = [
+            ("x-plantainnotch-request-id", id),
+            ("x-plantainnotch-replica-seal", seal),
+            ("content-type", content_type),
+        ];
+        encode_response(status, &headers, body.as_bytes())
+    }
+}
+
 /// The part of a response that never ends.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum EndlessPart {
@@ -574,6 +643,7 @@
             | TargetMode::Full
             | TargetMode::Early
             | TargetMode::RepeatsRefusal
+            | TargetMode::BreaksThenAnswers(_)
             | TargetMode::UnframedInsideEvent
             | TargetMode::UnframedEmpty
             | TargetMode::Endless(..) => vec![ResponseStep::Write(whole)],
@@ -646,6 +716,14 @@
             steps.send(ResponseStep::Close).await.ok();
             return;
         }
+        if let TargetMode::BreaksThenAnswers(answer) = mode
+            && request.header("last-event-id").is_some()
+        {
+            let bytes = answer.encode(id, &seal);
+            steps.send(ResponseStep::Write(bytes)).await.ok();
+            steps.send(ResponseStep::Close).await.ok();
+            return;
+        }
         let crashes_before = self.crashes.load(Ordering::Relaxed);
         let mut unsent_head = Some(head);
         for event in from..=self.event_count {
@@ -674,6 +752,7 @@
             let is_cut = matches!(
                 mode,
                 TargetMode::Truncates
+                    | TargetMode::BreaksThenAnswers(_)
                     | TargetMode::ResetsAfterRun
                     | TargetMode::UnframedInsideEvent
             );
