Give each attempt at a split prompt reservations of its own

Callers saw: a split prompt whose first engine was silent began at another one, and was broken off after its first event.

Each attempt now adds a number that no other attempt has, of this or another VM.

streams::attempts_at_a_split_prompt_share_no_reservation failed on ("both attempts use [.../split-0]") and passes now.

--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -631,6 +631,8 @@
     let mut reservations = Reservations::default();
     reservations.node = Some(node.clone());
     let mut helpers = Vec::new();
+    // Each attempt has reservations of its own: an earlier one may still use those that it made.
+    let attempt = node.new_job_id().0;
     for part in &placement.helpers {
         let Some(target) = target_record(&part.target) else {
             return (target_gone(&part.target), Reservations::default());
@@ -640,7 +642,7 @@
             reservation: None,
         };
         if part.reserve_tokens > 0 {
-            let id = format!("{}-{}", caller.parsed_headers.id, helpers.len());
+            let id = format!("{}-{attempt:x}-{}", caller.parsed_headers.id, helpers.len());
             // Recorded before the call, so that it is released even if the response was lost.
             reservations.held.push(TargetReservation {
                 target: target.clone(),
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -4,7 +4,9 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use crate::support::bed::{TestBed, wait_until};
+use serde_json::json;
+
+use crate::support::bed::{TestBed, config, wait_until};
 use crate::support::caller::send;
 use crate::support::target::{ResumeAnswer, TargetMode};
 
@@ -231,6 +233,40 @@
     });
 }
 
+#[test]
+fn attempts_at_a_split_prompt_share_no_reservation() {
+    let bed = TestBed::start(1);
+    let mut table = config(2);
+    table["routes"][4]["timeout_ms"] = json!(20_000);
+    table["services"][1]["engine"]["kv_capacity_tokens"] = json!(90_000);
+    bed.put_config(&table);
+    std::thread::sleep(Duration::from_millis(800));
+    bed.set_engines(TargetMode::Hangs);
+    let mut request = bed.stream("split", "/archive/a");
+    request.tokens = Some("110000,700".to_owned());
+    request.deadline = Duration::from_secs(10);
+    let callers = bed.node_configs[0].callers;
+
+    let caller = std::thread::spawn(move || send(callers, &request));
+    wait_until(Duration::from_secs(9), "a second engine is asked", || {
+        bed.runs("split").len() == 2
+    });
+
+    let runs = bed.runs("split");
+    assert!(runs.iter().all(|run| !run.reservations.is_empty()));
+    let shared: Vec<&String> = runs[0]
+        .reservations
+        .iter()
+        .filter(|reservation| runs[1].reservations.contains(reservation))
+        .collect();
+    assert!(shared.is_empty(), "both attempts use {shared:?}");
+    bed.set_engines(TargetMode::Healthy);
+    caller.join().expect("the caller's thread ends");
+    wait_until(Duration::from_secs(2), "memory is released", || {
+        bed.ledger().reservations.is_empty()
+    });
+}
+
 #[test]
 fn requests_refused_by_full_engines_are_not_executed() {
     let bed = TestBed::start(1);
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -198,6 +198,8 @@
     pub path: String,
     pub body: Vec<u8>,
     pub last_event: Option<u64>,
+    /// Reservations that the request names, each with the address of its target.
+    pub reservations: Vec<String>,
     pub started_at: Instant,
 }
 
@@ -585,6 +587,12 @@
             path: request.path.clone(),
             body: request.body.clone(),
             last_event: text("last-event-id").and_then(|value| value.parse().ok()),
+            reservations: text("x-plantainnotch-helpers")
+                .unwrap_or_default()
+                .split(',')
+                .filter(|helper| helper.contains('/'))
+                .map(str::to_owned)
+                .collect(),
             started_at: Instant::now(),
         };
         let mut ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
