Refuse long bodies before they take a node over its memory limit

The clients stay within `max_body_bytes`, the only limit that they know.

Cause: the sum of callers' bodies had no bound, and a second copy of each was made to send it. Bodies beyond the first 16 KiB of each now share 0.4 of `memory_mb`; a request that does not fit is refused before its body is read, 503 with Retry-After, and the memory is held until its response is complete. Long bodies are sent without a copy.

The budget of responses moves to body_budget.rs, and both use it.

memory::long_bodies_that_targets_hold_up_are_refused_before_they_take_all_memory failed on ("0 refused" of 48 bodies of 4 MB, and 160 MB) and passes now.

--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -52,6 +52,8 @@
     pub store: String,
     /// CPU limit in cores.
     pub cpu_cores: f64,
+    /// Memory limit of the process in bytes.
+    pub memory_bytes: u64,
     /// Bounds that the deployment sets.
     pub bounds: NodeBounds,
     /// Own address from which targets are called; the operating system chooses if `None`.
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use tokio::time::sleep;
 
+use super::body_budget::BudgetShare;
 use super::connection::{ExchangeError, TargetConnection, open_connection, target_request_head};
 use super::rate_limits::observe_limit;
 use super::state::NodeState;
@@ -39,6 +40,8 @@
     pub parsed_headers: CallerHeaders,
     /// Complete body, within the configured limit.
     pub body: Bytes,
+    /// Holds the body's memory.
+    pub body_share: BudgetShare,
     /// By which the request is recognised when it comes again.
     pub digest: RequestDigest,
     /// The route that matches host and path.
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -1,9 +1,9 @@
 //! HTTP/1.1 connections to targets: one request at a time, pooled only if no unread bytes can
 //! be left.
 
-use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use actix_http::body::BodySize;
@@ -18,6 +18,8 @@
 use tokio_util::codec::{Decoder, Encoder};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::body_budget::{BodyBudget, BudgetShare};
+
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300); // domains are a few ms apart; a dead host never answers
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(4); // for targets that send no keep-alive limit
 const IDLE_LIMIT_MARGIN: Duration = Duration::from_millis(700); // a target may close before the limit that it sent
@@ -27,9 +29,7 @@
 const MAX_HEAD_BYTES: usize = 32 * 1024; // of one response, interim heads included
 const MAX_INTERIM_HEADS: usize = 8; // of one response; each takes as much time to decode as a final one
 const MAX_FRAMING_BYTES: usize = 16 * 1024; // of a chunked body, beyond as much as its content
-const MAX_BODY_BYTES: usize = 256 * 1024; // of a response that is read in full; 64 of 1 MiB at once delay other requests
-const MAX_SMALL_BODY_BYTES: usize = 16 * 1024; // up to which a body is read even if large ones take all memory
-const MAX_LARGE_BODIES_BYTES: usize = 24 * 1024 * 1024; // of all responses together, beyond their small part
+const MAX_COPIED_BODY_BYTES: usize = 16 * 1024; // of a request, up to which head and body are sent in one write
 
 /// Result of an exchange with a target.
 pub type Result<T> = std::result::Result<T, ExchangeError>;
@@ -95,39 +95,6 @@
     }
 }
 
-/// Memory that all responses which are read in full share, beyond the first bytes of each.
-#[derive(Debug, Default)]
-pub struct BodyBudget {
-    used_bytes: Cell<usize>,
-}
-
-/// The share of one response in a [`BodyBudget`], given back when dropped.
-struct BudgetShare<'a> {
-    budget: &'a BodyBudget,
-    taken_bytes: usize,
-}
-
-impl BudgetShare<'_> {
-    /// Takes what a body of `body_bytes` needs, and returns whether it may grow to that size.
-    fn grow_to(&mut self, body_bytes: usize) -> bool {
-        let needed = body_bytes.saturating_sub(MAX_SMALL_BODY_BYTES);
-        let used = self.budget.used_bytes.get() - self.taken_bytes + needed;
-        let fits = body_bytes <= MAX_BODY_BYTES && (needed == 0 || used <= MAX_LARGE_BODIES_BYTES);
-        if fits {
-            self.budget.used_bytes.set(used);
-            self.taken_bytes = needed;
-        }
-        fits
-    }
-}
-
-impl Drop for BudgetShare<'_> {
-    fn drop(&mut self) {
-        let used = self.budget.used_bytes.get();
-        self.budget.used_bytes.set(used - self.taken_bytes);
-    }
-}
-
 /// What is read next from the connection.
 enum ResponseState {
     Head,
@@ -225,7 +192,8 @@
             self.sent_ids.insert(xxh3_64(id.as_bytes()));
         }
         let mut codec = ClientCodec::default();
-        let mut out = BytesMut::with_capacity(1024 + body.len());
+        let is_copied = body.len() <= MAX_COPIED_BODY_BYTES;
+        let mut out = BytesMut::with_capacity(1024 + if is_copied { body.len() } else { 0 });
         let size = match body.len() {
             0 if matches!(
                 head.method,
@@ -240,12 +208,17 @@
             Message::Item((RequestHeadType::Owned(head), size)),
             &mut out,
         )?;
-        out.extend_from_slice(body);
+        let rest = if is_copied {
+            out.extend_from_slice(body);
+            &[]
+        } else {
+            body.as_ref()
+        };
         self.state = ResponseState::Head;
         self.until_close = false;
         self.request_fully_sent = false;
         self.idle_limit = None;
-        let head = self.send_and_read_head(&out, &mut codec).await?;
+        let head = self.send_and_read_head(&out, rest, &mut codec).await?;
         self.idle_limit = idle_limit(&head, codec.keep_alive());
         self.until_close = !is_framed(&head);
         self.content_bytes = 0;
@@ -258,14 +231,18 @@
         Ok(head)
     }
 
-    /// Writes the request while reading, since a target may respond before it has read it all.
+    /// Writes the request, `out` and then `rest`, while reading, since a target may respond before it has read it all.
     async fn send_and_read_head(
         &mut self,
         out: &[u8],
+        rest: &[u8],
         codec: &mut ClientCodec,
     ) -> Result<ResponseHead> {
         let (mut reader, mut writer) = self.stream.split();
-        let write = writer.write_all(out);
+        let write = async {
+            writer.write_all(out).await?;
+            writer.write_all(rest).await
+        };
         tokio::pin!(write);
         let mut writing = true;
         let mut head_bytes = 0;
@@ -355,11 +332,8 @@
     /// # Errors
     ///
     /// Fails like [`Self::next_chunk`], and when the body is over 256 KiB or the budget is used up.
-    pub async fn read_body(&mut self, budget: &BodyBudget) -> Result<Bytes> {
-        let mut share = BudgetShare {
-            budget,
-            taken_bytes: 0,
-        };
+    pub async fn read_body(&mut self, budget: &Rc<BodyBudget>) -> Result<Bytes> {
+        let mut share = BudgetShare::new(budget);
         let mut body = BytesMut::new();
         while let Some(chunk) = self.next_chunk().await? {
             if !share.grow_to(body.len() + chunk.len()) {
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! directory look-ups and coordinates with the nodes of other VMs.
 
 pub mod attempt;
+pub mod body_budget;
 pub mod carrying;
 pub mod connection;
 pub mod crash_bans;
--- a/src/node/request_handler.rs
+++ b/src/node/request_handler.rs
@@ -11,6 +11,7 @@
 use futures_util::StreamExt;
 
 use super::attempt::CallerRequest;
+use super::body_budget::BudgetShare;
 use super::service::{NodeResponse, ServedResponse};
 use super::state::NodeState;
 use super::stopping::{
@@ -23,6 +24,7 @@
 
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 const RETRY_AFTER_JITTER: std::ops::Range<f64> = 0.85..1.25; // spreads the retries of callers refused together
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1); // a body is held until its response is complete
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20); // time for the response to reach the caller
 
 struct InFlightGuard(Rc<NodeState>);
@@ -113,10 +115,10 @@
         ));
     };
     let body = tokio::select! {
-        body = read_body(request, table.limits.body_bytes) => body,
+        body = read_body(node, request, table.limits.body_bytes) => body,
         () = wait_until_all_due(node) => Err(refuse_for_stop(node, is_carried)),
     };
-    let body = match body {
+    let (body, body_share) = match body {
         Ok(body) => body,
         Err(rejection) => return from_node(rejection),
     };
@@ -148,6 +150,7 @@
         headers: request.headers().clone(),
         parsed_headers,
         body,
+        body_share,
         service,
         team,
         config_version: table.version,
@@ -275,9 +278,32 @@
         .unwrap_or_default()
 }
 
-async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, NodeResponse> {
+/// Reads a request's body, and takes memory for it: at once if its length is known.
+async fn read_body(
+    node: &NodeState,
+    request: &mut Request,
+    limit: usize,
+) -> Result<(Bytes, BudgetShare), NodeResponse> {
+    let length = request
+        .headers()
+        .get(header::CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok()?.parse().ok())
+        .unwrap_or(0);
+    let mut share = BudgetShare::new(&node.request_budget);
+    let mut take_memory = |bytes: usize| {
+        if bytes > limit {
+            let too_large = StatusCode::PAYLOAD_TOO_LARGE;
+            return Err(reject(too_large, "body_too_large", "shorten the body"));
+        }
+        if !share.grow_to(bytes) {
+            let reason = "the bodies of other requests take all memory";
+            return Err(NodeResponse::not_run("memory", reason, MEMORY_RETRY_AFTER));
+        }
+        Ok(())
+    };
+    take_memory(length)?;
     let mut payload = request.take_payload();
-    let mut body = BytesMut::new();
+    let mut body = BytesMut::with_capacity(length);
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|error| {
             reject(
@@ -286,16 +312,10 @@
                 &error.to_string(),
             )
         })?;
-        if body.len() + chunk.len() > limit {
-            return Err(reject(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "body_too_large",
-                "shorten the body",
-            ));
-        }
+        take_memory(body.len() + chunk.len())?;
         body.extend_from_slice(&chunk);
     }
-    Ok(body.freeze())
+    Ok((body.freeze(), share))
 }
 
 fn encode_node_response(id: &str, node_response: &NodeResponse) -> Response<BoxBody> {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -8,7 +8,8 @@
 
 use tokio::sync::{Notify, oneshot, watch};
 
-use super::connection::{BodyBudget, ConnectionPool, ExchangeError};
+use super::body_budget::{BodyBudget, BodyLimits};
+use super::connection::{ConnectionPool, ExchangeError};
 use super::messages::JobUpdate;
 use super::metrics::NodeMetrics;
 use super::packed_records::RecordPacker;
@@ -33,6 +34,13 @@
 use crate::policy::target_paths::TargetPaths;
 use crate::wire::PeerClient;
 
+/// Of responses that are read in full; 64 of 1 MiB at once would delay other requests.
+const RESPONSE_BODIES: BodyLimits = BodyLimits {
+    body: 256 * 1024,
+    total: 24 * 1024 * 1024,
+};
+const REQUEST_BODIES_SHARE: f64 = 0.4; // of the VM's memory; the rest is for the process, responses and the sockets' buffers
+
 /// What a node's tasks share; cells suffice, since the tasks run on one thread.
 pub struct NodeState {
     /// Settings read at the start.
@@ -54,7 +62,9 @@
     /// Idle connections to targets.
     pub connection_pool: RefCell<ConnectionPool>,
     /// Memory for responses that are read in full.
-    pub body_budget: BodyBudget,
+    pub body_budget: Rc<BodyBudget>,
+    /// Memory for the bodies of callers' requests, each until its response is complete.
+    pub request_budget: Rc<BodyBudget>,
     /// Load, requests in flight and results of attempts at each target: those of this node, and
     /// failures that peers reported.
     pub target_health: RefCell<HashMap<TargetName, TargetHealth>>,
@@ -124,6 +134,11 @@
         paths: TargetPaths,
     ) -> Self {
         let started_at = clock.now();
+        let request_bodies = BodyLimits {
+            // The configuration limits each.
+            body: usize::MAX,
+            total: (settings.memory_bytes as f64 * REQUEST_BODIES_SHARE) as usize,
+        };
         Self {
             settings,
             started_at,
@@ -134,7 +149,8 @@
             placement_waiters: RefCell::default(),
             peer_clients: RefCell::default(),
             connection_pool: RefCell::default(),
-            body_budget: BodyBudget::default(),
+            body_budget: Rc::new(BodyBudget::new(RESPONSE_BODIES)),
+            request_budget: Rc::new(BodyBudget::new(request_bodies)),
             target_health: RefCell::default(),
             part_guard: RefCell::default(),
             request_guard: RefCell::default(),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -16,6 +16,8 @@
 pub const SETTINGS_PATH_VARIABLE: &str = "PLANTAINNOTCH_SETTINGS";
 
 const MS_PER_S: f64 = 1000.0;
+const BYTES_PER_MB: f64 = 1_000_000.0;
+const DEFAULT_MEMORY_MB: f64 = 160.0; // of the smallest VMs
 
 /// Result of reading the settings.
 pub type Result<T> = std::result::Result<T, SettingsError>;
@@ -69,6 +71,12 @@
     cpu_share: f64,
     #[serde(default = "one_core")]
     cores: f64,
+    #[serde(default = "default_memory_mb")]
+    memory_mb: f64,
+}
+
+fn default_memory_mb() -> f64 {
+    DEFAULT_MEMORY_MB
 }
 
 fn one_core() -> f64 {
@@ -143,6 +151,7 @@
     parse_address("platform.address", &file.platform.address);
     let positive_settings = [
         ("limits.cpu_share", file.limits.cpu_share),
+        ("limits.memory_mb", file.limits.memory_mb),
         ("bounds.grace_s", file.bounds.grace_s),
         ("bounds.stable_ms", file.bounds.stable_ms),
         ("bounds.budget_window_s", file.bounds.budget_window_s),
@@ -179,6 +188,7 @@
         store: file.platform.address,
         // The file has the CPU limit as a share of its `cores`.
         cpu_cores: file.limits.cpu_share * file.limits.cores,
+        memory_bytes: (file.limits.memory_mb * BYTES_PER_MB) as u64,
         target_source: None,
         bounds: NodeBounds {
             stop_grace: Duration::from_secs_f64(file.bounds.grace_s),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod endless;
 mod lost_paths;
 mod members;
+mod memory;
 mod rate_limits;
 mod records;
 mod stops;
