--- a/tests/platform/crashing_requests.rs
+++ b/tests/platform/crashing_requests.rs
@@ -3,6 +3,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+use crate::lost_paths::owner_of_placement;
 use crate::support::bed::TestBed;
 use crate::support::caller::{CallerRequest, CallerResponse, send};
 
@@ -151,3 +152,24 @@
         }
     });
 }
+
+#[test]
+fn a_request_that_crashes_targets_stops_reaching_them_while_the_owner_of_placement_stops() {
+    let mut stopped = None;
+    let mut restarted = false;
+    check_crashing_request("POST", "/resumable/", SOON, |bed, elapsed| {
+        let Some(owner) = stopped else {
+            if elapsed > Duration::from_secs(1) {
+                let owner = owner_of_placement(bed);
+                bed.nodes[owner].signal("TERM");
+                stopped = Some(owner);
+            }
+            return;
+        };
+        if !restarted && bed.nodes[owner].has_ended() {
+            bed.nodes[owner].restart();
+            restarted = true;
+        }
+    });
+    assert!(restarted, "the owner did not stop");
+}
