Hold plain services to the limit of their cold targets

Cause: only the scheduler of engines knew the limit; targets of plain services were ranked by load, failures and domain. Each VM now sends a cold target its part of the limit at an even pace, since VMs send to plain services without asking each other; the first request of each VM comes at a random part of the pause, so that a large fleet does not begin together. If only cold targets are left, requests are refused with the time of the next permit. Where streams go to the same targets, half of the limit is left to them.

--- a/src/node/feeds.rs
+++ b/src/node/feeds.rs
@@ -10,6 +10,7 @@
 use super::rate_limits::forget_gone_targets;
 use super::state::NodeState;
 use crate::fleet::feed::{KeyedItem, LogPosition, TopicSnapshot};
+use crate::ids::TargetName;
 use crate::platform::records::{MEMBER_TOPIC, OPERATOR_TOPIC, TARGET_TOPIC};
 use crate::platform::store::{StoreClient, StoreError};
 use crate::policy::read_pacing::ReadPacing;
@@ -255,6 +256,7 @@
         node.handle_catalog_changes(&changes, "lapse");
         node.connection_pool.borrow_mut().prune(now);
         forget_gone_targets(&node);
+        forget_warm_targets(&node, now);
         node.withdraw_reports();
         node.refresh_dispatchers();
     }
@@ -309,6 +311,15 @@
     }
 }
 
+fn forget_warm_targets(node: &NodeState, now: Instant) {
+    let catalog = node.catalog.borrow();
+    let is_cold = |name: &TargetName| {
+        let target = catalog.target(name);
+        target.is_some_and(|target| target.cold_until > now)
+    };
+    node.cold_pacing.borrow_mut().retain(is_cold);
+}
+
 fn add_addresses(node: &NodeState, items: &[KeyedItem]) {
     let mut members = node.members.borrow_mut();
     for item in items {
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -2,7 +2,7 @@
 //! only requests that are idempotent or were not executed.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::body::{BoxBody, MessageBody};
 use actix_http::header::HeaderMap;
@@ -323,7 +323,8 @@
 enum NoTarget {
     /// None of them takes work.
     NoneUsable,
-    /// All that take work named rate limits, which are used up; callers may return after this time.
+    /// The limits of all that take work, named by them or as long as they are cold, are used up;
+    /// callers may return after this time.
     Limited(Duration),
 }
 
@@ -332,8 +333,23 @@
     node: &Rc<NodeState>,
     caller: &CallerRequest,
     excluded_targets: &[TargetName],
+) -> Result<TargetRecord, NoTarget> {
+    let target = choose_target(node, caller, excluded_targets).await?;
+    let now = node.now();
+    if let Some(rate) = cold_rate(node, &target, now) {
+        let mut pacing = node.cold_pacing.borrow_mut();
+        pacing.record(&target.name, rate, now);
+    }
+    Ok(target)
+}
+
+async fn choose_target(
+    node: &Rc<NodeState>,
+    caller: &CallerRequest,
+    excluded_targets: &[TargetName],
 ) -> Result<TargetRecord, NoTarget> {
     let ranked = rank_service_targets(node, caller, excluded_targets);
+    let ranked = within_cold_limits(node, ranked)?;
     let is_limited = |target: &TargetRecord| {
         let limits = node.rate_limits.borrow();
         limits.rate_of(&target.name, target.started_ms).is_some()
@@ -366,6 +382,48 @@
     }
 }
 
+/// Leaves out the cold targets that may not be sent a request yet.
+fn within_cold_limits(
+    node: &NodeState,
+    ranked: Vec<TargetRecord>,
+) -> Result<Vec<TargetRecord>, NoTarget> {
+    let now = node.now();
+    let mut shortest_wait: Option<Duration> = None;
+    let mut pacing = node.cold_pacing.borrow_mut();
+    let allowed: Vec<TargetRecord> = ranked
+        .into_iter()
+        .filter(|target| {
+            let Some(rate) = cold_rate(node, target, now) else {
+                return true;
+            };
+            let wait = pacing.wait(&target.name, rate, rand::random(), now);
+            shortest_wait = Some(shortest_wait.map_or(wait, |known| known.min(wait)));
+            wait.is_zero()
+        })
+        .collect();
+    match shortest_wait {
+        Some(wait) if allowed.is_empty() => Err(NoTarget::Limited(wait)),
+        _ => Ok(allowed),
+    }
+}
+
+/// Requests a second that this VM may send to a target while it is cold; `None` if it is warm or its
+/// service has no limit.
+///
+/// VMs send to plain services without asking each other, so each has an equal part. Where streams go
+/// to the same targets, half of the limit is left to them.
+fn cold_rate(node: &NodeState, target: &TargetRecord, now: Instant) -> Option<f64> {
+    let catalog = node.catalog.borrow();
+    let is_cold = catalog.target(&target.name)?.cold_until > now;
+    let service = catalog.table()?.services.get(&target.service)?;
+    if !is_cold || service.cold_requests_per_s <= 0.0 {
+        return None;
+    }
+    let streams_share = if service.engine.is_some() { 0.5 } else { 0.0 };
+    let live = node.members.borrow().live(now).len().max(1);
+    Some(service.cold_requests_per_s * (1.0 - streams_share) / live as f64)
+}
+
 /// The targets that may be sent the request, the best first.
 fn rank_service_targets(
     node: &NodeState,
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -23,6 +23,7 @@
 use crate::fleet::store_outage::{LAPSE_GRACE, StoreOutage};
 use crate::ids::{TargetName, VmName};
 use crate::platform::records::TARGET_TOPIC;
+use crate::policy::cold_pacing::ColdPacing;
 use crate::policy::dispatch::{DispatchAnswer, EngineDispatcher, EngineTarget, JobId};
 use crate::policy::part_guard::PartGuard;
 use crate::policy::paused_targets::PausedTargets;
@@ -74,6 +75,8 @@
     pub request_guard: RefCell<RequestGuard>,
     /// Targets that asked this VM for a pause.
     pub paused_targets: RefCell<PausedTargets>,
+    /// Pace of requests to cold targets of plain services.
+    pub cold_pacing: RefCell<ColdPacing>,
     /// Rate limits that targets name in their responses.
     pub rate_limits: RefCell<RateLimits>,
     /// Whether a hub's rate limits differed from this VM's at the last heartbeat.
@@ -155,6 +158,7 @@
             part_guard: RefCell::default(),
             request_guard: RefCell::default(),
             paused_targets: RefCell::default(),
+            cold_pacing: RefCell::default(),
             rate_limits: RefCell::default(),
             limits_differ: Cell::new(false),
             permit_ledger: RefCell::default(),
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -7,6 +7,7 @@
 mod assembler;
 mod catalog;
 mod claims;
+mod cold_pacing;
 mod dispatch;
 mod engine_simulation;
 mod fixtures;
