Keep connections open and send bodies in parts in the soak, until the process is gone

Four callers keep their connections over stops, kills and pauses, and send some bodies in two parts. A request on a connection to a node that was only told to stop must have an answer, unless it crossed the end of the process and did not run.

--- a/tests/platform/stops.rs
+++ b/tests/platform/stops.rs
@@ -10,7 +10,7 @@
 
 use crate::lost_paths::{cut, other_than, owner_of_placement};
 use crate::support::bed::{TestBed, config, wait_until};
-use crate::support::caller::{CallerRequest, CallerResponse, send};
+use crate::support::caller::{CallerRequest, CallerResponse, KeptConnection, KeptOutcome, send};
 use crate::support::proxy::ProxyFault;
 use crate::support::target::TargetMode;
 
@@ -288,29 +288,6 @@
     assert!(bed.nodes[0].exited_cleanly(GRACE));
 }
 
-/// Reads one response with a length from a kept connection; `None` if the connection ends first.
-fn read_response(stream: &mut TcpStream) -> Option<String> {
-    let mut received = Vec::new();
-    let mut chunk = [0; 1024];
-    loop {
-        let text = String::from_utf8_lossy(&received).into_owned();
-        let length = text.split("content-length: ").nth(1).and_then(|rest| {
-            let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
-            digits.parse::<usize>().ok()
-        });
-        let head_end = text.find("\r\n\r\n").map(|at| at + 4);
-        if let (Some(length), Some(head_end)) = (length, head_end)
-            && received.len() >= head_end + length
-        {
-            return Some(text);
-        }
-        match stream.read(&mut chunk) {
-            Ok(count) if count > 0 => received.extend_from_slice(&chunk[..count]),
-            _ => return None,
-        }
-    }
-}
-
 #[test]
 fn kept_connections_get_an_answer_to_each_request_until_the_node_says_that_it_closes() {
     let mut bed = start_bed(2);
@@ -318,7 +295,7 @@
     let senders: Vec<JoinHandle<()>> = (0..12)
         .map(|sender| {
             std::thread::spawn(move || {
-                let mut stream = TcpStream::connect(callers).expect("a connection");
+                let mut connection = KeptConnection::open(callers).expect("a connection");
                 let started_at = Instant::now();
                 // The first requests come before the stop, the later ones one by one after it.
                 for request in 0..2 {
@@ -326,19 +303,19 @@
                         let at = Duration::from_millis(900 + sender * 250);
                         std::thread::sleep(at.saturating_sub(started_at.elapsed()));
                     }
-                    let head = format!(
-                        "GET /lookup/7 HTTP/1.1\r\nhost: callers.example\r\nx-plantainnotch-request-id: kept-{sender}-{request}\r\nx-plantainnotch-key: key-a\r\nx-plantainnotch-deadline: 6000\r\n\r\n"
-                    );
-                    stream.write_all(head.as_bytes()).expect("a request is sent");
-                    let response = read_response(&mut stream);
-                    let response = response.unwrap_or_else(|| {
-                        panic!("kept-{sender}-{request}: closed without an answer")
-                    });
-                    let served = response.starts_with("HTTP/1.1 200");
-                    let refused =
-                        response.starts_with("HTTP/1.1 503") && response.contains("retry-after: ");
-                    assert!(served || refused, "{response}");
-                    assert_eq!(request == 1, response.contains("connection: close"));
+                    let id = format!("kept-{sender}-{request}");
+                    let look_up = CallerRequest::new(&id, "GET", "/lookup/7");
+
+                    let outcome = connection.exchange(&look_up, Duration::ZERO);
+
+                    let KeptOutcome::Answered(response) = outcome else {
+                        panic!("{id}: closed without an answer");
+                    };
+                    let is_refused =
+                        response.status == 503 && response.header("retry-after").is_some();
+                    assert!(response.status == 200 || is_refused, "{response:?}");
+                    let closes = response.header("connection") == Some("close");
+                    assert_eq!(request == 1, closes, "{id}");
                 }
             })
         })
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -44,10 +44,20 @@
     RestorePaths(usize),
 }
 
-/// A time in which a node was killed, stopping or paused.
+/// What happens to a node.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum NodeFaultKind {
+    Killed,
+    Stopped,
+    Paused,
+    CutFromTargets,
+}
+
+/// A time in which a node was not sound.
 #[derive(Debug, Clone)]
 pub struct NodeFault {
     pub node: usize,
+    pub kind: NodeFaultKind,
     from: Instant,
     until: Option<Instant>,
 }
@@ -102,9 +112,10 @@
         &self.node_faults
     }
 
-    fn begin_node_fault(&mut self, node: usize) {
+    fn begin_node_fault(&mut self, node: usize, kind: NodeFaultKind) {
         self.node_faults.push(NodeFault {
             node,
+            kind,
             from: Instant::now(),
             until: None,
         });
@@ -180,20 +191,20 @@
         match self.rng.random_range(0..13) {
             0 | 1 => {
                 self.log_event(&format!("node {node} is killed"));
-                self.begin_node_fault(node);
+                self.begin_node_fault(node, NodeFaultKind::Killed);
                 bed.nodes[node].kill();
                 self.schedule(FaultEnd::RestartNode(node));
             }
             2 => {
                 self.log_event(&format!("node {node} is sent a stop signal"));
-                self.begin_node_fault(node);
+                self.begin_node_fault(node, NodeFaultKind::Stopped);
                 bed.nodes[node].signal("TERM");
                 self.stopping_nodes.insert(node);
                 self.schedule(FaultEnd::RestartNode(node));
             }
             3 => {
                 self.log_event(&format!("node {node} is paused"));
-                self.begin_node_fault(node);
+                self.begin_node_fault(node, NodeFaultKind::Paused);
                 bed.nodes[node].signal("STOP");
                 self.schedule(FaultEnd::ResumeNode(node));
             }
@@ -260,7 +271,7 @@
             _ => {
                 self.log_event("all nodes are killed");
                 for node in 0..bed.nodes.len() {
-                    self.begin_node_fault(node);
+                    self.begin_node_fault(node, NodeFaultKind::Killed);
                     bed.nodes[node].kill();
                     self.schedule(FaultEnd::RestartNode(node));
                 }
@@ -278,7 +289,7 @@
         let fault = faults[self.second_rng.random_range(0..faults.len())];
         let duration = Duration::from_millis(self.second_rng.random_range(CUT_DURATION_MS));
         self.log_event(&format!("node {node} and all targets: {fault:?}"));
-        self.begin_node_fault(node);
+        self.begin_node_fault(node, NodeFaultKind::CutFromTargets);
         set_paths(bed, node, fault);
         let end = (Instant::now() + duration, FaultEnd::RestorePaths(node));
         self.pending_ends.push(end);
--- a/tests/soak/invariants.rs
+++ b/tests/soak/invariants.rs
@@ -185,7 +185,11 @@
         .collect();
     let mut violations = Vec::new();
     for run in runs.values().flatten() {
-        if run.id.starts_with("warm-") || run.id.starts_with("crash-") {
+        let other_callers = ["warm-", "crash-", "kept-"];
+        if other_callers
+            .iter()
+            .any(|prefix| run.id.starts_with(prefix))
+        {
             continue;
         }
         let Some(request) = sent.get(run.id.as_str()) else {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,6 +7,7 @@
 mod crashing_requests;
 mod faults;
 mod invariants;
+mod kept_connections;
 mod rate_limits;
 
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -20,6 +21,7 @@
 use crashing_requests::CrashInjector;
 use faults::{FaultInjector, FaultPace};
 use invariants::{SentRequest, check_invariants};
+use kept_connections::ClosedRequest;
 use rate_limits::LimitInjector;
 use support::bed::TestBed;
 use support::caller::{resolve, send};
@@ -108,6 +110,9 @@
             thread::spawn(move || run_caller(seed, caller, &directories, &sent, &stop))
         })
         .collect();
+    // Lives as long as the threads that read it.
+    let stop_kept: &'static AtomicBool = Box::leak(Box::default());
+    let kept_callers = kept_connections::start_callers(seed, &bed, stop_kept);
     let mut injector = FaultInjector::new(seed, run.pace, &bed);
     let mut limits = LimitInjector::new(seed, run.pace);
     let mut crashes = run
@@ -125,12 +130,22 @@
     limits.end_all(&bed);
     injector.end_all_faults(&mut bed);
     stop.store(true, Ordering::Relaxed);
+    stop_kept.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.join().expect("the caller thread does not panic");
     }
+    let unanswered: Vec<ClosedRequest> = kept_callers
+        .into_iter()
+        .flat_map(|caller| caller.join().expect("the caller thread does not panic"))
+        .collect();
     thread::sleep(SETTLE_TIME);
     let sent = sent.lock().unwrap_or_else(PoisonError::into_inner);
     let mut violations = check_invariants(&bed, &sent);
+    violations.extend(kept_connections::check(
+        &bed,
+        &unanswered,
+        injector.node_faults(),
+    ));
     violations.extend(limits.check(&bed, &sent, injector.node_faults()));
     if let Some(crashes) = &crashes {
         violations.extend(crashes.check(&bed, injector.node_faults()));
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -37,7 +37,7 @@
         }
     }
 
-    fn encode(&self) -> Vec<u8> {
+    fn encode(&self, connection: &str) -> Vec<u8> {
         let mut head = format!(
             "{} {} HTTP/1.1\r\nhost: callers.example\r\nx-plantainnotch-request-id: {}\r\nx-plantainnotch-deadline: {}\r\ncontent-length: {}\r\n",
             self.method,
@@ -55,7 +55,7 @@
         for (name, value) in &self.extra_headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
-        head.push_str("connection: close\r\n\r\n");
+        head.push_str(&format!("connection: {connection}\r\n\r\n"));
         let mut bytes = head.into_bytes();
         bytes.extend_from_slice(&self.body);
         bytes
@@ -90,12 +90,68 @@
 pub fn send(address: SocketAddr, request: &CallerRequest) -> Option<CallerResponse> {
     let mut stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok()?;
     stream.set_read_timeout(Some(request.deadline)).ok()?;
-    stream.write_all(&request.encode()).ok()?;
+    stream.write_all(&request.encode("close")).ok()?;
     let mut bytes = Vec::new();
     let closed_cleanly = stream.read_to_end(&mut bytes).is_ok();
     parse_response(&bytes, closed_cleanly)
 }
 
+/// A connection that a caller keeps for several requests to plain services.
+pub struct KeptConnection {
+    stream: TcpStream,
+}
+
+/// What a caller sees of one request on a kept connection.
+#[derive(Debug, Clone)]
+pub enum KeptOutcome {
+    Answered(CallerResponse),
+    /// The connection ended without a complete response.
+    Closed,
+}
+
+impl KeptConnection {
+    /// Connects to `address`; `None` if nothing listens there.
+    pub fn open(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok()?;
+        Some(Self { stream })
+    }
+
+    /// Sends a request, pausing for `pause` in the middle of its body, and reads the response.
+    pub fn exchange(&mut self, request: &CallerRequest, pause: Duration) -> KeptOutcome {
+        let bytes = request.encode("keep-alive");
+        let (start, rest) = bytes.split_at(bytes.len() - request.body.len() / 2);
+        let limit = Some(request.deadline + Duration::from_secs(1));
+        let mut send = || {
+            self.stream.set_read_timeout(limit)?;
+            self.stream.write_all(start)?;
+            std::thread::sleep(pause);
+            self.stream.write_all(rest)
+        };
+        // The node may have answered before it had read the whole request.
+        send().ok();
+        match self.read_response() {
+            Some(response) => KeptOutcome::Answered(response),
+            None => KeptOutcome::Closed,
+        }
+    }
+
+    fn read_response(&mut self) -> Option<CallerResponse> {
+        let mut received = Vec::new();
+        let mut chunk = [0; 4096];
+        loop {
+            if let Some(response) = parse_response(&received, false)
+                && response.complete
+            {
+                return Some(response);
+            }
+            match self.stream.read(&mut chunk) {
+                Ok(count) if count > 0 => received.extend_from_slice(&chunk[..count]),
+                _ => return None,
+            }
+        }
+    }
+}
+
 /// Looks up addresses in a node's directory.
 pub fn resolve(directory: SocketAddr) -> Option<Vec<SocketAddr>> {
     let path = "/api/resolve?name=callers.example&region=r&zone=domain-0";
