Bound the time in which a body arrives, and hold memory only for what has arrived

Memory is now taken as bytes arrive; the announced length only refuses what cannot fit. A body that does not arrive within the caller's deadline, or 60 s without one, gets 408, which states truly that nothing has run.

--- a/src/node/request_handler.rs
+++ b/src/node/request_handler.rs
@@ -9,6 +9,7 @@
 use actix_http::{HttpMessage, Request, Response, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use tokio::time::sleep;
 
 use super::attempt::CallerRequest;
 use super::body_budget::BudgetShare;
@@ -24,6 +25,7 @@
 
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 const RETRY_AFTER_JITTER: std::ops::Range<f64> = 0.85..1.25; // spreads the retries of callers refused together
+const MAX_BODY_TIME: Duration = Duration::from_secs(60); // to receive a body, without a deadline of the caller
 const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1); // a body is held until its response is complete
 const RESPONSE_MARGIN: Duration = Duration::from_millis(20); // time for the response to reach the caller
 
@@ -117,6 +119,11 @@
     let body = tokio::select! {
         body = read_body(node, request, table.limits.body_bytes) => body,
         () = wait_until_all_due(node) => Err(refuse_for_stop(node, is_carried)),
+        () = sleep(parsed_headers.deadline.unwrap_or(MAX_BODY_TIME)) => Err(reject(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_timeout",
+            "the body did not arrive in the request's time; send it again",
+        )),
     };
     let (body, body_share) = match body {
         Ok(body) => body,
@@ -278,7 +285,8 @@
         .unwrap_or_default()
 }
 
-/// Reads a request's body, and takes memory for it: at once if its length is known.
+/// Reads a request's body, and takes memory for it as it arrives. One that is known to need more than
+/// is left is not read at all.
 async fn read_body(
     node: &NodeState,
     request: &mut Request,
@@ -289,20 +297,22 @@
         .get(header::CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .unwrap_or(0);
-    let mut share = BudgetShare::new(&node.request_budget);
-    let mut take_memory = |bytes: usize| {
-        if bytes > limit {
-            let too_large = StatusCode::PAYLOAD_TOO_LARGE;
-            return Err(reject(too_large, "body_too_large", "shorten the body"));
-        }
-        if !share.grow_to(bytes) {
-            let reason = "the bodies of other requests take all memory";
-            return Err(NodeResponse::not_run("memory", reason, MEMORY_RETRY_AFTER));
-        }
-        Ok(())
+    let too_large = || {
+        let status = StatusCode::PAYLOAD_TOO_LARGE;
+        reject(status, "body_too_large", "shorten the body")
+    };
+    let no_memory = || {
+        let reason = "the bodies of other requests take all memory";
+        NodeResponse::not_run("memory", reason, MEMORY_RETRY_AFTER)
     };
-    take_memory(length)?;
+    if length > limit {
+        return Err(too_large());
+    }
+    if !BudgetShare::new(&node.request_budget).grow_to(length) {
+        return Err(no_memory());
+    }
     let mut payload = request.take_payload();
+    let mut share = BudgetShare::new(&node.request_budget);
     let mut body = BytesMut::with_capacity(length);
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|error| {
@@ -312,7 +322,13 @@
                 &error.to_string(),
             )
         })?;
-        take_memory(body.len() + chunk.len())?;
+        let read_bytes = body.len() + chunk.len();
+        if read_bytes > limit {
+            return Err(too_large());
+        }
+        if !share.grow_to(read_bytes) {
+            return Err(no_memory());
+        }
         body.extend_from_slice(&chunk);
     }
     Ok((body.freeze(), share))
--- a/tests/platform/memory.rs
+++ b/tests/platform/memory.rs
@@ -1,5 +1,7 @@
 //! Memory that a node holds for callers' requests stays within the VM's limit.
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -65,3 +67,36 @@
         send(callers, &long_request("last")).is_some_and(|response| response.status == 200)
     });
 }
+
+#[test]
+fn bodies_that_do_not_arrive_take_no_memory_and_end_with_the_callers_time() {
+    let bed = TestBed::start(1);
+    let mut table = config(2);
+    table["limits"]["max_body_bytes"] = json!(4_194_304);
+    bed.put_config(&table);
+    let callers = bed.node_configs[0].callers;
+    wait_until(Duration::from_secs(3), "long bodies are allowed", || {
+        send(callers, &long_request("first")).is_some_and(|response| response.status == 200)
+    });
+    let mut unfinished: Vec<TcpStream> = (0..REQUEST_COUNT)
+        .map(|request| {
+            let mut stream = TcpStream::connect(callers).expect("a connection");
+            let head = format!(
+                "POST /issue/7 HTTP/1.1\r\nhost: callers.example\r\nx-plantainnotch-request-id: slow-{request}\r\nx-plantainnotch-key: key-a\r\nx-plantainnotch-deadline: 2000\r\ncontent-length: {BODY_BYTES}\r\n\r\nstart"
+            );
+            stream.write_all(head.as_bytes()).expect("the start is sent");
+            stream
+        })
+        .collect();
+
+    let response = send(callers, &long_request("beside")).expect("a response");
+
+    assert_eq!(response.status, 200);
+    for stream in &mut unfinished {
+        let limit = Some(Duration::from_secs(5));
+        stream.set_read_timeout(limit).expect("the limit is set");
+        let mut received = [0; 64];
+        let count = stream.read(&mut received).expect("an answer");
+        assert!(received[..count].starts_with(b"HTTP/1.1 408"));
+    }
+}
