--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -146,7 +146,7 @@
             .append(true)
             .open(config.work_dir.join("node.log"))
             .expect("the log file can be opened");
-        Command::new(env!("CARGO_BIN_EXE_notch-node"))
+        Command::new(program(config))
             .args(["--metrics-port", &config.metrics.port().to_string()])
             .args(["--target-source-ip", &config.callers.ip().to_string()])
             .env("PLANTAINNOTCH_SETTINGS", settings)
@@ -219,6 +219,16 @@
     }
 }
 
+/// The program of a node: of the present build, or for each second node the one that `NOTCH_OTHER_NODE`
+/// names, so that a test runs an earlier build beside it.
+fn program(config: &NodeConfig) -> PathBuf {
+    let is_second = config.name.ends_with(['1', '3', '5', '7', '9']);
+    match std::env::var_os("NOTCH_OTHER_NODE") {
+        Some(other) if is_second => other.into(),
+        _ => env!("CARGO_BIN_EXE_notch-node").into(),
+    }
+}
+
 impl Drop for RunningNode {
     fn drop(&mut self) {
         self.kill();
