Let some bodies in the soak arrive only after a node's stop has ended

With pauses shorter than a stop, the new invariant could not fail on the code before: its nodes waited for such bodies. A connection that was closed while idle is no finding, in two parts or not.

--- a/tests/soak/kept_connections.rs
+++ b/tests/soak/kept_connections.rs
@@ -15,16 +15,19 @@
 use crate::support::caller::{CallerRequest, KeptConnection, KeptOutcome};
 
 const CALLER_COUNT: usize = 4;
-/// A request sent later than this before the process ended may cross the end of its connection.
+/// A request that finds its connection closed this soon crossed the end of the process.
 const CROSSING_TIME: Duration = Duration::from_millis(300);
 const MAX_BODY_PAUSE_MS: u64 = 1_500;
+/// Longer than a node's stop lasts.
+const LONG_BODY_PAUSE: Duration = Duration::from_millis(8_500);
+const LONG_PAUSE_SHARE: f64 = 0.12;
 const MAX_IDLE_MS: u64 = 700;
 
 /// One request on a kept connection that ended without an answer.
 pub struct ClosedRequest {
     id: String,
     node: usize,
-    sent_at: Instant,
+    started_at: Instant,
     closed_at: Instant,
 }
 
@@ -60,13 +63,13 @@
         while !stop.load(Ordering::Relaxed) {
             number += 1;
             let (request, pause) = draw_request(&mut rng, &format!("kept-{caller}-{number}"));
-            let sent_at = Instant::now() + pause;
+            let started_at = Instant::now();
             let outcome = connection.exchange(&request, pause);
             let KeptOutcome::Answered(response) = outcome else {
                 closed.push(ClosedRequest {
                     id: request.id,
                     node,
-                    sent_at,
+                    started_at,
                     closed_at: Instant::now(),
                 });
                 break;
@@ -87,6 +90,10 @@
     }
     (request.method, request.path) = ("POST", "/issue/x".to_owned());
     request.body = format!("body of {id}").into_bytes();
+    if rng.random_bool(LONG_PAUSE_SHARE) {
+        request.deadline = LONG_BODY_PAUSE * 2;
+        return (request, LONG_BODY_PAUSE);
+    }
     let pause = Duration::from_millis(rng.random_range(0..MAX_BODY_PAUSE_MS));
     (request, pause)
 }
@@ -99,16 +106,26 @@
             faults.iter().any(|fault| {
                 fault.node == request.node
                     && fault.kind == kind
-                    && fault.overlaps(request.sent_at, request.closed_at)
+                    && fault.overlaps(request.started_at, request.closed_at)
             })
         };
-        let crossed = request.closed_at.saturating_duration_since(request.sent_at) < CROSSING_TIME
-            && !ran.contains(&request.id);
+        let closed_after = request
+            .closed_at
+            .saturating_duration_since(request.started_at);
+        let crossed = closed_after < CROSSING_TIME && !ran.contains(&request.id);
         had(NodeFaultKind::Killed) || had(NodeFaultKind::Paused) || crossed
     };
     closed
         .iter()
         .filter(|request| !is_excused(request))
-        .map(|request| format!("{} at node {} has no answer", request.id, request.node))
+        .map(|request| {
+            let lasted = request
+                .closed_at
+                .saturating_duration_since(request.started_at);
+            format!(
+                "{} at node {} has no answer, closed after {lasted:?}",
+                request.id, request.node
+            )
+        })
         .collect()
 }
--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -116,19 +116,28 @@
         Some(Self { stream })
     }
 
-    /// Sends a request, pausing for `pause` in the middle of its body, and reads the response.
+    /// Sends a request, pausing for `pause` in the middle of its body unless an answer comes before, and
+    /// reads the response.
     pub fn exchange(&mut self, request: &CallerRequest, pause: Duration) -> KeptOutcome {
         let bytes = request.encode("keep-alive");
         let (start, rest) = bytes.split_at(bytes.len() - request.body.len() / 2);
         let limit = Some(request.deadline + Duration::from_secs(1));
+        let stream = &mut self.stream;
         let mut send = || {
-            self.stream.set_read_timeout(limit)?;
-            self.stream.write_all(start)?;
-            std::thread::sleep(pause);
-            self.stream.write_all(rest)
+            stream.write_all(start)?;
+            if !pause.is_zero() {
+                stream.set_read_timeout(Some(pause))?;
+                let is_answered = stream.peek(&mut [0]).is_ok();
+                if is_answered {
+                    return stream.set_read_timeout(limit);
+                }
+            }
+            stream.set_read_timeout(limit)?;
+            stream.write_all(rest)
         };
-        // The node may have answered before it had read the whole request.
-        send().ok();
+        let sent: std::io::Result<()> = send();
+        // The node may have answered although not all could be sent.
+        sent.ok();
         match self.read_response() {
             Some(response) => KeptOutcome::Answered(response),
             None => KeptOutcome::Closed,
