--- a/src/node/request_handler.rs
+++ b/src/node/request_handler.rs
@@ -313,6 +313,7 @@
     }
     let mut payload = request.take_payload();
     let mut share = BudgetShare::new(&node.request_budget);
+    // Capacity that nothing is written to takes no memory.
     let mut body = BytesMut::with_capacity(length);
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|error| {
