Refuse a page of the store without a record that others follow

With items decoded one by one, a page whose items are all malformed gave no key to go on from, and the pages after it were taken for empty: their targets would have been dropped. The read fails now and is tried again. adapter::a_malformed_record_on_a_page_of_the_store_hides_no_other_record has the case.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -261,7 +261,8 @@
 ///
 /// # Errors
 ///
-/// Fails when the bytes are not JSON with the fields of a page.
+/// Fails when the bytes are not JSON with the fields of a page, or a page that others follow has no
+/// record.
 ///
 /// ```
 /// use plantainnotch::platform::store::decode_newest_page;
@@ -293,6 +294,13 @@
             "malformed records of the store ignored; remove them"
         );
     }
+    if records.is_empty() && page.has_more {
+        // The next page is asked for by the last key of this one.
+        return Err(StoreError::Unreadable {
+            call: "log-newest",
+            reason: "no record on a page that others follow".to_owned(),
+        });
+    }
     Ok(NewestRecords {
         records,
         has_more: page.has_more,
--- a/tests/core/adapter.rs
+++ b/tests/core/adapter.rs
@@ -397,4 +397,8 @@
         decode_newest_page(&bytes).expect("readable").records.len(),
         1
     );
+
+    // Without a key to go on from, the pages that follow would be taken for empty.
+    let unreadable = b"{\"items\":[null],\"has_more\":true,\"end\":5}";
+    assert!(decode_newest_page(unreadable).is_err());
 }
