Log the sends of requests that run at most once, and callers that leave before a response

Logs could not tell the hypotheses on requests that ran twice: a plain request was logged when it was answered or given up, not when it was sent, and nothing was logged when its caller left. Now each send has a line with the target and whether the connection is new, and a caller that leaves has a line and the outcome caller_left. No decision changes.

--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -218,6 +218,15 @@
     );
     let head = target_request_head(caller.method.clone(), caller.uri.clone(), headers);
     caller.count_possible_run();
+    if !caller.route.rerun_policy.allows_rerun() {
+        tracing::info!(
+            id = caller.parsed_headers.id,
+            request = %caller.digest,
+            replica = %plan.target.name,
+            new_connection = is_new,
+            "request that runs at most once sent"
+        );
+    }
     let id = Some(caller.parsed_headers.id.as_str());
     let exchange = connection.exchange(id, head, &caller.body);
     match watch_silence(node, &plan.target.name, exchange).await {
--- a/src/node/request_handler.rs
+++ b/src/node/request_handler.rs
@@ -100,6 +100,33 @@
     }
 }
 
+/// Logs and counts a request whose caller closes its connection before the response is decided.
+struct UndecidedRequest<'a> {
+    node: &'a Rc<NodeState>,
+    caller: &'a CallerRequest,
+    is_decided: bool,
+}
+
+impl Drop for UndecidedRequest<'_> {
+    fn drop(&mut self) {
+        if self.is_decided {
+            return;
+        }
+        let Self { node, caller, .. } = self;
+        let elapsed = node.now().saturating_duration_since(caller.arrived_at);
+        tracing::info!(
+            id = caller.parsed_headers.id,
+            request = %caller.digest,
+            route = caller.route.name,
+            possible_runs = caller.possible_runs.get(),
+            elapsed_ms = elapsed.as_millis() as u64,
+            "caller left before its response"
+        );
+        node.metrics
+            .count_outcome(&caller.route.name, "caller_left");
+    }
+}
+
 async fn read_and_serve(
     node: &Rc<NodeState>,
     request: &mut Request,
@@ -192,11 +219,18 @@
             service::serve(node, &caller).await
         }
     };
+    let mut undecided = UndecidedRequest {
+        node,
+        caller: &caller,
+        is_decided: false,
+    };
     let response = tokio::select! {
         biased;
         response = served => response,
         () = wait_until_due(node, &caller) => from_node(overdue_response(node, &caller)),
     };
+    undecided.is_decided = true;
+    drop(undecided);
     let outcome = match &response {
         ServedResponse::Target(response) if response.status().is_success() => "served",
         ServedResponse::Target(_) => "failed_by_target",
