Reproduce requests that run again when their id comes again while targets are silent

Real nodes and stand-ins that are silent as a stopped process is: they read what the kernel took for them when they go on, also after its sender has closed. A request that may run once was passed on, got no answer in its time, and came again with its id at other VMs: it ran once at each of them.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod memory;
 mod rate_limits;
 mod records;
+mod silent_targets;
 mod stops;
 mod store_copies;
 mod streams;
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -8,7 +8,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 static NEXT_CONNECTION: AtomicU64 = AtomicU64::new(1);
 
@@ -64,20 +64,31 @@
     response
 }
 
+/// Whether a server's process is stopped, as by SIGSTOP: the kernel still accepts its connections and
+/// bytes, and it reads them once it goes on.
+pub type StoppedFlag = watch::Receiver<bool>;
+
+async fn wait_until_running(stopped: &StoppedFlag) {
+    let mut stopped = stopped.clone();
+    // A flag whose sender is gone keeps its last value.
+    stopped.wait_for(|stopped| !stopped).await.ok();
+}
+
 /// Serves connections until the listener fails.
-pub async fn serve<H, F>(listener: TcpListener, handler: H)
+pub async fn serve<H, F>(listener: TcpListener, stopped: StoppedFlag, handler: H)
 where
     H: Fn(ReceivedRequest, StepSender) -> F + Send + Sync + 'static,
     F: Future<Output = ()> + Send + 'static,
 {
     let handler = Arc::new(handler);
     while let Ok((stream, _)) = listener.accept().await {
-        let handler = handler.clone();
-        tokio::spawn(async move { serve_connection(stream, handler).await });
+        wait_until_running(&stopped).await;
+        let (handler, stopped) = (handler.clone(), stopped.clone());
+        tokio::spawn(async move { serve_connection(stream, &stopped, handler).await });
     }
 }
 
-async fn serve_connection<H, F>(mut stream: TcpStream, handler: Arc<H>)
+async fn serve_connection<H, F>(mut stream: TcpStream, stopped: &StoppedFlag, handler: Arc<H>)
 where
     H: Fn(ReceivedRequest, StepSender) -> F + Send + Sync + 'static,
     F: Future<Output = ()> + Send + 'static,
@@ -86,12 +97,13 @@
     let connection = NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed);
     let mut buffer = Vec::new();
     while let Some(request) = read_request(&mut stream, connection, &mut buffer).await {
+        wait_until_running(stopped).await;
         let (sender, mut steps) = mpsc::channel(1);
         let task = tokio::spawn(handler(request, sender));
         loop {
             let step = tokio::select! {
                 step = steps.recv() => step,
-                closed = peer_closed(&mut stream, &mut buffer) => {
+                closed = peer_closed(&mut stream, stopped, &mut buffer) => {
                     if closed {
                         task.abort();
                         return;
@@ -99,6 +111,7 @@
                     continue;
                 }
             };
+            wait_until_running(stopped).await;
             match step {
                 Some(ResponseStep::Write(bytes)) => {
                     if stream.write_all(&bytes).await.is_err() {
@@ -112,7 +125,7 @@
                     loop {
                         tokio::select! {
                             () = &mut sleep => break,
-                            closed = peer_closed(&mut stream, &mut buffer) => {
+                            closed = peer_closed(&mut stream, stopped, &mut buffer) => {
                                 if closed {
                                     task.abort();
                                     return;
@@ -127,7 +140,7 @@
                 }
                 Some(ResponseStep::Close) => return,
                 Some(ResponseStep::Silence) => {
-                    while !peer_closed(&mut stream, &mut buffer).await {}
+                    while !peer_closed(&mut stream, stopped, &mut buffer).await {}
                     return;
                 }
                 None => break,
@@ -136,8 +149,10 @@
     }
 }
 
-async fn peer_closed(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> bool {
-    matches!(stream.read_buf(buffer).await, Ok(0) | Err(_))
+async fn peer_closed(stream: &mut TcpStream, stopped: &StoppedFlag, buffer: &mut Vec<u8>) -> bool {
+    let read = stream.read_buf(buffer).await;
+    wait_until_running(stopped).await;
+    matches!(read, Ok(0) | Err(_))
 }
 
 async fn read_request(
--- a/tests/support/store.rs
+++ b/tests/support/store.rs
@@ -74,7 +74,8 @@
         let served_store = store.clone();
         let _guard = runtime.enter();
         let listener = TcpListener::from_std(listener).expect("the runtime accepts the socket");
-        runtime.spawn(serve(listener, move |request, steps| {
+        let never_stopped = watch::Sender::new(false).subscribe();
+        runtime.spawn(serve(listener, never_stopped, move |request, steps| {
             let store = served_store.clone();
             async move { store.respond(request, steps).await }
         }));
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -8,6 +8,7 @@
 
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use super::BackgroundRuntime;
 use super::http::{ReceivedRequest, ResponseStep, StepSender, encode_response, serve};
@@ -269,6 +270,8 @@
     sent_refusals: Arc<Mutex<BTreeMap<u64, Vec<u8>>>>,
     /// Requests a second that its responses name as its limit, if any.
     rate_limit: Arc<Mutex<Option<f64>>>,
+    /// Whether its process is stopped.
+    stopped: watch::Sender<bool>,
     ledger: SharedRunLedger,
 }
 
@@ -306,12 +309,14 @@
             retry_after_ms: Arc::default(),
             sent_refusals: Arc::default(),
             rate_limit: Arc::default(),
+            stopped: watch::Sender::new(false),
             ledger,
         };
+        let stopped = target.stopped.subscribe();
         let served_target = target.clone();
         let _guard = runtime.enter();
         let listener = TcpListener::from_std(listener).expect("the runtime accepts the socket");
-        runtime.spawn(serve(listener, move |request, steps| {
+        runtime.spawn(serve(listener, stopped, move |request, steps| {
             let target = served_target.clone();
             async move { target.respond(request, steps).await }
         }));
@@ -322,6 +327,11 @@
         *self.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
     }
 
+    /// Stops or continues the target's process, as SIGSTOP and SIGCONT do.
+    pub fn set_stopped(&self, stopped: bool) {
+        self.stopped.send_replace(stopped);
+    }
+
     /// Makes the target say in its responses to requests that it leaves.
     pub fn announce_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
