Send a request that runs at most once only for the first attempt that claims its id

Callers saw: a certificate request or a stream that may run once ran at several targets, when it had no answer from a silent target and came again with its id at another VM, or at the same one.

Cause: each VM decided from its own sends whether a request may be sent. That an id had come before was known to no other VM, and to the first one only while the attempt lasted.

Now the request is claimed before its first send, in the VM's own record and at two VMs in different failure domains that a hash of its id and content determines. An attempt that finds the claim taken is answered 502 and not sent. A response that promises that the request has not run gives the claim back first, so a refused request may come again anywhere. Losing one VM or one domain leaves a keeper that knows.

Three fixtures sent several requests under one id and took each for a new one (the test bed's first requests, and those of endless and rate_limits tests, and the end of the soak): they draw new ids now. The stand-in runs a request that it has read also if its sender has closed the connection, as a process that was stopped does.

--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -22,6 +22,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::{DomainName, VmName};
+use crate::policy::run_claims::ClaimKey;
 
 use roster::ServedRoster;
 pub use roster::{RosterScope, RosterUpdate};
@@ -30,6 +31,8 @@
 pub const COORDINATOR_COUNT: usize = 3;
 /// Coordinators that get reports of jobs: the owner of placement and its successor.
 const REPORTED_COORDINATORS: usize = 2;
+/// VMs that keep a claim: losing one, or a failure domain, leaves one that knows it.
+const CLAIM_KEEPER_COUNT: usize = 2;
 /// Hubs of a failure domain: losing one leaves one that knows the domain already.
 pub const HUBS_PER_DOMAIN: usize = 2;
 /// Most VMs that try to read the store while it turns VMs away.
@@ -416,6 +419,17 @@
         recipients.into_values().cloned().collect()
     }
 
+    /// The VMs that keep a claim, in different failure domains if there are several, without this one.
+    pub fn claim_keepers(&self, key: ClaimKey, now: Instant) -> Vec<MemberRecord> {
+        let rank = |member: &MemberRecord| key.rank_of(&member.vm);
+        self.spread_over_domains(rank, now)
+            .into_iter()
+            .take(CLAIM_KEEPER_COUNT)
+            .filter(|member| member.vm != self.own.vm)
+            .cloned()
+            .collect()
+    }
+
     /// Whether this VM is to read the store: it is among the first coordinators and successors
     /// whose own reads do not fail. With all of [`MAX_READERS_TRIED`] failing, they all read on.
     pub fn reads_store(&self, now: Instant) -> bool {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -188,6 +188,11 @@
         hash.update(body);
         Self(hash.digest())
     }
+
+    /// The hash as a number.
+    pub fn as_u64(self) -> u64 {
+        self.0
+    }
 }
 
 impl fmt::Display for RequestDigest {
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -366,7 +366,7 @@
 }
 
 /// Whether callers take a status for the promise that the request has not run and never will.
-fn promises_not_run(status: StatusCode) -> bool {
+pub fn promises_not_run(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::REQUEST_TIMEOUT
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -13,6 +13,7 @@
 use crate::policy::permits::PermitAnswer;
 use crate::policy::rate_limits::RateLimit;
 use crate::policy::request_guard::{RequestBan, RequestEvidence};
+use crate::policy::run_claims::RunClaim;
 
 /// Bans and acquittals of what targets crash on.
 #[derive(Debug, Default, Serialize, Deserialize)]
@@ -180,11 +181,15 @@
     TakePermit(PermitRequest),
     /// Tells coordinators the owner's evidence against requests under which targets crash.
     ShareEvidence(Vec<RequestEvidence>),
+    /// Claims a request that runs at most once, before it is sent to targets.
+    ClaimRun(RunClaim),
+    /// Gives a claim back, as the request has not run and never will.
+    ReleaseRun(RunClaim),
 }
 
 impl NodeCall {
     /// The values that [`Self::kind`] may return.
-    pub const KINDS: [&'static str; 9] = [
+    pub const KINDS: [&'static str; 11] = [
         "heartbeat",
         "place",
         "updates",
@@ -194,6 +199,8 @@
         "announce_limits",
         "take_permit",
         "share_evidence",
+        "claim_run",
+        "release_run",
     ];
 
     /// Name of the kind of call, for metrics.
@@ -208,6 +215,8 @@
             Self::AnnounceLimits(_) => "announce_limits",
             Self::TakePermit(_) => "take_permit",
             Self::ShareEvidence(_) => "share_evidence",
+            Self::ClaimRun(_) => "claim_run",
+            Self::ReleaseRun(_) => "release_run",
         }
     }
 }
@@ -220,7 +229,8 @@
     /// The placement or its refusal, in reply to [`NodeCall::Place`].
     Placed(DispatchAnswer),
     /// The call was applied, in reply to [`NodeCall::Updates`], [`NodeCall::ReportJobs`],
-    /// [`NodeCall::AnnounceBans`], [`NodeCall::AnnounceLimits`] and [`NodeCall::ShareEvidence`].
+    /// [`NodeCall::AnnounceBans`], [`NodeCall::AnnounceLimits`], [`NodeCall::ShareEvidence`] and
+    /// [`NodeCall::ReleaseRun`].
     Acknowledged,
     /// The records, in reply to [`NodeCall::FetchRecords`].
     Records(PackedRecords),
@@ -228,4 +238,6 @@
     Permit(PermitAnswer),
     /// The receiver does not place for others: it has lost its paths to all targets, or stops.
     NoPath,
+    /// Whether the claim was taken, in reply to [`NodeCall::ClaimRun`]; another attempt holds it if not.
+    Claimed(bool),
 }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -115,6 +115,10 @@
     /// Placements and permits, refusals included, that this node decided after an owner of placement
     /// did not answer.
     pub placed_alone: Counter,
+    /// Requests that run at most once and were not sent, as their id had come before.
+    pub repeats_refused: Counter,
+    /// Claims of requests that no other VM confirmed.
+    pub claims_unconfirmed: Counter,
     /// Log lines dropped since the start because the writer lagged behind.
     pub log_lines_dropped: Gauge,
     /// Targets' responses given up because a part of them was too long.
@@ -153,6 +157,8 @@
             carried: Counter::default(),
             probes: Counter::default(),
             placed_alone: Counter::default(),
+            repeats_refused: Counter::default(),
+            claims_unconfirmed: Counter::default(),
             log_lines_dropped: Gauge::default(),
             oversized_responses: Family::default(),
             peer_calls: Family::default(),
@@ -258,6 +264,16 @@
             "Placements without a coordinator",
             self.placed_alone.clone(),
         );
+        registry.register(
+            "repeats_refused",
+            "Requests that run at most once and were not sent, as their id had come before",
+            self.repeats_refused.clone(),
+        );
+        registry.register(
+            "claims_unconfirmed",
+            "Claims of requests that no other node confirmed",
+            self.claims_unconfirmed.clone(),
+        );
         registry.register(
             "log_lines_dropped",
             "Log lines dropped by the bounded writer",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -20,6 +20,7 @@
 pub mod rate_limits;
 pub mod relay;
 pub mod request_handler;
+pub mod run_claims;
 pub mod service;
 pub mod state;
 pub mod stopping;
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -76,6 +76,14 @@
                 import_evidence(&node, &evidence);
                 NodeReply::Acknowledged
             }
+            NodeCall::ClaimRun(claim) => {
+                let taken = node.run_claims.borrow_mut().take(claim, node.now());
+                NodeReply::Claimed(taken)
+            }
+            NodeCall::ReleaseRun(claim) => {
+                node.run_claims.borrow_mut().release(claim);
+                NodeReply::Acknowledged
+            }
             NodeCall::TakePermit(request) => NodeReply::Permit(grant_permit(&node, &request)),
             NodeCall::ReportJobs(report) => {
                 for dispatcher in node.dispatchers.borrow_mut().values_mut() {
--- a/src/node/request_handler.rs
+++ b/src/node/request_handler.rs
@@ -13,6 +13,7 @@
 
 use super::attempt::CallerRequest;
 use super::body_budget::BudgetShare;
+use super::run_claims::claim_run;
 use super::service::{NodeResponse, ServedResponse};
 use super::state::NodeState;
 use super::stopping::{
@@ -213,11 +214,17 @@
         .get(&caller.service)
         .is_some_and(|service| service.engine.is_some());
     let served = async {
-        if is_engine && caller.route.rerun_policy.is_stream() {
+        let claim = match claim_run(node, &caller).await {
+            Ok(claim) => claim,
+            Err(refusal) => return from_node(refusal),
+        };
+        let response = if is_engine && caller.route.rerun_policy.is_stream() {
             generation::serve(node, &caller).await
         } else {
             service::serve(node, &caller).await
-        }
+        };
+        claim.settle(response.status()).await;
+        response
     };
     let mut undecided = UndecidedRequest {
         node,
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -43,6 +43,16 @@
     Node(NodeResponse),
 }
 
+impl ServedResponse {
+    /// The response's status.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::Target(response) | Self::Carried(response) => response.status(),
+            Self::Node(response) => response.status,
+        }
+    }
+}
+
 /// A response that this node generates, because there is no target's response to forward.
 #[derive(Debug, Clone)]
 pub struct NodeResponse {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -31,6 +31,7 @@
 use crate::policy::rate_limits::RateLimits;
 use crate::policy::request_guard::RequestGuard;
 use crate::policy::retry_share::RetryShare;
+use crate::policy::run_claims::ClaimLedger;
 use crate::policy::target_choice::TargetHealth;
 use crate::policy::target_paths::TargetPaths;
 use crate::wire::PeerClient;
@@ -83,6 +84,8 @@
     pub limits_differ: Cell<bool>,
     /// Permits for the limited targets of plain services.
     pub permit_ledger: RefCell<PermitLedger>,
+    /// Claims of requests that run at most once, of this VM and those that it keeps for others.
+    pub run_claims: RefCell<ClaimLedger>,
     /// Retry budget of each service.
     pub retry_shares: RefCell<HashMap<String, RetryShare>>,
     /// Whether this node reaches targets.
@@ -162,6 +165,7 @@
             rate_limits: RefCell::default(),
             limits_differ: Cell::new(false),
             permit_ledger: RefCell::default(),
+            run_claims: RefCell::default(),
             retry_shares: RefCell::default(),
             paths: RefCell::new(paths),
             paths_lost: watch::channel(false).0,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,5 +16,6 @@
 pub mod request_guard;
 pub mod retry;
 pub mod retry_share;
+pub mod run_claims;
 pub mod target_choice;
 pub mod target_paths;
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -30,6 +30,7 @@
 mod read_pacing;
 mod request_guard;
 mod routes;
+mod run_claims;
 mod steward;
 mod store_eras;
 mod target_paths;
--- a/tests/platform/endless.rs
+++ b/tests/platform/endless.rs
@@ -1,5 +1,6 @@
 //! Targets that send bytes without end, in a head or a body.
 
+use std::cell::Cell;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -79,8 +80,11 @@
                 answered_in_time(started_at, response, &case);
             }
             bed.set_engines(TargetMode::Healthy);
+            let attempts = Cell::new(0);
             wait_until(RECOVERY_LIMIT, &format!("{case}: served again"), || {
-                let request = bed.stream("again", "/single/a");
+                attempts.set(attempts.get() + 1);
+                let id = format!("again-{part:?}-{pace:?}-{}", attempts.get());
+                let request = bed.stream(&id, "/single/a");
                 send(bed.node_configs[0].callers, &request)
                     .is_some_and(|response| response.status == 200 && response.complete)
             });
--- a/tests/platform/rate_limits.rs
+++ b/tests/platform/rate_limits.rs
@@ -27,10 +27,10 @@
 fn the_limits_that_targets_name_are_logged_and_counted() {
     let bed = TestBed::start(1);
     let limited = [&bed.engines[0], &bed.replicas[0]];
-    let send_to_all = || {
+    let send_to_all = |label: &str| {
         for request in 0..6 {
-            bed.lookup(0, &format!("named-{request}"));
-            let stream = bed.stream(&format!("named-s-{request}"), "/single/a");
+            bed.lookup(0, &format!("{label}-{request}"));
+            let stream = bed.stream(&format!("{label}-s-{request}"), "/single/a");
             send(bed.node_configs[0].callers, &stream);
         }
     };
@@ -46,7 +46,7 @@
     limited
         .iter()
         .for_each(|target| target.name_limit(Some(40.5)));
-    send_to_all();
+    send_to_all("named");
 
     for target in limited {
         wait_until(LOG_TIMEOUT, "the limit is logged", || {
@@ -56,7 +56,7 @@
     assert_eq!(metric(&bed, 0, "notch_node_limited_targets"), Some(2.0));
 
     limited.iter().for_each(|target| target.name_limit(None));
-    send_to_all();
+    send_to_all("unnamed");
 
     wait_until(LOG_TIMEOUT, "the limits' end is counted", || {
         metric(&bed, 0, "notch_node_limited_targets") == Some(0.0)
--- a/tests/soak/invariants.rs
+++ b/tests/soak/invariants.rs
@@ -230,10 +230,14 @@
     let mut violations = Vec::new();
     for (index, config) in bed.node_configs.iter().enumerate() {
         for kind in ["/lookup/x", "/single/x"] {
-            let mut request = CallerRequest::new(&format!("warm-end-{index}"), "POST", kind);
+            let mut request = CallerRequest::new("", "POST", kind);
             request.tokens = Some("1000,100".to_owned());
-            let is_served_now =
-                || send(config.callers, &request).is_some_and(|response| response.status == 200);
+            let mut attempt = 0;
+            let mut is_served_now = || {
+                attempt += 1;
+                request.id = format!("warm-end-{index}-{attempt}");
+                send(config.callers, &request).is_some_and(|response| response.status == 200)
+            };
             while !is_served_now() {
                 if started_at.elapsed() > RECOVERY_LIMIT {
                     violations.push(format!("{} does not serve {kind} again", config.name));
--- a/tests/support/bed.rs
+++ b/tests/support/bed.rs
@@ -1,5 +1,6 @@
 //! Test bed: a fake store, fake targets and real nodes, connected through proxies.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::sync::PoisonError;
 use std::time::{Duration, Instant};
@@ -130,9 +131,13 @@
 
     /// Waits until every node serves requests and lists all nodes in its directory.
     fn wait_until_served(&self) {
+        let round = Cell::new(0);
         let all_nodes_serve = || {
+            round.set(round.get() + 1);
             self.nodes.iter().enumerate().all(|(index, node)| {
-                let stream = self.stream(&format!("warm-{index}"), "/single/warm");
+                // An id that came before is not sent again.
+                let id = format!("warm-{index}-{}", round.get());
+                let stream = self.stream(&id, "/single/warm");
                 let streamed = send(node.config.callers, &stream);
                 let looked_up = self.lookup(index, &format!("warm-l-{index}"));
                 let listed = super::caller::resolve(node.config.directory);
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -100,6 +100,8 @@
         wait_until_running(stopped).await;
         let (sender, mut steps) = mpsc::channel(1);
         let task = tokio::spawn(handler(request, sender));
+        // A request that was read runs, also if its sender has closed the connection.
+        tokio::task::yield_now().await;
         loop {
             let step = tokio::select! {
                 step = steps.recv() => step,
