Refuse late in a stop what runs at most once and could be cut off

Callers here saw: 502, with the request run, for a certificate request that came on a kept connection 6.4 s after SIGTERM, to a target that needs 1 s. No connection ended without an answer.

Cause: a stopping node passed a request on while its latency objective still fitted, and a target may take as long as the request's deadline. A request that runs at most once cannot be sent again then.

If another VM takes requests, such a request is now refused with 503, and Retry-After for the other VM, as soon as its whole time does not fit; so is one that waits for a further target. A VM alone still serves what usually fits.

stops::a_request_that_runs_once_is_not_passed_on_so_late_in_a_stop_that_it_could_be_cut_off failed before (late-46: status 502, ran 1 times) and passes, as do the other tests of stops.

--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -18,6 +18,7 @@
 use super::messages::PermitRequest;
 use super::rate_limits::take_permit;
 use super::state::NodeState;
+use super::stopping::{lacks_time, refuse_for_stop};
 use crate::fleet::catalog::TargetRecord;
 use crate::fleet::routes::RerunPolicy;
 use crate::ids::TargetName;
@@ -135,6 +136,11 @@
             }
             break;
         }
+        if runs == 0 && lacks_time(node, caller, node.now()) {
+            let is_carried = caller.parsed_headers.carried_runs.is_some();
+            node_response = refuse_for_stop(node, is_carried);
+            break;
+        }
         if let Some(carried) = carry_if_lost(node, caller, runs, next_is_retry).await {
             return carried;
         }
--- a/src/node/stopping.rs
+++ b/src/node/stopping.rs
@@ -118,8 +118,7 @@
             reason: reason.to_owned(),
         };
     }
-    let others_ready = !node.members.borrow().caller_addresses(now).is_empty();
-    let retry_after = if others_ready {
+    let retry_after = if is_other_vm_ready(node) {
         OTHER_VM_RETRY_AFTER
     } else {
         let answer_by = node.stop.subscribe().answer_by().unwrap_or(now);
@@ -128,7 +127,8 @@
     NodeResponse::not_run("stopping", reason, retry_after)
 }
 
-/// Whether a stopping node has too little time left to serve `caller`'s request from now on.
+/// Whether a stopping node has too little time left to serve `caller`'s request from now on: less than
+/// the request usually takes or, if it may run only once and another VM can serve it, than it may take.
 pub fn lacks_time(node: &NodeState, caller: &CallerRequest, now: Instant) -> bool {
     let Some(answer_by) = caller.stop.answer_by() else {
         return false;
@@ -137,9 +137,20 @@
         Some(times) => (times.prefill + times.decode) * BUSY_ENGINE_FACTOR,
         None => caller.route.objective,
     };
+    let needed = if caller.route.rerun_policy.allows_rerun() || !is_other_vm_ready(node) {
+        needed
+    } else {
+        // It cannot be sent again if its target needs longer.
+        needed.max(caller.deadline_left(now))
+    };
     now + needed > answer_by
 }
 
+fn is_other_vm_ready(node: &NodeState) -> bool {
+    let members = node.members.borrow();
+    !members.caller_addresses(node.now()).is_empty()
+}
+
 /// Time left at `now` for the first event of `caller`'s stream, if this node stops: the rest of the
 /// stream must follow before the node's process ends.
 pub fn first_event_time_left(
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -1,10 +1,11 @@
 //! Requests to services that are not model engines: what their callers receive and how often
 //! targets execute them.
 
+use std::cell::RefCell;
 use std::time::{Duration, Instant};
 
-use crate::support::bed::TestBed;
-use crate::support::caller::{CallerRequest, send};
+use crate::support::bed::{TestBed, wait_until};
+use crate::support::caller::{CallerRequest, CallerResponse, send};
 use crate::support::target::TargetMode;
 
 #[test]
@@ -224,6 +225,7 @@
 }
 
 /// Statuses by which callers take a request for not run, now or later.
+const MAX_CUT_HEAD_BYTES: usize = 200; // more than the heads of the stand-ins' responses
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
 /// Sends a non-idempotent request and checks that it runs at most once more, and not at all if the
@@ -290,3 +292,43 @@
         }
     }
 }
+
+/// Sends requests until a target ran one, which it does not while all are suspended; returns the
+/// responses to all of them.
+fn send_until_one_runs(bed: &TestBed, path: &str, label: &str) -> Vec<Option<CallerResponse>> {
+    let responses = RefCell::new(Vec::new());
+    wait_until(Duration::from_secs(6), &format!("{label} ran"), || {
+        let id = format!("{label}-{}", responses.borrow().len());
+        let mut request = bed.stream(&id, path);
+        // Else the requests would count as one that crashes its targets.
+        request.body = id.clone().into_bytes();
+        request.deadline = Duration::from_secs(2);
+        let response = send(bed.node_configs[0].callers, &request);
+        responses.borrow_mut().push(response);
+        !bed.runs(&id).is_empty()
+    });
+    responses.into_inner()
+}
+
+#[test]
+fn a_response_that_ends_inside_its_head_reaches_no_caller_as_a_success() {
+    let bed = TestBed::start(1);
+    for path in ["/lookup/7", "/issue/7", "/single/a", "/resumable/a"] {
+        for length in (0..MAX_CUT_HEAD_BYTES).step_by(9) {
+            let label = format!("cut{}-{length}", path.replace('/', "-"));
+            let mode = TargetMode::CutsHead(length);
+            bed.set_replicas(mode);
+            bed.set_engines(mode);
+
+            let responses = send_until_one_runs(&bed, path, &label);
+
+            for response in responses {
+                let status = response.as_ref().map_or(0, |response| response.status);
+                assert!(status >= 500, "{label}: {response:?}");
+            }
+            bed.set_replicas(TargetMode::Healthy);
+            bed.set_engines(TargetMode::Healthy);
+            send_until_one_runs(&bed, path, &format!("{label}-healthy"));
+        }
+    }
+}
--- a/tests/platform/stops.rs
+++ b/tests/platform/stops.rs
@@ -419,3 +419,58 @@
     assert_refused(&response, 0.8..=2.0);
     assert!(bed.runs("waiting").is_empty());
 }
+
+#[test]
+fn a_request_that_runs_once_is_not_passed_on_so_late_in_a_stop_that_it_could_be_cut_off() {
+    let mut bed = start_bed(2);
+    let mut table = config(3);
+    for route in table["routes"].as_array_mut().expect("a list of routes") {
+        route["timeout_ms"] = json!(1_500);
+    }
+    bed.put_config(&table);
+    wait_until(Duration::from_secs(5), "all nodes have the table", || {
+        let has_table = |log: String| log.contains("\"version\":3");
+        bed.nodes.iter().all(|node| has_table(node.log()))
+    });
+    for replica in &bed.replicas {
+        replica.set_delay(Duration::from_millis(1_000));
+    }
+    let callers = bed.node_configs[0].callers;
+    let stopped_at = Instant::now() + Duration::from_millis(1_500);
+    // Each sends one request during the stop, at a moment of its own, on a connection used before.
+    let senders: Vec<JoinHandle<(String, u16)>> = (0..52)
+        .map(|sender| {
+            std::thread::spawn(move || {
+                let mut connection = KeptConnection::open(callers).expect("a connection");
+                let look_up = CallerRequest::new(&format!("early-{sender}"), "GET", "/lookup/7");
+                connection.exchange(&look_up, Duration::ZERO);
+                let at = stopped_at + Duration::from_millis(sender * 140);
+                std::thread::sleep(at.saturating_duration_since(Instant::now()));
+                let id = format!("late-{sender}");
+                let mut issue = CallerRequest::new(&id, "POST", "/issue/7");
+                issue.body = id.clone().into_bytes();
+                match connection.exchange(&issue, Duration::ZERO) {
+                    KeptOutcome::Answered(response) => (id, response.status),
+                    KeptOutcome::Closed => (id, 0),
+                }
+            })
+        })
+        .collect();
+    std::thread::sleep(stopped_at.saturating_duration_since(Instant::now()));
+
+    bed.nodes[0].signal("TERM");
+
+    let outcomes = senders.into_iter().map(|sender| sender.join());
+    for outcome in outcomes {
+        let (id, status) = outcome.expect("a sender ends");
+        let runs = bed.runs(&id).len();
+        // What crosses the end of the process was not read, and its connection is closed.
+        let expected_runs = usize::from(status == 200);
+        assert!(
+            [200, 503, 0].contains(&status),
+            "{id}: status {status}, ran {runs} times"
+        );
+        assert_eq!(runs, expected_runs, "{id}: status {status}");
+    }
+    assert!(bed.nodes[0].exited_cleanly(GRACE));
+}
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -26,6 +26,8 @@
     Full,
     /// Closes the connection before the response is complete.
     Truncates,
+    /// Closes the connection after this many bytes of the response's head.
+    CutsHead(usize),
     /// Sends each response twice.
     AnswersTwice,
     /// Refuses a connection's first request without running it, and sends that refusal once more
@@ -642,6 +644,12 @@
                 ]
             }
             TargetMode::AnswersTwice => vec![ResponseStep::Write([whole.clone(), whole].concat())],
+            TargetMode::CutsHead(length) => {
+                vec![
+                    ResponseStep::Write(cut_head(&whole, length)),
+                    ResponseStep::Close,
+                ]
+            }
             TargetMode::Unframed => vec![
                 ResponseStep::Write([unframed.as_bytes(), body].concat()),
                 ResponseStep::Close,
@@ -734,6 +742,12 @@
             steps.send(ResponseStep::Close).await.ok();
             return;
         }
+        if let TargetMode::CutsHead(length) = mode {
+            let bytes = cut_head(head.as_bytes(), length);
+            steps.send(ResponseStep::Write(bytes)).await.ok();
+            steps.send(ResponseStep::Close).await.ok();
+            return;
+        }
         if let TargetMode::BreaksThenAnswers(answer) = mode
             && request.header("last-event-id").is_some()
         {
@@ -826,3 +840,10 @@
         encode_response(200, &[], br#"{"free":100000}"#)
     }
 }
+
+/// The first `length` bytes of a response, without the end of its head.
+fn cut_head(response: &[u8], length: usize) -> Vec<u8> {
+    let end = response.windows(4).position(|window| window == b"\r\n\r\n");
+    let head_length = end.map_or(response.len(), |end| end + 3);
+    response[..length.min(head_length)].to_vec()
+}
