Keep claims of requests at the two VMs that rank first

Claims now go to the first two VMs by rank, in different failure domains, to which every VM is connected already. The rank leaves out whether a VM reaches targets: silent targets look like lost paths, and the claims must not move then.

--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -22,7 +22,6 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::ids::{DomainName, VmName};
-use crate::policy::run_claims::ClaimKey;
 
 use roster::ServedRoster;
 pub use roster::{RosterScope, RosterUpdate};
@@ -31,7 +30,7 @@
 pub const COORDINATOR_COUNT: usize = 3;
 /// Coordinators that get reports of jobs: the owner of placement and its successor.
 const REPORTED_COORDINATORS: usize = 2;
-/// VMs that keep a claim: losing one, or a failure domain, leaves one that knows it.
+/// VMs that keep claims, in different failure domains: losing one leaves one that knows them.
 const CLAIM_KEEPER_COUNT: usize = 2;
 /// Hubs of a failure domain: losing one leaves one that knows the domain already.
 pub const HUBS_PER_DOMAIN: usize = 2;
@@ -419,13 +418,13 @@
         recipients.into_values().cloned().collect()
     }
 
-    /// The VMs that keep a claim, in different failure domains if there are several, without this one.
-    pub fn claim_keepers(&self, key: ClaimKey, now: Instant) -> Vec<MemberRecord> {
-        let rank = |member: &MemberRecord| key.rank_of(&member.vm);
-        self.spread_over_domains(rank, now)
+    /// The VMs that keep claims of requests that run at most once, without this one: the first VMs by
+    /// rank, to which every VM is connected. Whether they reach targets does not matter here.
+    pub fn claim_keepers(&self, now: Instant) -> Vec<MemberRecord> {
+        self.spread_over_domains(duty_rank, now)
             .into_iter()
             .take(CLAIM_KEEPER_COUNT)
-            .filter(|member| member.vm != self.own.vm)
+            .filter(|keeper| keeper.vm != self.own.vm)
             .cloned()
             .collect()
     }
--- a/src/node/run_claims.rs
+++ b/src/node/run_claims.rs
@@ -1,5 +1,5 @@
-//! Claims a request that runs at most once before it is sent, at two VMs that its id determines, so
-//! that no VM sends it when its id comes again.
+//! Claims a request that runs at most once before it is sent, at the two VMs that rank first, so that no
+//! VM sends it when its id comes again.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -64,7 +64,7 @@
     if !node.run_claims.borrow_mut().take(claim, now) {
         return Err(refuse_repeated(node, caller, "this VM"));
     }
-    let keepers = node.members.borrow().claim_keepers(claim.key, now);
+    let keepers = node.members.borrow().claim_keepers(now);
     guard.held = Some(HeldClaim {
         claim,
         keepers: keepers.clone(),
--- a/src/policy/run_claims.rs
+++ b/src/policy/run_claims.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::ids::{RequestDigest, VmName};
+use crate::ids::RequestDigest;
 
 const RETENTION: Duration = Duration::from_secs(120); // well over any route's timeout and the time in which callers return
 const MAX_CLAIMS: usize = 65_536;
@@ -30,18 +30,6 @@
     pub fn of(id: &str, digest: RequestDigest) -> Self {
         Self(xxh3_64_with_seed(id.as_bytes(), digest.as_u64()))
     }
-
-    /// Rank of `vm` among the VMs that may keep this claim, lowest first; all VMs compute the same.
-    ///
-    /// ```
-    /// use plantainnotch::ids::{RequestDigest, VmName};
-    /// use plantainnotch::policy::run_claims::ClaimKey;
-    /// let key = ClaimKey::of("a", RequestDigest::of("POST", "/issue/7", None, &[], b""));
-    /// assert_ne!(key.rank_of(&VmName::new("vm-1")), key.rank_of(&VmName::new("vm-2")));
-    /// ```
-    pub fn rank_of(self, vm: &VmName) -> u64 {
-        xxh3_64_with_seed(vm.as_str().as_bytes(), self.0)
-    }
 }
 
 /// The claim of one attempt at a request.
