--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -20,6 +20,8 @@
 const CUT_DURATION_MS: std::ops::Range<u64> = 500..5_000;
 const CUT_SHARE: f64 = 0.12;
 const STORE_COPY_SHARE: f64 = 0.12;
+const SILENCE_SHARE: f64 = 0.15;
+const SILENCE_MS: std::ops::Range<u64> = 300..1_500;
 
 /// How often faults begin.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -42,6 +44,7 @@
     MarkTargetReady(usize),
     RestoreDomain(usize),
     RestorePaths(usize),
+    ContinueTarget(usize),
 }
 
 /// What happens to a node.
@@ -74,6 +77,8 @@
     rng: StdRng,
     /// Draws lost paths and older copies of the store apart, so that the other faults of a seed stay.
     second_rng: StdRng,
+    /// Draws silent targets apart, for the same reason.
+    third_rng: StdRng,
     store_copy: Option<StoreCopy>,
     pace: FaultPace,
     started_at: Instant,
@@ -90,6 +95,7 @@
         Self {
             rng: StdRng::seed_from_u64(seed),
             second_rng: StdRng::seed_from_u64(!seed),
+            third_rng: StdRng::seed_from_u64(seed.rotate_left(32)),
             store_copy: None,
             pace,
             started_at: Instant::now(),
@@ -133,6 +139,7 @@
     pub fn step(&mut self, bed: &mut TestBed, mut during: impl FnMut(&TestBed)) {
         self.inject(bed);
         self.lose_paths(bed);
+        self.silence_targets(bed);
         self.restore_store_copy(bed);
         let pause_ms = match self.pace {
             FaultPace::Dense => self.rng.random_range(DENSE_PAUSE_MS),
@@ -295,6 +302,24 @@
         self.pending_ends.push(end);
     }
 
+    /// At times stops the processes of some targets for a moment, or of all.
+    fn silence_targets(&mut self, bed: &TestBed) {
+        if !self.third_rng.random_bool(SILENCE_SHARE) {
+            return;
+        }
+        let share = [0.3, 0.6, 1.0][self.third_rng.random_range(0..3)];
+        let duration = Duration::from_millis(self.third_rng.random_range(SILENCE_MS));
+        for target in 0..self.target_count {
+            if !self.third_rng.random_bool(share) {
+                continue;
+            }
+            self.log_event(&format!("target {target} is stopped for {duration:?}"));
+            bed.target(target).set_stopped(true);
+            let end = (Instant::now() + duration, FaultEnd::ContinueTarget(target));
+            self.pending_ends.push(end);
+        }
+    }
+
     /// At times lets the store come back from a copy made some steps before; operators and targets
     /// then write again.
     fn restore_store_copy(&mut self, bed: &TestBed) {
@@ -334,6 +359,7 @@
             FaultEnd::ClearStoreProxy(node) => bed.store_proxies[node].set(ProxyFault::None),
             FaultEnd::RestoreTarget(target) => bed.target(target).set_mode(TargetMode::Healthy),
             FaultEnd::ClearTargetProxy(target) => bed.target_proxies[target].set(ProxyFault::None),
+            FaultEnd::ContinueTarget(target) => bed.target(target).set_stopped(false),
             FaultEnd::RestorePaths(node) => {
                 set_paths(bed, node, ProxyFault::None);
                 self.end_node_faults(node);
