--- a/src/bin/notch-fake.rs
+++ b/src/bin/notch-fake.rs
@@ -1,13 +1,14 @@
 //! Fake platform, fake targets, and the load generator.
 
 use bpaf::{OptionParser, Parser, construct};
-use plantainnotch::cmd::{fake_load, fake_platform, fake_target};
+use plantainnotch::cmd::{fake_decisions, fake_load, fake_platform, fake_target};
 
 #[derive(Debug, Clone)]
 enum FakeCommand {
     Platform(fake_platform::PlatformOptions),
     Target(fake_target::TargetOptions),
     Load(fake_load::LoadOptions),
+    Decisions(fake_decisions::DecisionsOptions),
 }
 
 fn options() -> OptionParser<FakeCommand> {
@@ -26,7 +27,12 @@
         .to_options()
         .descr("Seeded load, with a table and a JSON summary")
         .command("load");
-    construct!([platform, target, load])
+    let decisions = fake_decisions::options()
+        .map(FakeCommand::Decisions)
+        .to_options()
+        .descr("Measures placement decisions per second")
+        .command("decisions");
+    construct!([platform, target, load, decisions])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
 }
@@ -36,5 +42,9 @@
         FakeCommand::Platform(options) => fake_platform::run(options),
         FakeCommand::Target(options) => fake_target::run(options),
         FakeCommand::Load(options) => fake_load::run(&options),
+        FakeCommand::Decisions(options) => {
+            fake_decisions::run(&options);
+            Ok(())
+        }
     }
 }
