Keep sums of an engine's jobs and skip prompts that cannot be placed

Cause: each waiting prompt walked all jobs of all engines several times, so that a decision cost queue x engines x jobs. Change: EngineLedger computes its sums when its jobs or pass change. Within one call, a short prompt that needs at least the memory for which no engine was available is not evaluated, the engines available to long prompts and the time until engines are free are computed once between placements, and the refusal of a prompt that may share an engine is ruled out by an upper bound. Jobs are found by an index. Decisions are unchanged: a test compares them with recorded ones. Still linear in the number of waiting prompts.

--- a/src/policy/dispatch/choice.rs
+++ b/src/policy/dispatch/choice.rs
@@ -5,7 +5,8 @@
 
 use super::ledger::{EngineLedger, LATE_VALUE_SHARE, prompt_value};
 use super::request::{EnginePlacement, PlacementRequest, SplitPart};
-use super::{EngineDispatcher, MAX_SHORT_PREFILL, QueuedRequest, decode_pass_time};
+use super::{DecisionPass, EngineDispatcher, MAX_SHORT_PREFILL, QueuedRequest, decode_pass_time};
+use crate::ids::TargetName;
 use crate::policy::engine_model::{decode_time, pass_time, prefill_time};
 
 /// Share of an on-time request's value that is lost per objective that passes before its first
@@ -55,12 +56,16 @@
     pub(super) fn place_short(
         &self,
         queued: &QueuedRequest,
+        pass: &mut DecisionPass,
         now: Instant,
     ) -> Option<EnginePlacement> {
         let request = &queued.request;
-        let own_prefill = prefill_time(&self.spec, request.prompt_tokens, 1);
+        let own_prefill = queued.times.unsplit_prefill;
         let objective_left = queued.objective_at().saturating_duration_since(now);
         let memory = request.prompt_tokens + request.max_output_tokens;
+        if pass.failed_memory.is_some_and(|failed| memory >= failed) {
+            return None;
+        }
         let candidates = self.engines.values().filter(|engine| {
             engine.accepts_work
                 && !request.excluded_targets.contains(&engine.target.name)
@@ -99,7 +104,14 @@
                 engine.target.domain != request.domain,
                 &engine.target.name,
             )
-        })?;
+        });
+        let Some(best) = best else {
+            // Smaller than the previous one, for which this function returns before this point.
+            if request.excluded_targets.is_empty() {
+                pass.failed_memory = Some(memory);
+            }
+            return None;
+        };
         let first_event = predicted(best);
         (now + first_event <= queued.gives_up_at()).then(|| EnginePlacement {
             lead: best.target.name.clone(),
@@ -123,43 +135,33 @@
         if self.cold_requests_per_s <= 0.0 {
             return true;
         }
+        let limit = (self.cold_requests_per_s * COLD_LIMIT_SHARE * self.limit_share).max(1.0);
+        if (engine.recent_sends.len() as f64) < limit {
+            return true;
+        }
         let recent = engine
             .recent_sends
             .iter()
             .filter(|at| now.saturating_duration_since(**at) < Duration::from_secs(1))
             .count();
-        let limit = (self.cold_requests_per_s * COLD_LIMIT_SHARE * self.limit_share).max(1.0);
         (recent as f64) < limit
     }
 
     pub(super) fn place_long(
         &self,
         queued: &QueuedRequest,
+        pass: &mut DecisionPass,
         now: Instant,
     ) -> Option<EnginePlacement> {
         let request = &queued.request;
-        let mut available: Vec<&EngineLedger> = self
-            .engines
-            .values()
-            .filter(|engine| {
-                engine.accepts_work
-                    && !request.excluded_targets.contains(&engine.target.name)
-                    && engine.running() < self.spec.slots
-                    && engine.long_prefill_left(self.decode_pass_time(engine, 0), now)
-                        <= MAX_AVAILABLE_PREFILL_LEFT
-                    && self.within_cold_limit(engine, now)
-            })
+        let names = pass
+            .available
+            .get_or_insert_with(|| self.available_for_long(now));
+        let mut available: Vec<&EngineLedger> = names
+            .iter()
+            .filter(|name| !request.excluded_targets.contains(name))
+            .filter_map(|name| self.engines.get(name))
             .collect();
-        available.sort_by_cached_key(|engine| {
-            let on_time_value = engine.on_time_generating_value().round() as u64;
-            let busy = self.prefill_wait(engine, now) > MAX_PREFERRED_PREFILL_WAIT;
-            (
-                engine.on_time_short_prompts(),
-                busy,
-                on_time_value,
-                engine.target.name.clone(),
-            )
-        });
         let objective_left = queued.objective_at().saturating_duration_since(now);
         let min_parts = self.parts_for_memory(
             &available,
@@ -192,6 +194,35 @@
         Some(self.split_over(chosen, request, predicted_first_event, now))
     }
 
+    /// Names of the engines that can take a part of a long prompt, best first.
+    fn available_for_long(&self, now: Instant) -> Vec<TargetName> {
+        let mut available: Vec<&EngineLedger> = self
+            .engines
+            .values()
+            .filter(|engine| {
+                engine.accepts_work
+                    && engine.running() < self.spec.slots
+                    && engine.long_prefill_left(self.decode_pass_time(engine, 0), now)
+                        <= MAX_AVAILABLE_PREFILL_LEFT
+                    && self.within_cold_limit(engine, now)
+            })
+            .collect();
+        available.sort_by_cached_key(|engine| {
+            let on_time_value = engine.on_time_generating_value().round() as u64;
+            let busy = self.prefill_wait(engine, now) > MAX_PREFERRED_PREFILL_WAIT;
+            (
+                engine.on_time_short_prompts(),
+                busy,
+                on_time_value,
+                &engine.target.name,
+            )
+        });
+        available
+            .into_iter()
+            .map(|engine| engine.target.name.clone())
+            .collect()
+    }
+
     /// The number of parts for a long prompt, one for each of the first engines of `available`;
     /// `None` if waiting for better engines is worth more. At least `min_parts` engines are
     /// needed for its memory; `objective_left` remains of its objective.
@@ -219,8 +250,9 @@
             let first_event = wait + prefill + self.decode_pass_time(available[parts - 1], 0);
             value * value_share(first_event, objective_left) - cost
         };
-        let best = (min_parts..=max_parts).max_by(|a, b| gain(*a).total_cmp(&gain(*b)))?;
-        if gain(best) >= self.value_of_waiting(request, objective_left, now) {
+        let gains = (min_parts..=max_parts).map(|parts| (parts, gain(parts)));
+        let (best, best_gain) = gains.max_by(|a, b| a.1.total_cmp(&b.1))?;
+        if best_gain >= self.value_of_waiting(request, objective_left, now) {
             return Some(best);
         }
         None
--- a/src/policy/dispatch/ledger.rs
+++ b/src/policy/dispatch/ledger.rs
@@ -43,6 +43,93 @@
     pub(super) ends_at: Instant,
     /// Whether it is late or predicted to be, so that a further delay costs less.
     pub(super) is_late: bool,
+    /// [`prompt_value`] of its prompt.
+    value: f64,
+}
+
+/// Sums over the jobs of one engine. They are computed when its jobs or its pass number change,
+/// which is far less often than they are read; the sum of values is kept exact that way.
+#[derive(Debug, Default)]
+struct JobTotals {
+    running: usize,
+    short_prompts: usize,
+    on_time_short_prompts: usize,
+    generating: usize,
+    on_time_generating_value: f64,
+    context_tokens: u64,
+    memory_tokens: u64,
+    min_event_gap: Option<Duration>,
+    /// Prefill time that is scheduled in the next pass.
+    next_prefill: Duration,
+    /// Whether the current pass prefills a prompt whose first event comes from this engine.
+    current_prefills_lead: bool,
+    /// Whether the current pass prefills a long prompt.
+    current_prefills_long: bool,
+    /// Whether a later pass prefills a long prompt.
+    later_prefills_long: bool,
+    /// Earliest objective of the prompts that the next pass prefills.
+    next_objective_at: Option<Instant>,
+    /// Shortest event gap that makes a stream late.
+    min_late_gap: Option<Duration>,
+    earliest_expiry: Option<Instant>,
+}
+
+fn min_option<T: Ord>(least: Option<T>, other: T) -> Option<T> {
+    Some(match least {
+        Some(least) => least.min(other),
+        None => other,
+    })
+}
+
+impl JobTotals {
+    fn new(jobs: &[EngineJob], pass: u64) -> Self {
+        let mut totals = Self::default();
+        for job in jobs {
+            totals.add(job, pass);
+        }
+        totals
+    }
+
+    fn add(&mut self, job: &EngineJob, pass: u64) {
+        let report = &job.report;
+        self.context_tokens += report.context_tokens;
+        self.memory_tokens += report.memory_tokens;
+        self.min_event_gap = min_option(self.min_event_gap, report.max_event_gap);
+        self.earliest_expiry = min_option(self.earliest_expiry, job.expires_at);
+        if report.is_short {
+            self.short_prompts += 1;
+            self.on_time_short_prompts += usize::from(!job.is_late);
+        }
+        if let Some(own) = job.prefill_pass {
+            if own == pass + 1 {
+                self.next_prefill += report.prefill_left;
+            }
+            self.current_prefills_long |= !report.is_short && own == pass;
+            self.later_prefills_long |= !report.is_short && own > pass;
+        }
+        if report.is_helper {
+            return;
+        }
+        self.running += 1;
+        self.current_prefills_lead |= job.prefill_pass == Some(pass);
+        if job.prefill_pass.is_none() {
+            self.generating += 1;
+            if !job.is_late {
+                self.on_time_generating_value += job.value;
+            }
+        }
+        // A prompt without tokens has no value to lose.
+        if report.prompt_tokens == 0 {
+            return;
+        }
+        match job.prefill_pass {
+            Some(own) if own == pass + 1 => {
+                self.next_objective_at = min_option(self.next_objective_at, job.objective_at);
+            }
+            Some(_) if !report.is_short => {}
+            _ => self.min_late_gap = min_option(self.min_late_gap, job.late_gap()),
+        }
+    }
 }
 
 /// An engine and the jobs on it.
@@ -54,7 +141,8 @@
 pub(super) struct EngineLedger {
     pub(super) target: EngineTarget,
     pub(super) accepts_work: bool,
-    pub(super) jobs: Vec<EngineJob>,
+    jobs: Vec<EngineJob>,
+    totals: JobTotals,
     pub(super) recent_sends: Vec<Instant>,
     /// Permits to send requests, if the engine named a rate limit.
     pub(super) permits: Option<PermitBucket>,
@@ -82,6 +170,11 @@
 }
 
 impl EngineJob {
+    /// Event gap above which its stream counts as late.
+    fn late_gap(&self) -> Duration {
+        self.report.max_event_gap.mul_f64(LATE_GAP_SHARE)
+    }
+
     /// Whether the job's next event is late if pass number `pass`, the next one of its engine,
     /// takes more prefill and ends at `pass_end`, `event_gap` after it started.
     fn is_delayed_by(&self, pass: u64, event_gap: Duration, pass_end: Instant) -> bool {
@@ -94,7 +187,7 @@
             // A long prompt that another pass prefills.
             Some(_) if !self.report.is_short => false,
             // It generates, or is short and generates after another pass.
-            _ => event_gap > self.report.max_event_gap.mul_f64(LATE_GAP_SHARE),
+            _ => event_gap > self.late_gap(),
         }
     }
 }
@@ -105,6 +198,7 @@
             target,
             accepts_work: true,
             jobs: Vec::new(),
+            totals: JobTotals::default(),
             recent_sends: Vec::new(),
             permits: None,
             pass: 0,
@@ -122,6 +216,38 @@
         self.accepts_work = true;
     }
 
+    pub(super) fn jobs(&self) -> &[EngineJob] {
+        &self.jobs
+    }
+
+    /// Drops the jobs that `is_kept` does not hold for, and returns their ids.
+    pub(super) fn retain_jobs(&mut self, is_kept: impl Fn(&EngineJob) -> bool) -> Vec<JobId> {
+        let mut dropped = Vec::new();
+        self.jobs.retain(|job| {
+            let kept = is_kept(job);
+            if !kept {
+                dropped.push(job.report.job);
+            }
+            kept
+        });
+        if !dropped.is_empty() {
+            self.update_totals();
+        }
+        dropped
+    }
+
+    /// Drops the jobs that expired by `now`, and returns their ids.
+    pub(super) fn expire_jobs(&mut self, now: Instant) -> Vec<JobId> {
+        match self.totals.earliest_expiry {
+            Some(at) if at <= now => self.retain_jobs(|job| now < job.expires_at),
+            _ => Vec::new(),
+        }
+    }
+
+    fn update_totals(&mut self) {
+        self.totals = JobTotals::new(&self.jobs, self.pass);
+    }
+
     /// Whether a rate limit that the engine named allows a request.
     pub(super) fn has_permit(&self, now: Instant) -> bool {
         let permits = self.permits.as_ref();
@@ -132,7 +258,7 @@
     /// `decode_pass`, and is on average half over.
     pub(super) fn next_pass(&self, decode_pass: Duration, now: Instant) -> NextPass {
         let Some(ends_at) = self.pass_ends_at else {
-            let is_decoding = self.generating().next().is_some();
+            let is_decoding = self.totals.generating > 0;
             return NextPass {
                 starts_in: if is_decoding {
                     decode_pass / 2
@@ -149,18 +275,10 @@
             } else {
                 left
             },
-            prefill: self.prefill_in(self.pass + 1),
+            prefill: self.totals.next_prefill,
         }
     }
 
-    fn prefill_in(&self, pass: u64) -> Duration {
-        self.jobs
-            .iter()
-            .filter(|job| job.prefill_pass == Some(pass))
-            .map(|job| job.report.prefill_left)
-            .sum()
-    }
-
     /// Adds a job; what is left of its prefill is scheduled in the next pass.
     pub(super) fn add_job(
         &mut self,
@@ -172,6 +290,7 @@
         let next = self.next_pass(decode_pass, now);
         let first_event = now + next.starts_in + next.prefill + report.prefill_left + decode_pass;
         let objective_at = now + report.objective;
+        let value = prompt_value(report.prompt_tokens);
         let prefill_pass = (!report.prefill_left.is_zero())
             .then(|| self.schedule_prefill(&report, decode_pass, now));
         self.jobs.push(EngineJob {
@@ -183,13 +302,15 @@
             objective_at,
             expires_at: now + times.lifetime,
             decode: times.decode,
+            value,
         });
+        self.update_totals();
     }
 
     /// Returns the number of the pass that prefills a new job: on an idle engine one that
     /// starts now.
     fn schedule_prefill(&mut self, report: &JobReport, decode_pass: Duration, now: Instant) -> u64 {
-        if self.pass_ends_at.is_none() && self.generating().next().is_none() {
+        if self.pass_ends_at.is_none() && self.totals.generating == 0 {
             self.pass += 1;
             self.pass_ends_at = Some(now + report.prefill_left + decode_pass);
             return self.pass;
@@ -205,10 +326,7 @@
             if now < ends_at {
                 return;
             }
-            let prefilling = self
-                .jobs
-                .iter()
-                .any(|job| job.prefill_pass == Some(self.pass) && !job.report.is_helper);
+            let prefilling = self.totals.current_prefills_lead;
             if prefilling && now < ends_at + OVERDUE_GRACE {
                 return;
             }
@@ -217,8 +335,9 @@
     }
 
     fn start_pass(&mut self, at: Instant, decode_pass: Duration) {
+        let prefill = self.totals.next_prefill;
         self.pass += 1;
-        let prefill = self.prefill_in(self.pass);
+        self.update_totals();
         self.pass_ends_at = (!prefill.is_zero()).then(|| at + prefill + decode_pass);
     }
 
@@ -235,6 +354,7 @@
         let is_helper = job.report.is_helper;
         self.jobs
             .retain(|job| job.report.job != id || !is_helper || job.report.memory_tokens > 0);
+        self.update_totals();
         if pass == self.pass
             && let Some(ends_at) = self.pass_ends_at
         {
@@ -245,6 +365,7 @@
             // The current pass ended earlier than predicted, and the next one, which prefilled
             // the request, has ended as well.
             self.pass += 1;
+            self.update_totals();
             self.start_pass(now, decode_pass);
         }
     }
@@ -265,24 +386,15 @@
 
     /// Number of requests that take a slot here; helpers take none.
     pub(super) fn running(&self) -> usize {
-        self.jobs.iter().filter(|job| !job.report.is_helper).count()
+        self.totals.running
     }
 
     pub(super) fn short_prompts(&self) -> usize {
-        self.jobs.iter().filter(|job| job.report.is_short).count()
+        self.totals.short_prompts
     }
 
     pub(super) fn on_time_generating_value(&self) -> f64 {
-        self.generating()
-            .filter(|job| !job.is_late)
-            .map(|job| prompt_value(job.report.prompt_tokens))
-            .sum()
-    }
-
-    fn generating(&self) -> impl Iterator<Item = &EngineJob> {
-        self.jobs
-            .iter()
-            .filter(|job| job.prefill_pass.is_none() && !job.report.is_helper)
+        self.totals.on_time_generating_value
     }
 
     /// Value that the jobs here lose if `prefill` more is scheduled in the next pass. A pass
@@ -296,6 +408,9 @@
         let next = self.next_pass(decode_pass, now);
         let event_gap = next.prefill + prefill + decode_pass;
         let pass_end = now + next.starts_in + event_gap;
+        if !self.delays_any(event_gap, pass_end) {
+            return 0.0;
+        }
         self.jobs
             .iter()
             .filter(|job| job.is_delayed_by(self.pass + 1, event_gap, pass_end))
@@ -306,7 +421,7 @@
                     true => LATE_VALUE_SHARE * LATE_GAP_COST_SHARE,
                     false => 1.0 - LATE_VALUE_SHARE,
                 };
-                prompt_value(job.report.prompt_tokens) * lost_share
+                job.value * lost_share
             })
             .sum()
     }
@@ -319,26 +434,28 @@
         for job in &mut self.jobs {
             job.is_late |= job.is_delayed_by(self.pass + 1, event_gap, pass_end);
         }
+        self.update_totals();
+    }
+
+    /// Whether a job here that has value is delayed, as in [`EngineJob::is_delayed_by`].
+    fn delays_any(&self, event_gap: Duration, pass_end: Instant) -> bool {
+        let totals = &self.totals;
+        totals.next_objective_at.is_some_and(|at| at < pass_end)
+            || totals.min_late_gap.is_some_and(|gap| event_gap > gap)
     }
 
     pub(super) fn on_time_short_prompts(&self) -> usize {
-        self.jobs
-            .iter()
-            .filter(|job| job.report.is_short && !job.is_late)
-            .count()
+        self.totals.on_time_short_prompts
     }
 
     /// The shortest of the allowed event gaps of all jobs here and of `own`.
     pub(super) fn min_allowed_gap(&self, own: Duration) -> Duration {
-        self.jobs
-            .iter()
-            .map(|job| job.report.max_event_gap)
-            .fold(own, Duration::min)
+        self.totals.min_event_gap.map_or(own, |gap| gap.min(own))
     }
 
     /// Tokens of memory that the jobs take.
     pub(super) fn memory_used(&self) -> u64 {
-        self.jobs.iter().map(|job| job.report.memory_tokens).sum()
+        self.totals.memory_tokens
     }
 
     /// Tokens of memory that the jobs are predicted to take at `at`.
@@ -348,24 +465,20 @@
     }
 
     pub(super) fn context_tokens(&self) -> u64 {
-        self.jobs.iter().map(|job| job.report.context_tokens).sum()
+        self.totals.context_tokens
     }
 
     /// Time until the prefills of long prompts here are done; a pass without prefill takes
     /// `decode_pass`.
     pub(super) fn long_prefill_left(&self, decode_pass: Duration, now: Instant) -> Duration {
         let next = self.next_pass(decode_pass, now);
-        self.jobs
-            .iter()
-            .filter(|job| !job.report.is_short)
-            .filter_map(|job| job.prefill_pass)
-            .map(|pass| match pass {
-                pass if pass == self.pass => next.starts_in,
-                pass if pass > self.pass => next.starts_in + next.prefill + decode_pass,
-                _ => Duration::ZERO,
-            })
-            .max()
-            .unwrap_or(Duration::ZERO)
+        if self.totals.later_prefills_long {
+            next.starts_in + next.prefill + decode_pass
+        } else if self.totals.current_prefills_long {
+            next.starts_in
+        } else {
+            Duration::ZERO
+        }
     }
 }
 
--- a/src/policy/dispatch/mod.rs
+++ b/src/policy/dispatch/mod.rs
@@ -9,7 +9,7 @@
 mod request;
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 use super::engine_model::{decode_time, pass_time, prefill_time};
@@ -18,7 +18,7 @@
 use crate::ids::{TargetName, VmName};
 
 use choice::{MAX_PACKED_SHORT_PROMPTS, MAX_PARTS, PLANNED_MEMORY_SHARE};
-use ledger::{EngineLedger, JobTimes};
+use ledger::{EngineJob, EngineLedger, JobTimes};
 pub use request::{
     DispatchAnswer, DispatchDecision, EnginePlacement, EngineTarget, JobId, JobReport,
     PlacementRequest, RefusalReason, SplitPart,
@@ -50,6 +50,18 @@
     queued_at: Instant,
     /// Earliest time at which engines have the memory for it, as predicted when it was queued.
     memory_at: Instant,
+    times: RequestTimes,
+}
+
+/// Times of a request that depend on the performance model only.
+#[derive(Debug, Clone, Copy)]
+struct RequestTimes {
+    /// Prefill on one engine.
+    unsplit_prefill: Duration,
+    /// See [`EngineDispatcher::typical_first_event_time`].
+    typical_first_event: Duration,
+    /// A pass without prefill on an engine that runs nothing else.
+    single_pass: Duration,
 }
 
 impl QueuedRequest {
@@ -62,6 +74,33 @@
     }
 }
 
+/// What one call of [`EngineDispatcher::decide`] found out that holds for the requests behind.
+#[derive(Debug, Default)]
+struct DecisionPass {
+    /// Smallest memory for which no engine was available to a short prompt without excluded
+    /// targets. Placements only take slots, memory and permits, so this holds until the call ends.
+    failed_memory: Option<u64>,
+    /// Engines available to long prompts, best first; until the next placement.
+    available: Option<Vec<TargetName>>,
+    /// Until the next placement.
+    load: Option<EngineLoad>,
+}
+
+impl DecisionPass {
+    fn forget_engines(&mut self) {
+        self.available = None;
+        self.load = None;
+    }
+}
+
+/// How soon the engines can start another prefill.
+#[derive(Debug)]
+struct EngineLoad {
+    /// Time until the long prefills of the soonest [`MAX_PARTS`] engines are done, ascending.
+    busy_for: Vec<Duration>,
+    long_prefill_capacity: f64,
+}
+
 /// Scheduler of one service: its engines, their jobs, and the queued requests.
 #[derive(Debug)]
 pub struct EngineDispatcher {
@@ -69,7 +108,11 @@
     cold_requests_per_s: f64,
     limit_share: f64,
     engines: BTreeMap<TargetName, EngineLedger>,
+    accepting_engines: usize,
+    /// The engines of each job, so that a job is found without a walk over all engines.
+    targets_by_job: HashMap<JobId, Vec<TargetName>>,
     queue: Vec<QueuedRequest>,
+    queued_jobs: HashSet<JobId>,
     return_order: ReturnOrder,
 }
 
@@ -82,7 +125,10 @@
             cold_requests_per_s,
             limit_share: 1.0,
             engines: BTreeMap::new(),
+            accepting_engines: 0,
+            targets_by_job: HashMap::new(),
             queue: Vec::new(),
+            queued_jobs: HashSet::new(),
             return_order: ReturnOrder::default(),
         }
     }
@@ -118,6 +164,11 @@
     ) {
         if self.spec != *spec {
             self.spec = spec.clone();
+            let mut queue = std::mem::take(&mut self.queue);
+            for queued in &mut queue {
+                queued.times = self.request_times(queued.request.prompt_tokens);
+            }
+            self.queue = queue;
         }
         self.cold_requests_per_s = cold_requests_per_s;
         for engine in self.engines.values_mut() {
@@ -131,13 +182,20 @@
             engine.accept(target);
         }
         self.engines
-            .retain(|_, engine| engine.accepts_work || !engine.jobs.is_empty());
+            .retain(|_, engine| engine.accepts_work || !engine.jobs().is_empty());
+        self.accepting_engines = self
+            .engines
+            .values()
+            .filter(|engine| engine.accepts_work)
+            .count();
     }
 
     /// Queues a request for the next call of [`Self::decide`].
     pub fn enqueue(&mut self, request: PlacementRequest, now: Instant) {
         let memory_wait = self.memory_wait(&request, now);
+        self.queued_jobs.insert(request.job);
         self.queue.push(QueuedRequest {
+            times: self.request_times(request.prompt_tokens),
             request,
             queued_at: now,
             memory_at: now + memory_wait.mul_f64(MIN_MEMORY_WAIT_SHARE),
@@ -161,10 +219,8 @@
         let all_limited = self.permits().is_some();
         let mut queue = std::mem::take(&mut self.queue);
         queue.sort_by_cached_key(|queued| {
-            let short =
-                prefill_time(&self.spec, queued.request.prompt_tokens, 1) <= MAX_SHORT_PREFILL;
-            let late = queued.objective_at()
-                <= now + self.typical_first_event_time(queued.request.prompt_tokens);
+            let short = queued.times.unsplit_prefill <= MAX_SHORT_PREFILL;
+            let late = queued.objective_at() <= now + queued.times.typical_first_event;
             (
                 short == all_limited,
                 late,
@@ -174,15 +230,19 @@
         });
         let mut decisions = Vec::new();
         let mut queued_prefill = Duration::ZERO;
+        let mut pass = DecisionPass::default();
         for queued in queue {
-            let answer = self.decide_one(&queued, queued_prefill, now);
+            let answer = self.decide_one(&queued, queued_prefill, &mut pass, now);
             match answer {
-                Some(answer) => decisions.push(DispatchDecision {
-                    job: queued.request.job,
-                    answer,
-                }),
+                Some(answer) => {
+                    self.queued_jobs.remove(&queued.request.job);
+                    decisions.push(DispatchDecision {
+                        job: queued.request.job,
+                        answer,
+                    });
+                }
                 None => {
-                    queued_prefill += prefill_time(&self.spec, queued.request.prompt_tokens, 1);
+                    queued_prefill += queued.times.unsplit_prefill;
                     self.queue.push(queued);
                 }
             }
@@ -190,10 +250,19 @@
         decisions
     }
 
+    fn request_times(&self, prompt_tokens: u64) -> RequestTimes {
+        RequestTimes {
+            unsplit_prefill: prefill_time(&self.spec, prompt_tokens, 1),
+            typical_first_event: self.typical_first_event_time(prompt_tokens),
+            single_pass: pass_time(&self.spec, 1, prompt_tokens),
+        }
+    }
+
     fn decide_one(
         &mut self,
         queued: &QueuedRequest,
         queued_prefill: Duration,
+        pass: &mut DecisionPass,
         now: Instant,
     ) -> Option<DispatchAnswer> {
         let request = &queued.request;
@@ -206,17 +275,17 @@
         if needed_memory > total_memory {
             return Some(refuse(RefusalReason::TooLarge, MIN_RETRY_AFTER * 4));
         }
-        let unsplit_prefill = prefill_time(&self.spec, request.prompt_tokens, 1);
+        let unsplit_prefill = queued.times.unsplit_prefill;
         let may_share = unsplit_prefill <= MAX_SHARED_PREFILL;
         let placed = if unsplit_prefill <= MAX_SHORT_PREFILL {
-            self.place_short(queued, now)
+            self.place_short(queued, pass, now)
         } else if may_share {
-            self.place_long(queued, now)
-                .or_else(|| self.place_short(queued, now))
+            self.place_long(queued, pass, now)
+                .or_else(|| self.place_short(queued, pass, now))
         // A long prompt whose objective has passed is placed only when no request ahead of it
         // stays queued.
         } else if queued_prefill.is_zero() || queued.objective_at() > now {
-            self.place_long(queued, now)
+            self.place_long(queued, pass, now)
         } else {
             None
         };
@@ -226,10 +295,11 @@
                 permits.take(now);
             }
             self.add_jobs(request, &placement, now);
+            pass.forget_engines();
             return Some(DispatchAnswer::Placed(placement));
         }
         self.limit_refusal(queued, now)
-            .or_else(|| self.refusal(queued, queued_prefill, may_share, now))
+            .or_else(|| self.refusal(queued, queued_prefill, pass, now))
     }
 
     /// The permits of the engines that accept work, if all of them named rate limits.
@@ -269,18 +339,29 @@
         &self,
         queued: &QueuedRequest,
         queued_prefill: Duration,
-        may_share: bool,
+        pass: &mut DecisionPass,
         now: Instant,
     ) -> Option<DispatchAnswer> {
+        let may_share = queued.times.unsplit_prefill <= MAX_SHARED_PREFILL;
+        let unsplit = self.unsplit_first_event(queued, queued_prefill, pass, now);
+        let gives_up_at = queued.gives_up_at();
+        // The unsplit prompt is an upper bound of the times that decide below.
+        if may_share
+            && unsplit.is_some_and(|unsplit| now + unsplit <= gives_up_at)
+            && queued.memory_at + queued.times.unsplit_prefill + queued.times.single_pass
+                <= gives_up_at
+        {
+            return None;
+        }
         let unqueued = self.min_first_event_time(queued.request.prompt_tokens);
-        let soonest = self.soonest_first_event(queued.request.prompt_tokens, queued_prefill, now);
+        let soonest = self.soonest_first_event(queued, queued_prefill, pass, now);
         let queue_time = soonest.saturating_sub(unqueued);
         let predicted_at = now + soonest;
         let retry_after = queue_time.max(MIN_RETRY_AFTER);
-        if predicted_at > queued.gives_up_at() {
+        if predicted_at > gives_up_at {
             return Some(refuse(RefusalReason::TooLate, retry_after));
         }
-        if queued.memory_at + unqueued > queued.gives_up_at() {
+        if queued.memory_at + unqueued > gives_up_at {
             let memory_wait = queued.memory_at.saturating_duration_since(now);
             return Some(refuse(RefusalReason::TooLate, memory_wait.max(retry_after)));
         }
@@ -293,10 +374,7 @@
     }
 
     fn accepting_engine_count(&self) -> usize {
-        self.engines
-            .values()
-            .filter(|engine| engine.accepts_work)
-            .count()
+        self.accepting_engines
     }
 
     fn planned_memory(&self) -> u64 {
@@ -314,6 +392,15 @@
             .values()
             .filter(|engine| engine.accepts_work)
             .collect();
+        // The jobs that run take at least as much as those that are predicted to run on, so an engine
+        // that has the memory beside all of them needs no prediction.
+        if max_parts == 1
+            && engines
+                .iter()
+                .any(|engine| self.free_memory(engine) >= needed_memory)
+        {
+            return Duration::ZERO;
+        }
         let has_memory_at = |at: Instant| {
             let free = |engine: &&EngineLedger| {
                 let used = engine.memory_used_at(at);
@@ -326,7 +413,7 @@
         if has_memory_at(now) {
             return Duration::ZERO;
         }
-        let jobs = engines.iter().flat_map(|engine| &engine.jobs);
+        let jobs = engines.iter().flat_map(|engine| engine.jobs());
         let mut ends: Vec<Instant> = jobs.map(|job| job.ends_at).collect();
         ends.sort_unstable();
         let first = ends.partition_point(|end| !has_memory_at(*end));
@@ -351,10 +438,41 @@
     /// prefills and the prompts ahead of it in the queue are prefilled.
     fn soonest_first_event(
         &self,
-        prompt_tokens: u64,
+        queued: &QueuedRequest,
         queued_prefill: Duration,
+        pass: &mut DecisionPass,
         now: Instant,
     ) -> Duration {
+        let load = pass.load.get_or_insert_with(|| self.engine_load(now));
+        let prompt_tokens = queued.request.prompt_tokens;
+        let wait = queued_prefill.div_f64(load.long_prefill_capacity);
+        let pass_time = queued.times.single_pass;
+        load.busy_for
+            .iter()
+            .enumerate()
+            .map(|(i, busy)| {
+                *busy + wait + prefill_time(&self.spec, prompt_tokens, i + 1) + pass_time
+            })
+            .min()
+            .unwrap_or(Duration::MAX)
+    }
+
+    /// [`Self::soonest_first_event`] without a split; `None` without engines.
+    fn unsplit_first_event(
+        &self,
+        queued: &QueuedRequest,
+        queued_prefill: Duration,
+        pass: &mut DecisionPass,
+        now: Instant,
+    ) -> Option<Duration> {
+        let load = pass.load.get_or_insert_with(|| self.engine_load(now));
+        let wait = queued_prefill.div_f64(load.long_prefill_capacity);
+        let times = &queued.times;
+        let busy = load.busy_for.first()?;
+        Some(*busy + wait + times.unsplit_prefill + times.single_pass)
+    }
+
+    fn engine_load(&self, now: Instant) -> EngineLoad {
         let mut busy_for: Vec<Duration> = self
             .engines
             .values()
@@ -362,15 +480,11 @@
             .map(|engine| engine.long_prefill_left(self.decode_pass_time(engine, 0), now))
             .collect();
         busy_for.sort_unstable();
-        let wait = queued_prefill.div_f64(self.long_prefill_capacity());
-        let pass = pass_time(&self.spec, 1, prompt_tokens);
-        busy_for
-            .into_iter()
-            .take(MAX_PARTS)
-            .enumerate()
-            .map(|(i, busy)| busy + wait + prefill_time(&self.spec, prompt_tokens, i + 1) + pass)
-            .min()
-            .unwrap_or(Duration::MAX)
+        busy_for.truncate(MAX_PARTS);
+        EngineLoad {
+            busy_for,
+            long_prefill_capacity: self.long_prefill_capacity(),
+        }
     }
 
     fn add_jobs(&mut self, request: &PlacementRequest, placement: &EnginePlacement, now: Instant) {
@@ -433,6 +547,10 @@
                 .retain(|at| now.saturating_duration_since(*at) < Duration::from_secs(1));
             engine.recent_sends.push(now);
             engine.add_job(report, times, decode_pass, now);
+            self.targets_by_job
+                .entry(request.job)
+                .or_default()
+                .push(target.clone());
         }
     }
 
@@ -448,10 +566,14 @@
 
     /// Records a request's first event: the prefill of all its parts is done.
     pub fn record_first_event(&mut self, job: JobId, now: Instant) {
-        let spec = &self.spec;
-        for engine in self.engines.values_mut() {
-            let decode_pass = decode_pass_time(spec, engine, 0);
-            engine.finish_prefill(job, decode_pass, now);
+        let Some(targets) = self.targets_by_job.get(&job) else {
+            return;
+        };
+        for target in targets {
+            if let Some(engine) = self.engines.get_mut(target) {
+                let decode_pass = decode_pass_time(&self.spec, engine, 0);
+                engine.finish_prefill(job, decode_pass, now);
+            }
         }
     }
 
@@ -465,9 +587,13 @@
 
     /// Records that a request ended or left the queue.
     pub fn end_job(&mut self, job: JobId) {
-        self.queue.retain(|queued| queued.request.job != job);
-        for engine in self.engines.values_mut() {
-            engine.jobs.retain(|known| known.report.job != job);
+        if self.queued_jobs.remove(&job) {
+            self.queue.retain(|queued| queued.request.job != job);
+        }
+        for target in self.targets_by_job.remove(&job).unwrap_or_default() {
+            if let Some(engine) = self.engines.get_mut(&target) {
+                engine.retain_jobs(|known| known.report.job != job);
+            }
         }
     }
 
@@ -477,7 +603,7 @@
         let mut reports = Vec::new();
         for engine in self.engines.values() {
             let own = engine
-                .jobs
+                .jobs()
                 .iter()
                 .filter(|job| job.report.vm == *serving_vm);
             reports.extend(own.map(|job| JobReport {
@@ -493,25 +619,20 @@
     /// known. An unreported job stays while it is younger than [`MAX_REPORT_AGE`], since the report
     /// may have been made before it.
     pub fn reconcile_jobs_of(&mut self, serving_vm: &VmName, reports: &[JobReport], now: Instant) {
-        for engine in self.engines.values_mut() {
-            let target = &engine.target.name;
-            let known = std::mem::take(&mut engine.jobs);
-            engine.jobs = known
-                .into_iter()
-                .filter(|job| {
-                    job.report.vm != *serving_vm
-                        || reports
-                            .iter()
-                            .any(|report| report.job == job.report.job && report.target == *target)
-                        || now.saturating_duration_since(job.added_at) < MAX_REPORT_AGE
-                })
-                .collect();
-        }
+        let reported: HashSet<(JobId, &TargetName)> = reports
+            .iter()
+            .map(|report| (report.job, &report.target))
+            .collect();
+        self.retain_jobs(|job| {
+            job.report.vm != *serving_vm
+                || reported.contains(&(job.report.job, &job.report.target))
+                || now.saturating_duration_since(job.added_at) < MAX_REPORT_AGE
+        });
         for report in reports {
             let Some(engine) = self.engines.get_mut(&report.target) else {
                 continue;
             };
-            if engine.jobs.iter().any(|job| job.report.job == report.job) {
+            if engine.jobs().iter().any(|job| job.report.job == report.job) {
                 continue;
             }
             let decode_pass = decode_pass_time(&self.spec, engine, 0);
@@ -520,20 +641,53 @@
                 lifetime: JOB_EXPIRY_MARGIN,
             };
             engine.add_job(report.clone(), times, decode_pass, now);
+            self.targets_by_job
+                .entry(report.job)
+                .or_default()
+                .push(report.target.clone());
         }
     }
 
     /// Drops the jobs and queued requests of a VM that died; its engines stay.
     pub fn drop_jobs_of(&mut self, serving_vm: &VmName) {
-        self.queue.retain(|queued| queued.request.vm != *serving_vm);
-        for engine in self.engines.values_mut() {
-            engine.jobs.retain(|job| job.report.vm != *serving_vm);
-        }
+        let queued_jobs = &mut self.queued_jobs;
+        self.queue.retain(|queued| {
+            let kept = queued.request.vm != *serving_vm;
+            if !kept {
+                queued_jobs.remove(&queued.request.job);
+            }
+            kept
+        });
+        self.retain_jobs(|job| job.report.vm != *serving_vm);
     }
 
     fn expire_jobs(&mut self, now: Instant) {
-        for engine in self.engines.values_mut() {
-            engine.jobs.retain(|job| now < job.expires_at);
+        for (target, engine) in &mut self.engines {
+            let dropped = engine.expire_jobs(now);
+            forget_targets(&mut self.targets_by_job, &dropped, target);
+        }
+    }
+
+    fn retain_jobs(&mut self, is_kept: impl Fn(&EngineJob) -> bool) {
+        for (target, engine) in &mut self.engines {
+            let dropped = engine.retain_jobs(&is_kept);
+            forget_targets(&mut self.targets_by_job, &dropped, target);
+        }
+    }
+}
+
+/// Removes `target` from the targets of the `dropped` jobs.
+fn forget_targets(
+    targets_by_job: &mut HashMap<JobId, Vec<TargetName>>,
+    dropped: &[JobId],
+    target: &TargetName,
+) {
+    for job in dropped {
+        if let Some(targets) = targets_by_job.get_mut(job) {
+            targets.retain(|known| known != target);
+            if targets.is_empty() {
+                targets_by_job.remove(job);
+            }
         }
     }
 }
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -9,6 +9,7 @@
 mod claims;
 mod cold_pacing;
 mod dispatch;
+mod dispatch_decisions;
 mod engine_simulation;
 mod fixtures;
 mod fold;
