Compute an engine's next pass once for each short prompt

Cause: choosing an engine computed the pass time and the next pass three times. Change: they are computed once for each candidate.

--- a/src/policy/dispatch/choice.rs
+++ b/src/policy/dispatch/choice.rs
@@ -74,16 +74,15 @@
                 && self.within_cold_limit(engine, now)
                 && engine.has_permit(now)
         });
-        let predicted = |engine: &EngineLedger| {
+        let safe_objective = objective_left.mul_f64(SAFE_OBJECTIVE_SHARE);
+        let predicted = candidates.map(|engine| {
             let decode_pass = self.decode_pass_time(engine, request.prompt_tokens);
             let next = engine.next_pass(decode_pass, now);
-            next.starts_in + next.prefill + own_prefill + decode_pass
-        };
-        let best = candidates.min_by_key(|engine| {
-            let first_event = predicted(engine);
-            let decode_pass = self.decode_pass_time(engine, request.prompt_tokens);
-            let next_gap = decode_pass + engine.next_pass(decode_pass, now).prefill + own_prefill;
-            let safe = first_event <= objective_left.mul_f64(SAFE_OBJECTIVE_SHARE)
+            let next_gap = next.prefill + own_prefill + decode_pass;
+            (engine, decode_pass, next_gap, next.starts_in + next_gap)
+        });
+        let best = predicted.min_by_key(|&(engine, decode_pass, next_gap, first_event)| {
+            let safe = first_event <= safe_objective
                 && next_gap
                     <= engine
                         .min_allowed_gap(request.max_event_gap)
@@ -105,14 +104,13 @@
                 &engine.target.name,
             )
         });
-        let Some(best) = best else {
+        let Some((best, _, _, first_event)) = best else {
             // Smaller than the previous one, for which this function returns before this point.
             if request.excluded_targets.is_empty() {
                 pass.failed_memory = Some(memory);
             }
             return None;
         };
-        let first_event = predicted(best);
         (now + first_event <= queued.gives_up_at()).then(|| EnginePlacement {
             lead: best.target.name.clone(),
             lead_reserve_tokens: 0,
