Bound the calls that decide on waiting prompts, and measure the owner's lag

Cause: each arrival, each batch of updates and a 10 ms interval made a call, some 700 a second, and nothing showed when the owner fell behind. Change: while prompts wait, calls are at least 4 ms apart; an arrival at an empty queue is decided at once. New metrics decide_calls, decide_seconds, decisions and decision_lag_seconds, and a log line every 5 s at most when the loop that decides runs over 75 ms late. Measured: type-checked and formatted only. The tests with real nodes and the doc test of DecisionSchedule have not been run on this commit.

--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -82,6 +82,14 @@
     pub in_flight: Gauge,
     /// Jobs in this node's dispatcher queues.
     pub waiting: Gauge,
+    /// Calls of the dispatchers to decide on waiting jobs.
+    pub decide_calls: Counter,
+    /// Seconds spent in these calls.
+    pub decide_seconds: Counter<f64, AtomicU64>,
+    /// Seconds by which the loop that decides ran later than planned.
+    pub decision_lag_seconds: Histogram,
+    /// Placements and refusals that these calls decided on.
+    pub decisions: Counter,
     /// Retries that the budget allowed, counted before they are sent.
     pub retries: Counter,
     /// Retries that the budget did not allow.
@@ -141,6 +149,10 @@
             placing_seconds: Histogram::new(LATENCY_BUCKETS_S),
             in_flight: Gauge::default(),
             waiting: Gauge::default(),
+            decide_calls: Counter::default(),
+            decide_seconds: Counter::default(),
+            decision_lag_seconds: Histogram::new(LATENCY_BUCKETS_S),
+            decisions: Counter::default(),
             retries: Counter::default(),
             retries_withheld: Counter::default(),
             connections_opened: Counter::default(),
@@ -188,6 +200,26 @@
         );
         registry.register("in_flight", "Requests under way", self.in_flight.clone());
         registry.register("waiting", "Requests that wait here", self.waiting.clone());
+        registry.register(
+            "decide_calls",
+            "Calls to decide on waiting jobs",
+            self.decide_calls.clone(),
+        );
+        registry.register(
+            "decide_seconds",
+            "Time spent in these calls",
+            self.decide_seconds.clone(),
+        );
+        registry.register(
+            "decision_lag_seconds",
+            "Time by which the loop that decides ran late",
+            self.decision_lag_seconds.clone(),
+        );
+        registry.register(
+            "decisions",
+            "Placements and refusals decided on here",
+            self.decisions.clone(),
+        );
         registry.register("retries", "Sends after the first", self.retries.clone());
         registry.register(
             "retries_withheld",
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -14,7 +14,7 @@
 use super::messages::{HeartbeatMessage, HeartbeatReply, NodeCall, NodeReply, RecordsRequest};
 use super::packed_records::{FetchedRecords, unpack_records};
 use super::peer_calls::call_node;
-use super::placement::{apply_update, decide_waiting_jobs, place_locally};
+use super::placement::{apply_update, place_locally, request_decisions};
 use super::rate_limits::{
     apply_reply as apply_limits_reply, grant_permit, import_limits, limits_for_heartbeat,
     limits_for_reply,
@@ -57,7 +57,7 @@
                 for update in &report.updates {
                     apply_update(&node, update, &report.vm);
                 }
-                decide_waiting_jobs(&node);
+                request_decisions(&node);
                 NodeReply::Acknowledged
             }
             NodeCall::FetchRecords(request) => {
--- a/src/node/placement.rs
+++ b/src/node/placement.rs
@@ -1,7 +1,7 @@
 //! Asks the owner of placement which engines take a request, or decides here if no owner answers.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
 use tokio::sync::oneshot;
@@ -22,6 +22,8 @@
 const MAX_OWNERS_TRIED: usize = 8;
 const OWNER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 const DECISION_INTERVAL: Duration = Duration::from_millis(10); // a tenth of the shortest forward pass that matters
+const MAX_UNLOGGED_LAG: Duration = Duration::from_millis(75); // a throttled VM pauses for that long
+const LAG_LOG_INTERVAL: Duration = Duration::from_secs(5);
 const UPDATE_BATCH_DELAY: Duration = Duration::from_millis(3); // batches the updates of a burst
 const UPDATE_RETRY_DELAY: Duration = Duration::from_millis(100);
 const MAX_UNSENT_CRASHES: usize = 64;
@@ -164,7 +166,7 @@
 pub async fn place_locally(node: &Rc<NodeState>, request: PlacementRequest) -> DispatchAnswer {
     let (job, now) = (request.job, node.now());
     let (sender, receiver) = oneshot::channel();
-    {
+    let is_first = {
         let mut dispatchers = node.dispatchers.borrow_mut();
         let Some(dispatcher) = dispatchers.get_mut(&request.service) else {
             return DispatchAnswer::Refused {
@@ -172,15 +174,21 @@
                 retry_after: NO_TARGET_RETRY_AFTER,
             };
         };
+        let is_first = dispatcher.waiting_count() == 0;
         dispatcher.enqueue(request, now);
-    }
+        is_first
+    };
     node.placement_waiters.borrow_mut().insert(job, sender);
     let mut queued_job = QueuedJobGuard {
         node: node.clone(),
         job,
         decided: false,
     };
-    decide_waiting_jobs(node);
+    if is_first {
+        decide_waiting_jobs(node);
+    } else {
+        request_decisions(node);
+    }
     let answer = receiver.await.unwrap_or(DispatchAnswer::Refused {
         reason: RefusalReason::NoTarget,
         retry_after: NO_TARGET_RETRY_AFTER,
@@ -222,10 +230,31 @@
     }
 }
 
+/// Decides on waiting jobs now, or soon if that was done within the last
+/// [`MIN_DECISION_GAP`](crate::policy::decision_schedule::MIN_DECISION_GAP).
+pub fn request_decisions(node: &Rc<NodeState>) {
+    let wait = node.decision_schedule.borrow_mut().request(node.now());
+    match wait {
+        Some(Duration::ZERO) => decide_waiting_jobs(node),
+        Some(wait) => {
+            let node = node.clone();
+            actix_rt::spawn(async move {
+                sleep(wait).await;
+                let is_due = node.decision_schedule.borrow().is_due(node.now());
+                if is_due {
+                    decide_waiting_jobs(&node);
+                }
+            });
+        }
+        None => {}
+    }
+}
+
 /// Decides on the jobs in this node's queues that can be decided now, and ends those whose caller
 /// no longer waits.
 pub fn decide_waiting_jobs(node: &Rc<NodeState>) {
     let now = node.now();
+    node.decision_schedule.borrow_mut().record_call(now);
     let mut decisions = Vec::new();
     let mut waiting_jobs = 0;
     let limit_share = limit_share(node);
@@ -237,6 +266,10 @@
         }
     }
     node.metrics.waiting.set(waiting_jobs as i64);
+    let time = node.now().saturating_duration_since(now);
+    node.metrics.decide_seconds.inc_by(time.as_secs_f64());
+    node.metrics.decide_calls.inc();
+    node.metrics.decisions.inc_by(decisions.len() as u64);
     for decision in decisions {
         let waiter = node.placement_waiters.borrow_mut().remove(&decision.job);
         let delivered = waiter.is_some_and(|waiter| waiter.send(decision.answer).is_ok());
@@ -290,15 +323,32 @@
 
 /// Decides on waiting jobs at an interval, since decisions also depend on time.
 pub async fn decide_loop(node: Rc<NodeState>) {
+    let mut logged_at: Option<Instant> = None;
     loop {
+        let due_at = Instant::now() + DECISION_INTERVAL;
         sleep(DECISION_INTERVAL).await;
+        // Prompts that have arrived wait for the event loop as long as this task does.
+        let lag = Instant::now().saturating_duration_since(due_at);
+        node.metrics.decision_lag_seconds.observe(lag.as_secs_f64());
+        let may_log = logged_at.is_none_or(|at| at.elapsed() >= LAG_LOG_INTERVAL);
+        if lag > MAX_UNLOGGED_LAG && may_log {
+            logged_at = Some(Instant::now());
+            tracing::warn!(
+                lag_ms = lag.as_millis() as u64,
+                waiting = node.metrics.waiting.get(),
+                decisions = node.metrics.decisions.get(),
+                decide_calls = node.metrics.decide_calls.get(),
+                decide_seconds = node.metrics.decide_seconds.get(),
+                "placement decisions lag behind"
+            );
+        }
         let any_waiting = node
             .dispatchers
             .borrow()
             .values()
             .any(|dispatcher| dispatcher.waiting_count() > 0);
         if any_waiting {
-            decide_waiting_jobs(&node);
+            request_decisions(&node);
         }
     }
 }
@@ -324,7 +374,7 @@
             for update in unsent_crashes.drain(..) {
                 apply_update(&node, &update, &node.settings.vm);
             }
-            decide_waiting_jobs(&node);
+            request_decisions(&node);
             continue;
         };
         let mut sent_updates = std::mem::take(&mut unsent_crashes);
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -25,6 +25,7 @@
 use crate::ids::{TargetName, VmName};
 use crate::platform::records::TARGET_TOPIC;
 use crate::policy::cold_pacing::ColdPacing;
+use crate::policy::decision_schedule::DecisionSchedule;
 use crate::policy::dispatch::{
     DispatchAnswer, EngineDispatcher, EngineTarget, JobId, RefusalReason,
 };
@@ -62,6 +63,8 @@
     pub dispatchers: RefCell<BTreeMap<String, EngineDispatcher>>,
     /// Local requests and peers' calls that wait for this node's decision on their job.
     pub placement_waiters: RefCell<HashMap<JobId, oneshot::Sender<DispatchAnswer>>>,
+    /// When the waiting jobs were last decided on, and whether another call is scheduled.
+    pub decision_schedule: RefCell<DecisionSchedule>,
     /// Connections to other nodes, by peer address.
     pub peer_clients: RefCell<HashMap<SocketAddr, Rc<PeerClient>>>,
     /// Idle connections to targets.
@@ -156,6 +159,7 @@
             members: RefCell::new(MemberTable::new(own)),
             dispatchers: RefCell::default(),
             placement_waiters: RefCell::default(),
+            decision_schedule: RefCell::default(),
             peer_clients: RefCell::default(),
             connection_pool: RefCell::default(),
             body_budget: Rc::new(BodyBudget::new(RESPONSE_BODIES)),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,6 +3,7 @@
 pub mod ban_book;
 pub mod carrier_choice;
 pub mod cold_pacing;
+pub mod decision_schedule;
 pub mod dispatch;
 pub mod engine_model;
 pub mod estimate;
