Log a lag of placement decisions only while prompts wait

Cause: the loop that decides runs on every VM, so that a throttled VM without a queue logged a lag that delayed nobody; it also read the system's clock. Change: the line needs waiting prompts, and the node's clock is used.

--- a/src/node/placement.rs
+++ b/src/node/placement.rs
@@ -325,17 +325,20 @@
 pub async fn decide_loop(node: Rc<NodeState>) {
     let mut logged_at: Option<Instant> = None;
     loop {
-        let due_at = Instant::now() + DECISION_INTERVAL;
+        let due_at = node.now() + DECISION_INTERVAL;
         sleep(DECISION_INTERVAL).await;
         // Prompts that have arrived wait for the event loop as long as this task does.
-        let lag = Instant::now().saturating_duration_since(due_at);
+        let now = node.now();
+        let lag = now.saturating_duration_since(due_at);
+        let waiting = node.metrics.waiting.get();
         node.metrics.decision_lag_seconds.observe(lag.as_secs_f64());
-        let may_log = logged_at.is_none_or(|at| at.elapsed() >= LAG_LOG_INTERVAL);
-        if lag > MAX_UNLOGGED_LAG && may_log {
-            logged_at = Some(Instant::now());
+        let may_log =
+            logged_at.is_none_or(|at| now.saturating_duration_since(at) >= LAG_LOG_INTERVAL);
+        if lag > MAX_UNLOGGED_LAG && waiting > 0 && may_log {
+            logged_at = Some(now);
             tracing::warn!(
                 lag_ms = lag.as_millis() as u64,
-                waiting = node.metrics.waiting.get(),
+                waiting,
                 decisions = node.metrics.decisions.get(),
                 decide_calls = node.metrics.decide_calls.get(),
                 decide_seconds = node.metrics.decide_seconds.get(),
