Let stand-in targets send long streams and cut off unread responses

Tests of slow readers need responses that exceed the sockets' buffers, and targets that reset a connection whose bytes are not taken. FakeTarget gets set_stream_shape and TargetMode::CutsUnread, the bed limits.memory_mb in the nodes' settings. Nothing changes for the other tests, whose streams and settings stay as they were.

--- a/tests/support/caller.rs
+++ b/tests/support/caller.rs
@@ -37,7 +37,7 @@
         }
     }
 
-    fn encode(&self, connection: &str) -> Vec<u8> {
+    pub fn encode(&self, connection: &str) -> Vec<u8> {
         let mut head = format!(
             "{} {} HTTP/1.1\r\nhost: callers.example\r\nx-plantainnotch-request-id: {}\r\nx-plantainnotch-deadline: {}\r\ncontent-length: {}\r\n",
             self.method,
@@ -179,7 +179,7 @@
     send(readiness, &request).is_some_and(|response| response.status == 200)
 }
 
-fn parse_response(bytes: &[u8], closed_cleanly: bool) -> Option<CallerResponse> {
+pub fn parse_response(bytes: &[u8], closed_cleanly: bool) -> Option<CallerResponse> {
     let head_end = bytes.windows(4).position(|window| window == b"\r\n\r\n")? + 4;
     let head = String::from_utf8_lossy(&bytes[..head_end]).into_owned();
     let mut lines = head.split("\r\n");
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -40,6 +40,8 @@
 #[derive(Debug, Clone)]
 pub enum ResponseStep {
     Write(Vec<u8>),
+    /// Writes these bytes, or resets the connection if the peer does not take them in this time.
+    WriteWithin(Vec<u8>, Duration),
     Wait(Duration),
     /// Resets the connection.
     Reset,
@@ -121,6 +123,14 @@
                         return;
                     }
                 }
+                Some(ResponseStep::WriteWithin(bytes, limit)) => {
+                    let written = tokio::time::timeout(limit, stream.write_all(&bytes)).await;
+                    if !matches!(written, Ok(Ok(()))) {
+                        stream.set_zero_linger().ok();
+                        task.abort();
+                        return;
+                    }
+                }
                 Some(ResponseStep::Wait(time)) => {
                     let sleep = tokio::time::sleep(time);
                     tokio::pin!(sleep);
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -25,6 +25,8 @@
     pub metrics: SocketAddr,
     pub store: SocketAddr,
     pub seeds: Vec<SocketAddr>,
+    /// `limits.memory_mb`; 0 leaves it out.
+    pub memory_mb: u32,
     work_dir: PathBuf,
 }
 
@@ -49,6 +51,7 @@
                 metrics: ports[4],
                 store,
                 seeds: Vec::new(),
+                memory_mb: 0,
                 work_dir,
             }
         })
@@ -78,6 +81,10 @@
 impl NodeConfig {
     fn settings(&self) -> String {
         let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("{seed:?}")).collect();
+        let memory = match self.memory_mb {
+            0 => String::new(),
+            memory_mb => format!("memory_mb = {memory_mb}\n"),
+        };
         format!(
             r#"node = "{}"
 role = "node"
@@ -92,7 +99,7 @@
 cpu_share = 0.25
 cores = 1
 max_fds = 4200
-[bounds]
+{memory}[bounds]
 grace_s = 8
 retry_budget_ratio = 0.2
 budget_window_s = 10
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -52,6 +52,8 @@
     Early,
     /// Sends a part of a response without end, until the connection is closed.
     Endless(EndlessPart, FloodPace),
+    /// Resets the connection when a stream stays unread for this long.
+    CutsUnread(Duration),
 }
 
 /// A response, with id and seal, that is no continuation of a stream.
@@ -253,7 +255,8 @@
     pub domain: String,
     pub address: SocketAddr,
     pub is_engine: bool,
-    pub event_count: u64,
+    /// Number of a stream's events, and the bytes by which each is longer than usual.
+    stream_shape: Arc<Mutex<(u64, usize)>>,
     delay: Arc<Mutex<Duration>>,
     mode: Arc<Mutex<TargetMode>>,
     /// Part of a prompt on which it crashes when it begins to respond.
@@ -299,7 +302,7 @@
             domain: domain.to_owned(),
             address,
             is_engine,
-            event_count: 8,
+            stream_shape: Arc::new(Mutex::new((8, 0))),
             delay: Arc::new(Mutex::new(Duration::from_millis(15))),
             mode: Arc::new(Mutex::new(TargetMode::Healthy)),
             crashing_part: Arc::default(),
@@ -456,6 +459,15 @@
         *self.delay.lock().unwrap_or_else(PoisonError::into_inner) = delay;
     }
 
+    /// Sets the number of a stream's events, and the bytes by which each is longer than usual.
+    pub fn set_stream_shape(&self, event_count: u64, padding_bytes: usize) {
+        let mut shape = self
+            .stream_shape
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *shape = (event_count, padding_bytes);
+    }
+
     fn delay(&self) -> Duration {
         *self.delay.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -672,6 +684,7 @@
             | TargetMode::BreaksThenAnswers(_)
             | TargetMode::UnframedInsideEvent
             | TargetMode::UnframedEmpty
+            | TargetMode::CutsUnread(_)
             | TargetMode::Endless(..) => vec![ResponseStep::Write(whole)],
         };
         for step in response_steps {
@@ -758,7 +771,12 @@
         }
         let crashes_before = self.crashes.load(Ordering::Relaxed);
         let mut unsent_head = Some(head);
-        for event in from..=self.event_count {
+        let (event_count, padding_bytes) = *self
+            .stream_shape
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let padding = "x".repeat(padding_bytes);
+        for event in from..=event_count {
             steps.send(ResponseStep::Wait(self.delay())).await.ok();
             if self.crashes_on(request) {
                 let head = unsent_head.take().unwrap_or_default();
@@ -772,7 +790,7 @@
                 steps.send(ResponseStep::Reset).await.ok();
                 return;
             }
-            let text = format!("id: {event}\ndata: {id} {event}\n\n");
+            let text = format!("id: {event}\ndata: {id} {event}{padding}\n\n");
             let chunk = if is_framed {
                 format!("{:x}\r\n{text}\r\n", text.len())
             } else {
@@ -780,7 +798,7 @@
             };
             let mut bytes = unsent_head.take().unwrap_or_default();
             bytes.push_str(&chunk);
-            let breaks_here = event == self.event_count / 2;
+            let breaks_here = event == event_count / 2;
             let is_cut = matches!(
                 mode,
                 TargetMode::Truncates
@@ -802,11 +820,13 @@
                 steps.send(end).await.ok();
                 return;
             }
-            if steps
-                .send(ResponseStep::Write(bytes.into_bytes()))
-                .await
-                .is_err()
-            {
+            let step = match mode {
+                TargetMode::CutsUnread(limit) => {
+                    ResponseStep::WriteWithin(bytes.into_bytes(), limit)
+                }
+                _ => ResponseStep::Write(bytes.into_bytes()),
+            };
+            if steps.send(step).await.is_err() {
                 return;
             }
         }
