Read streams on while their callers read slowly

Cause: a stream was read from its target only as fast as its caller read it, since the HTTP server polls the relay and stops once its buffer is full. A target that cuts off unread responses broke the stream off, or made it run twice where it is resumed. On the code before, with a caller that reads nothing for 5 s and engines that cut off what is unread for 2 s (events 1 to 1,400 of 12 kB):

slow_readers.rs:67:9: /single/a: 348 events

Change: StreamBody passes events on as before while the server asks for them. When the server has not asked at two checks in a row, 250 ms apart, a task polls the same relay and holds its events, up to a 32nd of a tenth of the VM's memory; it ends once the server has got them. When all held events exceed a tenth of the memory, the response ends that holds at least the mean and whose oldest event has waited longest (policy/slow_readers.rs, pure). Requests that a target reads slowly need no change: a test shows that they hold up no others and that their bodies count meanwhile.

--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -5,10 +5,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::body::{BodyStream, BoxBody, MessageBody};
+use actix_http::body::{BoxBody, MessageBody};
 use actix_http::{Method, RequestHead, Response, StatusCode};
 use bytes::Bytes;
-use futures_util::stream::unfold;
 use tokio::time::timeout;
 
 use super::attempt::{
@@ -20,6 +19,7 @@
 use super::messages::JobUpdate;
 use super::placement::{JobGuard, PlacementOutcome, place, record_update};
 use super::rate_limits::observe_limit;
+use super::read_ahead::StreamBody;
 use super::relay::{
     ENDED_BEFORE_FIRST_EVENT, EventBuffer, StreamRelay, StreamSource, TargetStream,
 };
@@ -598,14 +598,7 @@
 
 /// Builds the response whose body is the events of `relay`.
 pub fn stream_response(head: &actix_http::ResponseHead, relay: StreamRelay) -> Response<BoxBody> {
-    let events = unfold(Some(relay), |relay| async move {
-        let mut relay = relay?;
-        match relay.next().await? {
-            Ok(bytes) => Some((Ok(bytes), Some(relay))),
-            Err(broken) => Some((Err::<Bytes, _>(broken), None)),
-        }
-    });
-    let body = BodyStream::new(Box::pin(events)).boxed();
+    let body = StreamBody::new(relay).boxed();
     let mut response = Response::with_body(head.status, body);
     *response.headers_mut() = forwarded_headers(&head.headers);
     response
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -123,6 +123,14 @@
     pub log_lines_dropped: Gauge,
     /// Targets' responses given up because a part of them was too long.
     pub oversized_responses: Family<PartLabel, Counter>,
+    /// Memory of events that were read from targets and not yet by their callers, in bytes.
+    pub read_ahead_bytes: Gauge,
+    /// Streams that were read ahead of their callers.
+    pub read_ahead_streams: Counter,
+    /// Those of them that reached the bound of one response.
+    pub read_ahead_full: Counter,
+    /// Responses ended because their callers read slowest when the bound of the VM was exceeded.
+    pub slow_readers_ended: Counter,
     /// Calls that other nodes accepted.
     pub peer_calls: Family<PeerTrafficLabels, Counter>,
     /// Bytes of the bodies of these calls.
@@ -161,6 +169,10 @@
             claims_unconfirmed: Counter::default(),
             log_lines_dropped: Gauge::default(),
             oversized_responses: Family::default(),
+            read_ahead_bytes: Gauge::default(),
+            read_ahead_streams: Counter::default(),
+            read_ahead_full: Counter::default(),
+            slow_readers_ended: Counter::default(),
             peer_calls: Family::default(),
             peer_sent_bytes: Family::default(),
             peer_received_bytes: Family::default(),
@@ -284,9 +296,34 @@
             "Responses of targets given up because a part was too long",
             self.oversized_responses.clone(),
         );
+        self.register_read_ahead();
         self.register_peer_traffic();
     }
 
+    fn register_read_ahead(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "read_ahead_bytes",
+            "Memory of events that callers have not read yet",
+            self.read_ahead_bytes.clone(),
+        );
+        registry.register(
+            "read_ahead_streams",
+            "Streams that were read ahead of their callers",
+            self.read_ahead_streams.clone(),
+        );
+        registry.register(
+            "read_ahead_full",
+            "Streams that reached the bound of one response while read ahead",
+            self.read_ahead_full.clone(),
+        );
+        registry.register(
+            "slow_readers_ended",
+            "Responses ended because their callers read slowest",
+            self.slow_readers_ended.clone(),
+        );
+    }
+
     fn register_peer_traffic(&mut self) {
         let registry = &mut self.registry;
         registry.register(
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -18,6 +18,7 @@
 pub mod peers;
 pub mod placement;
 pub mod rate_limits;
+pub mod read_ahead;
 pub mod relay;
 pub mod request_handler;
 pub mod run_claims;
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -1,5 +1,6 @@
 //! Relays a stream's events to its caller, and resumes the stream at another target if one fails.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -194,6 +195,8 @@
     first_event_at: Instant,
     last_event_at: Instant,
     longest_gap: Duration,
+    /// Whether the stream ends because its caller reads too slowly.
+    is_ended: Rc<Cell<bool>>,
 }
 
 impl StreamRelay {
@@ -225,9 +228,26 @@
             first_event_at,
             last_event_at: first_event_at,
             longest_gap: Duration::ZERO,
+            is_ended: Rc::default(),
         }
     }
 
+    /// The node that relays the stream.
+    pub fn node(&self) -> &Rc<NodeState> {
+        &self.node
+    }
+
+    /// The id of the caller's request.
+    pub fn request_id(&self) -> &str {
+        &self.caller.parsed_headers.id
+    }
+
+    /// To be set before the relay is dropped because its caller reads too slowly, so that this does not
+    /// count as one that left.
+    pub fn ended_flag(&self) -> Rc<Cell<bool>> {
+        self.is_ended.clone()
+    }
+
     /// Returns the next bytes for the caller; `None` at the stream's end.
     pub async fn next(&mut self) -> Option<Result<Bytes, BrokenStream>> {
         loop {
@@ -625,15 +645,20 @@
 
 impl Drop for StreamRelay {
     fn drop(&mut self) {
-        if let Some(stream) = &self.stream {
-            tracing::info!(
-                id = self.caller.parsed_headers.id,
-                replica = %stream.source,
-                events = self.numbered_events,
-                "caller left its stream"
-            );
-            let route = &self.caller.route.name;
-            self.node.metrics.count_outcome(route, "caller_left");
+        let Some(stream) = &self.stream else {
+            return;
+        };
+        let route = &self.caller.route.name;
+        if self.is_ended.get() {
+            self.node.metrics.count_outcome(route, "slow_reader");
+            return;
         }
+        tracing::info!(
+            id = self.caller.parsed_headers.id,
+            replica = %stream.source,
+            events = self.numbered_events,
+            "caller left its stream"
+        );
+        self.node.metrics.count_outcome(route, "caller_left");
     }
 }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -14,6 +14,7 @@
 use super::metrics::NodeMetrics;
 use super::packed_records::RecordPacker;
 use super::placement::NO_TARGET_RETRY_AFTER;
+use super::read_ahead::StreamBuffers;
 use super::stopping::StopState;
 use crate::clock::TimeSource;
 use crate::fleet::catalog::{
@@ -35,6 +36,7 @@
 use crate::policy::request_guard::RequestGuard;
 use crate::policy::retry_share::RetryShare;
 use crate::policy::run_claims::ClaimLedger;
+use crate::policy::slow_readers::ReadAheadLimits;
 use crate::policy::target_choice::TargetHealth;
 use crate::policy::target_paths::TargetPaths;
 use crate::wire::PeerClient;
@@ -70,6 +72,8 @@
     pub body_budget: Rc<BodyBudget>,
     /// Memory for the bodies of callers' requests, each until its response is complete.
     pub request_budget: Rc<BodyBudget>,
+    /// Streams under way, and memory for what is read of them ahead of their callers.
+    pub stream_buffers: StreamBuffers,
     /// Load, requests in flight and results of attempts at each target: those of this node, and
     /// failures that peers reported.
     pub target_health: RefCell<HashMap<TargetName, TargetHealth>>,
@@ -148,6 +152,7 @@
             body: usize::MAX,
             total: (settings.memory_bytes as f64 * REQUEST_BODIES_SHARE) as usize,
         };
+        let read_ahead = ReadAheadLimits::of_memory(settings.memory_bytes);
         Self {
             settings,
             started_at,
@@ -160,6 +165,7 @@
             connection_pool: RefCell::default(),
             body_budget: Rc::new(BodyBudget::new(RESPONSE_BODIES)),
             request_budget: Rc::new(BodyBudget::new(request_bodies)),
+            stream_buffers: StreamBuffers::new(read_ahead),
             target_health: RefCell::default(),
             part_guard: RefCell::default(),
             request_guard: RefCell::default(),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -17,5 +17,6 @@
 pub mod retry;
 pub mod retry_share;
 pub mod run_claims;
+pub mod slow_readers;
 pub mod target_choice;
 pub mod target_paths;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -15,6 +15,7 @@
 mod rate_limits;
 mod records;
 mod silent_targets;
+mod slow_readers;
 mod stops;
 mod store_copies;
 mod streams;
