--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -31,6 +31,7 @@
 mod request_guard;
 mod routes;
 mod run_claims;
+mod slow_readers;
 mod steward;
 mod store_eras;
 mod target_paths;
