Test that a stream is resumed while its caller does not read

Guards against streams that are resumed only once their caller has read what came before, or with a gap.

--- a/tests/platform/slow_readers.rs
+++ b/tests/platform/slow_readers.rs
@@ -246,3 +246,32 @@
     let third = send(callers, &long_request("third-again")).expect("a response");
     assert_eq!(third.status, 200);
 }
+
+// Guards against streams that are resumed only once their caller has read what came before, or with a gap.
+#[test]
+fn a_stream_that_breaks_while_its_caller_does_not_read_is_resumed_meanwhile() {
+    let bed = bed_with_long_streams(LARGE_VM_MB);
+    bed.set_engines(TargetMode::Truncates);
+    let request = patient_stream(&bed, "broken", "/resumable/a");
+    let stream = begin(bed.node_configs[0].callers, &request);
+
+    wait_until(Duration::from_secs(1), "an engine runs it", || {
+        !bed.runs("broken").is_empty()
+    });
+    // The engine that runs it breaks it off all the same, well after the sockets' buffers are full.
+    bed.set_engines(TargetMode::Healthy);
+    wait_until(Duration::from_secs(5), "the stream is resumed", || {
+        has_logged(&bed, "broken", "stream finished")
+    });
+
+    assert!(has_logged(
+        &bed,
+        "broken",
+        "stream read ahead of its caller"
+    ));
+    assert!(has_logged(&bed, "broken", "stream resumed elsewhere"));
+    let response = read_rest(stream);
+    assert!(response.complete);
+    assert_eq!(response.event_ids(), all_event_ids());
+    assert_eq!(bed.runs("broken").len(), 2);
+}
