Measure the pace of engines and use it in placement

Cause: predictions use the coefficients that a service declares for every engine, so an engine that is slower by a factor goes on getting prompts that it cannot serve on time.

Change: engine_pace compares the event gaps that serving VMs see with the pass that the model predicts for the engine's jobs. Predictions for an engine are multiplied by its pace; a slow engine comes last among engines that meet the objective, and last among the parts of a split prompt. At pace 1 nothing changes: the tests of the dispatcher pass unchanged.

With set_paces without effect, or without the rule for slow VMs, a test fails.

--- a/src/policy/dispatch/choice.rs
+++ b/src/policy/dispatch/choice.rs
@@ -72,11 +72,12 @@
         let predicted = |engine: &EngineLedger| {
             let decode_pass = self.decode_pass_time(engine, request.prompt_tokens);
             let next = engine.next_pass(decode_pass, now);
-            next.starts_in + next.prefill + own_prefill + decode_pass
+            next.starts_in + next.prefill + engine.paced(own_prefill) + decode_pass
         };
         let best = candidates.min_by_key(|engine| {
             let first_event = predicted(engine);
             let decode_pass = self.decode_pass_time(engine, request.prompt_tokens);
+            let own_prefill = engine.paced(own_prefill);
             let next_gap = decode_pass + engine.next_pass(decode_pass, now).prefill + own_prefill;
             let safe = first_event <= objective_left.mul_f64(SAFE_OBJECTIVE_SHARE)
                 && next_gap
@@ -85,11 +86,12 @@
                         .mul_f64(SAFE_GAP_SHARE)
                 && engine.lateness_cost(own_prefill, decode_pass, now) <= 0.0;
             let full = engine.short_prompts() >= MAX_PACKED_SHORT_PROMPTS;
-            // Safe engines first, unsafe ones by first event. Then the fullest engine below the
-            // packing limit; if all are above it, the one with the fewest requests.
+            // Safe engines first, unsafe ones by first event. Then slow engines last, and the fullest
+            // engine below the packing limit; if all are above it, the one with the fewest requests.
             (
                 !safe,
                 if safe { Duration::ZERO } else { first_event },
+                engine.is_slow(),
                 full,
                 if full {
                     engine.running() as i64
@@ -154,6 +156,7 @@
             let on_time_value = engine.on_time_generating_value().round() as u64;
             let busy = self.prefill_wait(engine, now) > MAX_PREFERRED_PREFILL_WAIT;
             (
+                engine.is_slow(),
                 engine.on_time_short_prompts(),
                 busy,
                 on_time_value,
@@ -176,16 +179,15 @@
             available.swap(parts - 1, permitted);
         }
         let chosen = &available[..parts];
-        let longest_wait = chosen
+        let predicted_first_event = chosen
             .iter()
             .map(|engine| {
                 let decode_pass =
                     self.decode_pass_time(engine, request.prompt_tokens / parts as u64);
                 let next = engine.next_pass(decode_pass, now);
-                next.starts_in + next.prefill + decode_pass
+                next.starts_in + next.prefill + engine.paced(prefill) + decode_pass
             })
             .max()?;
-        let predicted_first_event = prefill + longest_wait;
         if now + predicted_first_event > queued.gives_up_at() {
             return None;
         }
@@ -209,14 +211,17 @@
             let prefill = prefill_time(&self.spec, request.prompt_tokens, parts);
             let cost: f64 = available[..parts]
                 .iter()
-                .map(|engine| engine.lateness_cost(prefill, self.decode_pass_time(engine, 0), now))
+                .map(|engine| {
+                    let decode_pass = self.decode_pass_time(engine, 0);
+                    engine.lateness_cost(engine.paced(prefill), decode_pass, now)
+                })
                 .sum();
-            let wait = available[..parts]
+            let prefilled_in = available[..parts]
                 .iter()
-                .map(|engine| self.prefill_wait(engine, now))
+                .map(|engine| self.prefill_wait(engine, now) + engine.paced(prefill))
                 .max()
                 .unwrap_or(Duration::ZERO);
-            let first_event = wait + prefill + self.decode_pass_time(available[parts - 1], 0);
+            let first_event = prefilled_in + self.decode_pass_time(available[parts - 1], 0);
             value * value_share(first_event, objective_left) - cost
         };
         let best = (min_parts..=max_parts).max_by(|a, b| gain(*a).total_cmp(&gain(*b)))?;
@@ -297,6 +302,7 @@
             .max_by_key(|engine| {
                 (
                     engine.has_permit(now),
+                    !engine.is_slow(),
                     self.free_memory(engine) >= memory,
                     engine.target.domain == request.domain,
                     Reverse(engine.on_time_short_prompts()),
--- a/src/policy/dispatch/ledger.rs
+++ b/src/policy/dispatch/ledger.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::request::{EngineTarget, JobId, JobReport};
+use crate::policy::engine_pace::AddedPrefill;
 use crate::policy::permits::PermitBucket;
 
 /// Age from which a delay is taken to cost a job its whole value, whether or not it was late
@@ -56,6 +57,10 @@
     pub(super) accepts_work: bool,
     pub(super) jobs: Vec<EngineJob>,
     pub(super) recent_sends: Vec<Instant>,
+    /// Number and total time of the prefills that were added here, at the declared speed.
+    pub(super) added_prefill: AddedPrefill,
+    /// How much longer it takes than its service declares; 1 unless it counts as slow.
+    pub(super) pace: f64,
     /// Permits to send requests, if the engine named a rate limit.
     pub(super) permits: Option<PermitBucket>,
     /// Number of the current pass.
@@ -106,6 +111,8 @@
             accepts_work: true,
             jobs: Vec::new(),
             recent_sends: Vec::new(),
+            added_prefill: AddedPrefill::default(),
+            pace: 1.0,
             permits: None,
             pass: 0,
             pass_ends_at: None,
@@ -169,6 +176,10 @@
         decode_pass: Duration,
         now: Instant,
     ) {
+        if !report.prefill_left.is_zero() {
+            self.added_prefill.count += 1;
+            self.added_prefill.time += report.prefill_left.div_f64(self.pace);
+        }
         let next = self.next_pass(decode_pass, now);
         let first_event = now + next.starts_in + next.prefill + report.prefill_left + decode_pass;
         let objective_at = now + report.objective;
@@ -263,6 +274,20 @@
         }
     }
 
+    /// Whether it counts as slow.
+    pub(super) fn is_slow(&self) -> bool {
+        self.pace > 1.0
+    }
+
+    /// Time that this engine takes for what takes `time` at the declared speed.
+    pub(super) fn paced(&self, time: Duration) -> Duration {
+        if self.is_slow() {
+            time.mul_f64(self.pace)
+        } else {
+            time
+        }
+    }
+
     /// Number of requests that take a slot here; helpers take none.
     pub(super) fn running(&self) -> usize {
         self.jobs.iter().filter(|job| !job.report.is_helper).count()
--- a/src/policy/dispatch/mod.rs
+++ b/src/policy/dispatch/mod.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use super::engine_model::{decode_time, pass_time, prefill_time};
+use super::engine_pace::EngineLoad;
 use super::permits::{PermitBucket, ReturnOrder, permit_wait, total_rate};
 use crate::fleet::routes::EngineSpec;
 use crate::ids::{TargetName, VmName};
@@ -134,6 +135,37 @@
             .retain(|_, engine| engine.accepts_work || !engine.jobs.is_empty());
     }
 
+    /// Sets the paces of the engines that count as slow; all others have the declared speed.
+    pub fn set_paces(&mut self, slow_engines: &BTreeMap<TargetName, f64>) {
+        for (name, engine) in &mut self.engines {
+            engine.pace = slow_engines.get(name).map_or(1.0, |pace| pace.max(1.0));
+        }
+    }
+
+    /// Pace of an engine, as set by [`Self::set_paces`]; `None` if it is not known here.
+    pub fn pace_of(&self, target: &TargetName) -> Option<f64> {
+        self.engines.get(target).map(|engine| engine.pace)
+    }
+
+    /// Time of a pass without prefill at the declared speed on an engine with the jobs known here.
+    pub fn declared_pass_time(&self, target: &TargetName) -> Option<Duration> {
+        let engine = self.engines.get(target)?;
+        let helper_time = self.spec.helper_step_ms * self.spec.steps_per_pass / 1_000.0;
+        let pass = pass_time(&self.spec, engine.running().max(1), engine.context_tokens());
+        Some(pass + Duration::from_secs_f64(helper_time.clamp(0.0, 1.0)))
+    }
+
+    /// The present load of each engine, from which its event gaps are predicted.
+    pub fn engine_loads(&self) -> impl Iterator<Item = (TargetName, EngineLoad)> {
+        self.engines.iter().filter_map(|(name, engine)| {
+            let load = EngineLoad {
+                pass: self.declared_pass_time(name)?,
+                added_prefill: engine.added_prefill,
+            };
+            Some((name.clone(), load))
+        })
+    }
+
     /// Queues a request for the next call of [`Self::decide`].
     pub fn enqueue(&mut self, request: PlacementRequest, now: Instant) {
         let memory_wait = self.memory_wait(&request, now);
@@ -397,6 +429,9 @@
                 .map(|part| (&part.target, part.reserve_tokens, true)),
         );
         for (target, memory_tokens, is_helper) in parts_by_engine {
+            let Some(prefill) = self.engines.get(target).map(|engine| engine.paced(prefill)) else {
+                continue;
+            };
             let report = JobReport {
                 job: request.job,
                 vm: request.vm.clone(),
@@ -540,11 +575,11 @@
 
 /// Time of a pass without prefill on `engine`, with one more request of `extra_tokens` of context.
 fn decode_pass_time(spec: &EngineSpec, engine: &EngineLedger, extra_tokens: u64) -> Duration {
-    pass_time(
+    engine.paced(pass_time(
         spec,
         engine.running() + 1,
         engine.context_tokens() + extra_tokens,
-    )
+    ))
 }
 
 /// Predicted time until the last event of a job that is known from `reports` only. Half of its answer
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -5,6 +5,7 @@
 pub mod cold_pacing;
 pub mod dispatch;
 pub mod engine_model;
+pub mod engine_pace;
 pub mod estimate;
 pub mod lane;
 pub mod part_guard;
--- /dev/null
+++ b/tests/core/engine_paces.rs
@@ -0,0 +1,238 @@
+//! Paces of engines: simulated loads on engines of unequal speed, and what counts as evidence.
+
+use std::time::{Duration, Instant};
+
+use plantainnotch::ids::{TargetName, VmName};
+use plantainnotch::policy::engine_model::example_spec;
+use plantainnotch::policy::engine_pace::{
+    AddedPrefill, EngineLoad, GapWindow, ObservedGap, PACE_REPORT_INTERVAL, PaceBook, PaceReport,
+};
+
+use crate::engine_simulation::{
+    LoadRequest, RequestKind, SimulationReport, Slowdown, generate_load, mixed_load_kinds,
+    simulate_slow_engines,
+};
+
+const ENGINES: usize = 14;
+const PASS: Duration = Duration::from_millis(50);
+/// Time in which a slow engine must be known: half of a phase of the load.
+const HALF_PHASE: Duration = Duration::from_secs(5);
+/// Phases of many short and of many long prompts, as factors for [`mixed_load_kinds`].
+const PHASES: [[f64; 3]; 4] = [
+    [2.4, 0.5, 0.05],
+    [0.36, 1.3, 2.8],
+    [2.4, 0.5, 0.05],
+    [0.36, 1.3, 2.8],
+];
+
+fn alternating_load(seed: u64) -> (Vec<RequestKind>, Vec<LoadRequest>) {
+    let length = Duration::from_secs(10);
+    let phases = PHASES.iter().zip(0_u32..).flat_map(|(factors, index)| {
+        let kinds = mixed_load_kinds(*factors);
+        generate_load(&kinds, length * index, length, seed * 10 + u64::from(index))
+    });
+    (mixed_load_kinds(PHASES[1]), phases.collect())
+}
+
+/// The engine that is filled first, slow for 30 of the 40 seconds of the load.
+fn slow_engine(factor: f64) -> Vec<Slowdown> {
+    vec![Slowdown {
+        engine: 0,
+        from: Duration::from_secs(2),
+        until: Duration::from_secs(32),
+        factor,
+    }]
+}
+
+fn on_time_share(report: &SimulationReport) -> f64 {
+    let requests: usize = report.kinds.iter().map(|kind| kind.requests).sum();
+    let on_time: usize = report.kinds.iter().map(|kind| kind.on_time).sum();
+    on_time as f64 / requests as f64
+}
+
+fn mean_on_time_share(slowdowns: &[Slowdown], measures_paces: bool) -> f64 {
+    let seeds = 1..=3;
+    let count = seeds.clone().count() as f64;
+    let shares = seeds.map(|seed| {
+        let (kinds, load) = alternating_load(seed);
+        let spec = example_spec();
+        let (report, _) =
+            simulate_slow_engines(&spec, &kinds, &load, ENGINES, slowdowns, measures_paces);
+        on_time_share(&report)
+    });
+    shares.sum::<f64>() / count
+}
+
+fn engine_name(index: usize) -> TargetName {
+    TargetName::new(format!("engine-{index:02}"))
+}
+
+/// A VM's report on engines 0 to `gaps.len()`, of which each served three of its requests.
+fn pace_report(vm: &str, observed_engines: u64, gaps: &[Duration]) -> PaceReport {
+    let observed = |(index, gap): (usize, &Duration)| ObservedGap {
+        target: engine_name(index),
+        event_gap: *gap,
+        requests: 3,
+    };
+    PaceReport {
+        vm: VmName::new(vm),
+        observed_engines,
+        gaps: gaps.iter().enumerate().map(observed).collect(),
+    }
+}
+
+/// A book that knows [`ENGINES`] engines with a pass of [`PASS`], and got `reports` `rounds` times.
+fn reported_book(start: Instant, rounds: u32, reports: &[PaceReport]) -> (PaceBook, Instant) {
+    let mut book = PaceBook::default();
+    let mut now = start;
+    for _ in 0..rounds {
+        now += PACE_REPORT_INTERVAL;
+        refresh(&mut book, now);
+        for report in reports {
+            book.apply(report, now);
+        }
+    }
+    refresh(&mut book, now);
+    (book, now)
+}
+
+fn refresh(book: &mut PaceBook, now: Instant) {
+    let load = EngineLoad {
+        pass: PASS,
+        added_prefill: AddedPrefill::default(),
+    };
+    book.refresh((0..ENGINES).map(|index| (engine_name(index), load)), now);
+}
+
+fn is_about(pace: f64, expected: f64) -> bool {
+    (pace - expected).abs() < 0.1
+}
+
+/// Guards against prompts that go on being placed on a slow engine as if it had the declared speed.
+#[test]
+fn callers_are_served_on_time_while_an_engine_is_slow() {
+    // The engine is lost for three quarters of the time.
+    let lost_capacity = 0.75 / ENGINES as f64;
+    for factor in [3.0, 6.0] {
+        let slowdowns = slow_engine(factor);
+
+        let even = mean_on_time_share(&[], false);
+        let unknown = mean_on_time_share(&slowdowns, false);
+        let measured = mean_on_time_share(&slowdowns, true);
+
+        assert!(
+            measured >= even - lost_capacity && measured > unknown,
+            "factor {factor}: {measured:.3} on time, {even:.3} without a slow engine, \
+             {unknown:.3} without paces"
+        );
+    }
+}
+
+/// Guards against prefills and full engines that count as slowness.
+#[test]
+fn load_does_not_count_as_slowness() {
+    for seed in 1..=5 {
+        let (kinds, load) = alternating_load(seed);
+
+        let (_, changes) =
+            simulate_slow_engines(&example_spec(), &kinds, &load, ENGINES, &[], true);
+
+        assert!(changes.is_empty(), "seed {seed}: {changes:?}");
+    }
+}
+
+/// Guards against an engine that gets no share after it was slow, and one that counts as slow too late.
+#[test]
+fn an_engine_counts_as_slow_within_seconds_and_no_longer_than_it_is() {
+    let (kinds, load) = alternating_load(1);
+    let slowdowns = slow_engine(4.0);
+
+    let (_, changes) =
+        simulate_slow_engines(&example_spec(), &kinds, &load, ENGINES, &slowdowns, true);
+
+    let (first_at, first) = &changes[0];
+    assert_eq!(first.target, engine_name(0), "{changes:?}");
+    assert!(*first_at <= slowdowns[0].from + HALF_PHASE, "{changes:?}");
+    assert!(
+        changes
+            .iter()
+            .all(|(_, change)| change.target == engine_name(0)),
+        "{changes:?}"
+    );
+    let (_, last) = changes.last().expect("the engine was slow");
+    assert_eq!(last.pace, None, "{changes:?}");
+}
+
+/// Guards against a VM without processor time, to which all engines look slow, and which would move
+/// all other VMs' prompts.
+#[test]
+fn a_slow_vm_makes_no_engine_slow() {
+    let slow_gaps = [PASS * 3; 6];
+    let report = pace_report("slow-vm", 6, &slow_gaps);
+
+    let (book, _) = reported_book(Instant::now(), 4, &[report]);
+
+    assert!(book.slow_engines().is_empty());
+}
+
+/// Guards against a slow VM that sees one engine only, and so cannot compare.
+#[test]
+fn a_vm_that_sees_one_engine_needs_another_vm_to_agree() {
+    let alone = [pace_report("vm-1", 1, &[PASS * 3])];
+    let agreed = [alone[0].clone(), pace_report("vm-2", 1, &[PASS * 3])];
+
+    let (book_of_one, _) = reported_book(Instant::now(), 4, &alone);
+    let (book_of_two, _) = reported_book(Instant::now(), 4, &agreed);
+
+    assert!(book_of_one.slow_engines().is_empty());
+    assert!(is_about(book_of_two.slow_engines()[&engine_name(0)], 3.0));
+}
+
+/// Guards against a single report, or a single request, that makes an engine slow.
+#[test]
+fn an_engine_counts_as_slow_only_after_several_requests_over_some_time() {
+    let report = pace_report("vm-1", 6, &[PASS * 3]);
+    let mut of_one_request = report.clone();
+    of_one_request.gaps[0].requests = 1;
+
+    let (after_one, _) = reported_book(Instant::now(), 1, std::slice::from_ref(&report));
+    let (one_request, _) = reported_book(Instant::now(), 4, &[of_one_request]);
+    let (several, _) = reported_book(Instant::now(), 4, &[report]);
+
+    assert!(after_one.slow_engines().is_empty());
+    assert!(one_request.slow_engines().is_empty());
+    assert!(is_about(several.slow_engines()[&engine_name(0)], 3.0));
+}
+
+/// Guards against an engine that stays without work because nothing shows that it is fast again.
+#[test]
+fn a_pace_returns_by_evidence_at_once_and_by_time_within_seconds() {
+    let slow = [pace_report("vm-1", 6, &[PASS * 3])];
+    let (mut by_evidence, now) = reported_book(Instant::now(), 4, &slow);
+    let (mut by_time, _) = reported_book(Instant::now(), 4, &slow);
+
+    by_evidence.apply(&pace_report("vm-1", 6, &[PASS]), now + PACE_REPORT_INTERVAL);
+    refresh(&mut by_evidence, now + PACE_REPORT_INTERVAL);
+    refresh(&mut by_time, now + Duration::from_secs(3));
+    let after_half_life = by_time.slow_engines();
+    refresh(&mut by_time, now + Duration::from_secs(10));
+
+    assert!(by_evidence.slow_engines().is_empty());
+    let pace = after_half_life[&engine_name(0)];
+    assert!(is_about(pace, 2.0), "{pace}");
+    assert!(by_time.slow_engines().is_empty());
+}
+
+/// Guards against a slow reader or a frozen VM whose late reads look like long event gaps.
+#[test]
+fn events_that_waited_to_be_read_are_no_evidence() {
+    let start = Instant::now();
+    let mut window = GapWindow::default();
+
+    let gaps = (0..40).filter_map(|index| {
+        let at = start + Duration::from_millis(300) * index;
+        window.record_event(at, false)
+    });
+
+    assert_eq!(gaps.count(), 0);
+}
--- a/tests/core/engine_simulation.rs
+++ b/tests/core/engine_simulation.rs
@@ -11,6 +11,10 @@
     DispatchAnswer, EngineDispatcher, EnginePlacement, EngineTarget, JobId, JobReport,
     PlacementRequest, SplitPart,
 };
+use plantainnotch::policy::engine_model::pass_time;
+use plantainnotch::policy::engine_pace::{
+    GapLedger, GapWindow, PACE_REPORT_INTERVAL, PaceBook, PaceChange,
+};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -221,6 +225,7 @@
     /// The dispatcher's jobs are reported to the VM that is to replace it.
     ReportJobs,
     ReplaceOwner,
+    ReportPaces,
 }
 
 /// What a dispatcher that replaces another one knows of the requests that run.
@@ -235,6 +240,53 @@
 /// Time between the reports of jobs in a large fleet.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(950);
 
+/// VMs that serve the requests in turn.
+const SERVING_VMS: usize = 36;
+
+/// An engine that works at a fraction of its speed for a time.
+#[derive(Debug, Clone)]
+pub struct Slowdown {
+    pub engine: usize,
+    pub from: Duration,
+    pub until: Duration,
+    pub factor: f64,
+}
+
+/// The paces that the serving VMs measure, and what the dispatcher knows of them.
+#[derive(Default)]
+struct MeasuredPaces {
+    windows: BTreeMap<u64, GapWindow>,
+    ledgers: BTreeMap<usize, GapLedger>,
+    book: PaceBook,
+    changes: Vec<(Duration, PaceChange)>,
+}
+
+/// Simulates `load` under the dispatcher on engines of which some are slow; with `measures_paces`,
+/// the dispatcher uses the paces that the serving VMs report, and their changes are returned.
+pub fn simulate_slow_engines(
+    spec: &EngineSpec,
+    kinds: &[RequestKind],
+    load: &[LoadRequest],
+    engines: usize,
+    slowdowns: &[Slowdown],
+    measures_paces: bool,
+) -> (SimulationReport, Vec<(Duration, PaceChange)>) {
+    let mut simulation = new_simulation(SimulationPolicy::Dispatcher, spec, kinds, load, engines);
+    simulation.slowdowns = slowdowns;
+    if measures_paces {
+        simulation.paces = Some(MeasuredPaces::default());
+        let end = load.last().map_or(Duration::ZERO, |request| request.at);
+        let mut at = PACE_REPORT_INTERVAL;
+        while at < end {
+            simulation.push(at, SimulationEvent::ReportPaces);
+            at += PACE_REPORT_INTERVAL;
+        }
+    }
+    simulation.run();
+    let changes = simulation.paces.map(|paces| paces.changes);
+    (simulation.report, changes.unwrap_or_default())
+}
+
 pub struct Simulation<'a> {
     spec: EngineSpec,
     kinds: &'a [RequestKind],
@@ -251,6 +303,8 @@
     last_engine: usize,
     reported_jobs: Vec<JobReport>,
     successor_memory: SuccessorMemory,
+    slowdowns: &'a [Slowdown],
+    paces: Option<MeasuredPaces>,
     report: SimulationReport,
 }
 
@@ -318,6 +372,8 @@
         last_engine: 0,
         reported_jobs: Vec::new(),
         successor_memory: SuccessorMemory::Reported,
+        slowdowns: &[],
+        paces: None,
         report: SimulationReport {
             kinds: vec![KindOutcome::default(); kinds.len()],
         },
@@ -363,6 +419,7 @@
                 SimulationEvent::Outage(engine) => self.stop_engine(at, engine),
                 SimulationEvent::ReportJobs => self.report_jobs(at),
                 SimulationEvent::ReplaceOwner => self.replace_owner(at),
+                SimulationEvent::ReportPaces => self.report_paces(at),
                 SimulationEvent::Tick => {}
             }
             if self.policy == SimulationPolicy::Dispatcher {
@@ -548,6 +605,12 @@
     }
 
     fn start_pass(&mut self, at: Duration, index: usize) {
+        let slowdown: f64 = self
+            .slowdowns
+            .iter()
+            .filter(|slow| slow.engine == index && slow.from <= at && at < slow.until)
+            .map(|slow| slow.factor)
+            .product();
         let slots = self.spec.slots;
         let total_memory = self.spec.memory_tokens;
         let engine = &mut self.engines[index];
@@ -630,7 +693,7 @@
         engine.finished_parts = finished_parts;
         engine.generates = generating > 0;
         engine.in_pass = true;
-        let ends_at = at + Duration::from_secs_f64(pass_ms / 1_000.0);
+        let ends_at = at + Duration::from_secs_f64(pass_ms * slowdown / 1_000.0);
         self.push(ends_at, SimulationEvent::PassEnd(index));
     }
 
@@ -653,6 +716,7 @@
             let max_gap = self.kinds[simulated.request.kind].max_event_gap;
             simulated.has_late_event |= at - simulated.last_event_at > max_gap;
             simulated.last_event_at = at;
+            measure_gap(&mut self.paces, job, index, self.start + at);
             simulated.events_left = simulated.events_left.saturating_sub(1);
             if simulated.events_left == 0 {
                 simulated.is_done = true;
@@ -668,6 +732,7 @@
             if simulated.parts_left == 0 {
                 simulated.first_event_at = Some(at);
                 simulated.last_event_at = at;
+                measure_gap(&mut self.paces, job, simulated.lead, self.start + at);
                 simulated.events_left = simulated.events_left.saturating_sub(1);
                 let lead = simulated.lead;
                 if simulated.events_left == 0 {
@@ -732,6 +797,24 @@
         }
     }
 
+    fn report_paces(&mut self, at: Duration) {
+        let Some(paces) = &mut self.paces else { return };
+        let now = self.start + at;
+        let changes = paces.book.refresh(self.dispatcher.engine_loads(), now);
+        paces
+            .changes
+            .extend(changes.into_iter().map(|change| (at, change)));
+        self.dispatcher.set_paces(&paces.book.slow_engines());
+        // A VM knows of its own requests only.
+        let known_pass = pass_time(&self.spec, 1, 0);
+        for (vm, ledger) in &mut paces.ledgers {
+            let vm = VmName::new(format!("vm-{vm}"));
+            if let Some(report) = ledger.report(&vm, |_| Some(known_pass), now) {
+                paces.book.apply(&report, now);
+            }
+        }
+    }
+
     fn report_jobs(&mut self, at: Duration) {
         let now = self.start + at;
         let vm = VmName::new("vm");
@@ -797,3 +880,14 @@
         self.set_engines();
     }
 }
+
+/// Records an event of a stream at the VM that serves it.
+fn measure_gap(paces: &mut Option<MeasuredPaces>, job: u64, engine: usize, now: Instant) {
+    let Some(paces) = paces else { return };
+    let window = paces.windows.entry(job).or_default();
+    if let Some(gap) = window.record_event(now, true) {
+        let vm = job as usize % SERVING_VMS;
+        let ledger = paces.ledgers.entry(vm).or_default();
+        ledger.record(&engine_name(engine), JobId(job), gap, now);
+    }
+}
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -9,6 +9,7 @@
 mod claims;
 mod cold_pacing;
 mod dispatch;
+mod engine_paces;
 mod engine_simulation;
 mod fixtures;
 mod fold;
