Report the pace of engines to the owner of placement and its successor

Cause: each VM sees the events of its own streams only, and the owner of placement decides.

The owner logs which engines count as slow and counts them in slow_engines; placed lines name the engine's pace.

--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -17,6 +17,7 @@
 use super::carrying::{carry_if_lost, lose_paths};
 use super::connection::open_connection;
 use super::crash_bans::{part_names, refuse_banned, report_broken};
+use super::engine_paces::known_pace;
 use super::messages::JobUpdate;
 use super::placement::{JobGuard, PlacementOutcome, place, record_update};
 use super::rate_limits::observe_limit;
@@ -265,6 +266,7 @@
             replica = %placement.lead,
             helpers = placement.helpers.len(),
             helped_by = helper_names(&placement),
+            pace = known_pace(node, &caller.service, &placement.lead),
             predicted_ms = placement.predicted_first_event.as_millis() as u64,
             waited_ms = waited.as_millis() as u64,
             decided_by = outcome.decided_by,
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -15,7 +15,7 @@
     directory_response, is_ready, metrics_response, readiness_response, serve_http,
 };
 use super::state::NodeState;
-use super::{feeds, paths, peer_calls, peers, placement, request_handler};
+use super::{engine_paces, feeds, paths, peer_calls, peers, placement, request_handler};
 use crate::clock::TimeSource;
 use crate::fleet::catalog::RecordDecoder;
 use crate::fleet::members::{MemberRecord, OwnState};
@@ -61,6 +61,7 @@
     actix_rt::spawn(placement::decide_loop(node.clone()));
     actix_rt::spawn(placement::send_updates_loop(node.clone()));
     actix_rt::spawn(placement::report_jobs_loop(node.clone()));
+    actix_rt::spawn(engine_paces::report_loop(node.clone()));
     actix_rt::spawn(own_record_loop(node.clone()));
     actix_rt::spawn(paths::watch_paths(node.clone()));
     actix_rt::spawn(peer_calls::log_traffic(node.clone()));
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -9,6 +9,7 @@
 use crate::fleet::members::{MemberRecord, RosterUpdate};
 use crate::ids::{PartName, RequestDigest, TargetName, VmName};
 use crate::policy::dispatch::{DispatchAnswer, JobId, JobReport, PlacementRequest};
+use crate::policy::engine_pace::PaceReport;
 use crate::policy::part_guard::PartBan;
 use crate::policy::permits::PermitAnswer;
 use crate::policy::rate_limits::RateLimit;
@@ -185,11 +186,13 @@
     ClaimRun(RunClaim),
     /// Gives a claim back, as the request has not run and never will.
     ReleaseRun(RunClaim),
+    /// Reports engines that look slow to the sender to the owner of placement and its successor.
+    ReportPaces(PaceReport),
 }
 
 impl NodeCall {
     /// The values that [`Self::kind`] may return.
-    pub const KINDS: [&'static str; 11] = [
+    pub const KINDS: [&'static str; 12] = [
         "heartbeat",
         "place",
         "updates",
@@ -201,6 +204,7 @@
         "share_evidence",
         "claim_run",
         "release_run",
+        "report_paces",
     ];
 
     /// Name of the kind of call, for metrics.
@@ -217,6 +221,7 @@
             Self::ShareEvidence(_) => "share_evidence",
             Self::ClaimRun(_) => "claim_run",
             Self::ReleaseRun(_) => "release_run",
+            Self::ReportPaces(_) => "report_paces",
         }
     }
 }
@@ -229,8 +234,8 @@
     /// The placement or its refusal, in reply to [`NodeCall::Place`].
     Placed(DispatchAnswer),
     /// The call was applied, in reply to [`NodeCall::Updates`], [`NodeCall::ReportJobs`],
-    /// [`NodeCall::AnnounceBans`], [`NodeCall::AnnounceLimits`], [`NodeCall::ShareEvidence`] and
-    /// [`NodeCall::ReleaseRun`].
+    /// [`NodeCall::AnnounceBans`], [`NodeCall::AnnounceLimits`], [`NodeCall::ShareEvidence`],
+    /// [`NodeCall::ReleaseRun`] and [`NodeCall::ReportPaces`].
     Acknowledged,
     /// The records, in reply to [`NodeCall::FetchRecords`].
     Records(PackedRecords),
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -98,6 +98,8 @@
     pub pauses: Counter,
     /// Targets that name a rate limit.
     pub limited_targets: Gauge,
+    /// Engines that count as slow, at the owner of placement and its successor.
+    pub slow_engines: Gauge,
     /// Combinations of prompt parts whose requests are refused.
     pub banned_parts: Gauge,
     /// Requests that are refused because targets crashed under them.
@@ -149,6 +151,7 @@
             failures: Family::default(),
             pauses: Counter::default(),
             limited_targets: Gauge::default(),
+            slow_engines: Gauge::default(),
             banned_parts: Gauge::default(),
             banned_requests: Gauge::default(),
             feed_age_seconds: Family::default(),
@@ -224,6 +227,11 @@
             "Targets that name a rate limit",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "slow_engines",
+            "Engines that count as slow",
+            self.slow_engines.clone(),
+        );
         registry.register(
             "banned_parts",
             "Combinations of prompt parts whose requests are refused",
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -6,6 +6,7 @@
 pub mod carrying;
 pub mod connection;
 pub mod crash_bans;
+pub mod engine_paces;
 pub mod feeds;
 pub mod generation;
 pub mod lifecycle;
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::crash_bans::{import_bans, import_evidence, known_bans};
+use super::engine_paces::import_report;
 use super::messages::{HeartbeatMessage, HeartbeatReply, NodeCall, NodeReply, RecordsRequest};
 use super::packed_records::{FetchedRecords, unpack_records};
 use super::peer_calls::call_node;
@@ -84,6 +85,10 @@
                 node.run_claims.borrow_mut().release(claim);
                 NodeReply::Acknowledged
             }
+            NodeCall::ReportPaces(report) => {
+                import_report(&node, &report);
+                NodeReply::Acknowledged
+            }
             NodeCall::TakePermit(request) => NodeReply::Permit(grant_permit(&node, &request)),
             NodeCall::ReportJobs(report) => {
                 for dispatcher in node.dispatchers.borrow_mut().values_mut() {
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -13,6 +13,7 @@
 use super::carrying::{self, CarriedGuard, lose_paths, may_move};
 use super::connection::TargetConnection;
 use super::crash_bans::{report_broken, report_served};
+use super::engine_paces::record_gap;
 use super::generation::{PlacementLimits, Reservations, place_in_time, send_placed};
 use super::messages::JobUpdate;
 use super::placement::{JobGuard, record_update};
@@ -21,9 +22,11 @@
 use crate::fleet::routes::RerunPolicy;
 use crate::ids::{TargetName, VmName};
 use crate::policy::dispatch::{DispatchAnswer, PlacementRequest};
+use crate::policy::engine_pace::GapWindow;
 
 const EVENT_TIMEOUT_SHARE: f64 = 0.7; // of the time after which the caller gives up; the rest is left to resume elsewhere
 const LOST_PATH_GAPS: f64 = 2.0; // longest gaps after which the paths are checked and, once they are lost, a stream moves to another VM
+const MIN_READ_WAIT: Duration = Duration::from_millis(1); // a shorter read returns bytes that arrived before
 const MAX_EVENT_BYTES: usize = 32 * 1024; // of an event with an id, and all that precedes it
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -194,6 +197,10 @@
     first_event_at: Instant,
     last_event_at: Instant,
     longest_gap: Duration,
+    /// Event gaps of the present source, from which its pace is measured.
+    gaps: GapWindow,
+    /// Whether the next event in the buffer came from a read that waited for it.
+    was_awaited: bool,
 }
 
 impl StreamRelay {
@@ -225,6 +232,8 @@
             first_event_at,
             last_event_at: first_event_at,
             longest_gap: Duration::ZERO,
+            gaps: GapWindow::default(),
+            was_awaited: false,
         }
     }
 
@@ -290,9 +299,18 @@
         let now = self.node.now();
         self.longest_gap = self.longest_gap.max(now - self.last_event_at);
         self.last_event_at = now;
+        let was_awaited = std::mem::take(&mut self.was_awaited);
+        let measured_gap = self.gaps.record_event(now, was_awaited);
         if let Some(stream) = &mut self.stream
-            && let StreamSource::Target { reservations, .. } = &mut stream.source
+            && let StreamSource::Target {
+                target,
+                reservations,
+                ..
+            } = &mut stream.source
         {
+            if let Some(gap) = measured_gap {
+                record_gap(&self.node, target, self.placement_request.job, gap);
+            }
             reservations.renew_if_due();
             self.node.paths.borrow_mut().record_received(now);
         }
@@ -339,6 +357,7 @@
         match read {
             Ok(Ok(Some(chunk))) => {
                 self.buffer.push(&chunk);
+                self.was_awaited = self.node.now().saturating_duration_since(now) >= MIN_READ_WAIT;
                 self.bytes_since_event += chunk.len();
                 if self.bytes_since_event > MAX_EVENT_BYTES {
                     self.node.metrics.count_oversized_response("event");
@@ -482,6 +501,7 @@
         self.resumed = true;
         self.source_events = 0;
         self.bytes_since_event = 0;
+        self.gaps = GapWindow::default();
     }
 
     /// Whether the events come from a target, and not from another VM.
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -10,6 +10,7 @@
 
 use super::body_budget::{BodyBudget, BodyLimits};
 use super::connection::{ConnectionPool, ExchangeError};
+use super::engine_paces::EnginePaces;
 use super::messages::JobUpdate;
 use super::metrics::NodeMetrics;
 use super::packed_records::RecordPacker;
@@ -77,6 +78,8 @@
     pub part_guard: RefCell<PartGuard>,
     /// Requests under which targets crash: bans and, at the owner of placement, evidence.
     pub request_guard: RefCell<RequestGuard>,
+    /// Speed of engines as their streams show it.
+    pub engine_paces: RefCell<EnginePaces>,
     /// Targets that asked this VM for a pause.
     pub paused_targets: RefCell<PausedTargets>,
     /// Pace of requests to cold targets of plain services.
@@ -163,6 +166,7 @@
             target_health: RefCell::default(),
             part_guard: RefCell::default(),
             request_guard: RefCell::default(),
+            engine_paces: RefCell::default(),
             paused_targets: RefCell::default(),
             cold_pacing: RefCell::default(),
             rate_limits: RefCell::default(),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod crashing_parts;
 mod crashing_requests;
 mod endless;
+mod engine_paces;
 mod lost_paths;
 mod members;
 mod memory;
