--- a/src/policy/dispatch/mod.rs
+++ b/src/policy/dispatch/mod.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use super::engine_model::{decode_time, pass_time, prefill_time};
+use super::engine_pace::EngineLoad;
 use super::permits::{PermitBucket, ReturnOrder, permit_wait, total_rate};
 use crate::fleet::routes::EngineSpec;
 use crate::ids::{TargetName, VmName};
@@ -83,7 +84,7 @@
     /// Engines available to long prompts, best first; until the next placement.
     available: Option<Vec<TargetName>>,
     /// Until the next placement.
-    load: Option<EngineLoad>,
+    load: Option<EngineAvailability>,
 }
 
 impl DecisionPass {
@@ -95,7 +96,7 @@
 
 /// How soon the engines can start another prefill.
 #[derive(Debug)]
-struct EngineLoad {
+struct EngineAvailability {
     /// Time until the long prefills of the soonest [`MAX_PARTS`] engines are done, ascending.
     busy_for: Vec<Duration>,
     long_prefill_capacity: f64,
@@ -190,6 +191,37 @@
             .count();
     }
 
+    /// Sets the paces of the engines that count as slow; all others have the declared speed.
+    pub fn set_paces(&mut self, slow_engines: &BTreeMap<TargetName, f64>) {
+        for (name, engine) in &mut self.engines {
+            engine.pace = slow_engines.get(name).map_or(1.0, |pace| pace.max(1.0));
+        }
+    }
+
+    /// Pace of an engine, as set by [`Self::set_paces`]; `None` if it is not known here.
+    pub fn pace_of(&self, target: &TargetName) -> Option<f64> {
+        self.engines.get(target).map(|engine| engine.pace)
+    }
+
+    /// Time of a pass without prefill at the declared speed on an engine with the jobs known here.
+    pub fn declared_pass_time(&self, target: &TargetName) -> Option<Duration> {
+        let engine = self.engines.get(target)?;
+        let helper_time = self.spec.helper_step_ms * self.spec.steps_per_pass / 1_000.0;
+        let pass = pass_time(&self.spec, engine.running().max(1), engine.context_tokens());
+        Some(pass + Duration::from_secs_f64(helper_time.clamp(0.0, 1.0)))
+    }
+
+    /// The present load of each engine, from which its event gaps are predicted.
+    pub fn engine_loads(&self) -> impl Iterator<Item = (TargetName, EngineLoad)> {
+        self.engines.iter().filter_map(|(name, engine)| {
+            let load = EngineLoad {
+                pass: self.declared_pass_time(name)?,
+                added_prefill: engine.added_prefill,
+            };
+            Some((name.clone(), load))
+        })
+    }
+
     /// Queues a request for the next call of [`Self::decide`].
     pub fn enqueue(&mut self, request: PlacementRequest, now: Instant) {
         let memory_wait = self.memory_wait(&request, now);
@@ -443,7 +475,7 @@
         pass: &mut DecisionPass,
         now: Instant,
     ) -> Duration {
-        let load = pass.load.get_or_insert_with(|| self.engine_load(now));
+        let load = pass.load.get_or_insert_with(|| self.engine_availability(now));
         let prompt_tokens = queued.request.prompt_tokens;
         let wait = queued_prefill.div_f64(load.long_prefill_capacity);
         let pass_time = queued.times.single_pass;
@@ -465,14 +497,14 @@
         pass: &mut DecisionPass,
         now: Instant,
     ) -> Option<Duration> {
-        let load = pass.load.get_or_insert_with(|| self.engine_load(now));
+        let load = pass.load.get_or_insert_with(|| self.engine_availability(now));
         let wait = queued_prefill.div_f64(load.long_prefill_capacity);
         let times = &queued.times;
         let busy = load.busy_for.first()?;
         Some(*busy + wait + times.unsplit_prefill + times.single_pass)
     }
 
-    fn engine_load(&self, now: Instant) -> EngineLoad {
+    fn engine_availability(&self, now: Instant) -> EngineAvailability {
         let mut busy_for: Vec<Duration> = self
             .engines
             .values()
@@ -481,7 +513,7 @@
             .collect();
         busy_for.sort_unstable();
         busy_for.truncate(MAX_PARTS);
-        EngineLoad {
+        EngineAvailability {
             busy_for,
             long_prefill_capacity: self.long_prefill_capacity(),
         }
@@ -511,6 +543,9 @@
                 .map(|part| (&part.target, part.reserve_tokens, true)),
         );
         for (target, memory_tokens, is_helper) in parts_by_engine {
+            let Some(prefill) = self.engines.get(target).map(|engine| engine.paced(prefill)) else {
+                continue;
+            };
             let report = JobReport {
                 job: request.job,
                 vm: request.vm.clone(),
@@ -694,11 +729,11 @@
 
 /// Time of a pass without prefill on `engine`, with one more request of `extra_tokens` of context.
 fn decode_pass_time(spec: &EngineSpec, engine: &EngineLedger, extra_tokens: u64) -> Duration {
-    pass_time(
+    engine.paced(pass_time(
         spec,
         engine.running() + 1,
         engine.context_tokens() + extra_tokens,
-    )
+    ))
 }
 
 /// Predicted time until the last event of a job that is known from `reports` only. Half of its answer
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,6 +6,7 @@
 pub mod decision_schedule;
 pub mod dispatch;
 pub mod engine_model;
+pub mod engine_pace;
 pub mod estimate;
 pub mod lane;
 pub mod part_guard;
