Measure the recent use of engines by client account

Cause: the owner of placement knows no accounts, so that one account that fills the queue takes the same share of misses to all others.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,5 +1,6 @@
 //! Scheduling policy: lanes, placement, retries, and the estimates that these use.
 
+pub mod account_shares;
 pub mod ban_book;
 pub mod carrier_choice;
 pub mod cold_pacing;
