Decide waiting prompts by rank and by share of their account

Cause: the priority of routes and keys was decoded and not used, and prompts waited in the order of their objectives, whoever sent them.

Change: if the configuration lets requests of different ranks reach an engine service, on-time prompts come before late ones, then the more urgent rank, and each step of rank halves a prompt's value. With two accounts or more, accounts over their share come after the others. VMs send ranks with the new call PlaceRanked (index 11); an owner that answers 400 gets Place. Placements are logged with rank and share state, and counted by both.

--- a/src/fleet/routes.rs
+++ b/src/fleet/routes.rs
@@ -1,6 +1,6 @@
 //! Routes, services and teams in one version of the configuration.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -64,7 +64,7 @@
     pub objective: Duration,
     /// Longest time between two events of a stream that meets the objective.
     pub max_event_gap: Duration,
-    /// Priority; 0 is the highest.
+    /// Rank of its requests whose key has none; 0 is the most urgent.
     pub priority: i64,
     /// Services that share its requests.
     pub services: Vec<WeightedService>,
@@ -133,7 +133,7 @@
 pub struct KeyTeam {
     /// Team that the caller's requests are counted for.
     pub team: TeamName,
-    /// Priority that replaces the route's, if set.
+    /// Rank that replaces the route's, if set.
     pub priority: Option<i64>,
 }
 
@@ -159,9 +159,49 @@
     pub keys_required: bool,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
+    /// The ranks of requests that can reach each service, in ascending order, as
+    /// [`Self::reachable_ranks`] returns them.
+    pub service_ranks: BTreeMap<String, Vec<i64>>,
 }
 
 impl RouteTable {
+    /// The ranks of requests that can reach each service by its routes and the keys.
+    pub fn reachable_ranks(&self) -> BTreeMap<String, Vec<i64>> {
+        let key_ranks: BTreeSet<Option<i64>> = self.keys.values().map(|key| key.priority).collect();
+        let mut ranks: BTreeMap<String, BTreeSet<i64>> = BTreeMap::new();
+        for route in self.routes_by_host.values().flatten() {
+            let without_key = (route.public || !self.keys_required).then_some(None);
+            let of_route: BTreeSet<i64> = key_ranks
+                .iter()
+                .copied()
+                .chain(without_key)
+                .map(|rank| rank.unwrap_or(route.priority))
+                .collect();
+            let reached = route.services.iter().filter(|choice| choice.weight > 0.0);
+            for choice in reached {
+                let of_service = ranks.entry(choice.service.clone()).or_default();
+                of_service.extend(&of_route);
+            }
+        }
+        let sorted = |ranks: BTreeSet<i64>| ranks.into_iter().collect();
+        ranks
+            .into_iter()
+            .map(|(service, ranks)| (service, sorted(ranks)))
+            .collect()
+    }
+
+    /// [`Self::service_ranks`] of one service.
+    pub fn ranks_of(&self, service: &str) -> &[i64] {
+        self.service_ranks.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Whether the keys belong to two client accounts or more.
+    pub fn has_several_accounts(&self) -> bool {
+        let mut accounts = self.keys.values().map(|key| &key.team);
+        let first = accounts.next();
+        accounts.any(|account| Some(account) != first)
+    }
+
     /// Finds the route of `host`, with or without a port, with the longest prefix of `path`.
     pub fn find_route(&self, host: &str, path: &str) -> Option<Rc<RouteRule>> {
         let host = host.to_ascii_lowercase();
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -50,6 +50,8 @@
     pub service: String,
     /// The team whose key the caller sent; `None` without a valid key, where the route needs none.
     pub team: Option<TeamName>,
+    /// Rank of its key if that has one, otherwise of its route; 0 is the most urgent.
+    pub rank: i64,
     /// Version of the configuration that `route` was read from.
     pub config_version: u64,
     /// When the head of the request was read.
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -30,7 +30,9 @@
 use crate::ids::TargetName;
 use crate::platform::callers::{SplitHelper, decode_response_headers, forwarded_headers};
 use crate::platform::orders::{ORDER_PATH, encode_memory_release, encode_memory_reserve};
-use crate::policy::dispatch::{DispatchAnswer, EnginePlacement, PlacementRequest, RefusalReason};
+use crate::policy::dispatch::{
+    DispatchAnswer, EnginePlacement, PlacementRequest, RefusalReason, RequestRank,
+};
 
 const FIRST_EVENT_MARGIN: Duration = Duration::from_millis(150); // time for the first event to reach the caller
 const MAX_EXTRA_ATTEMPTS: u32 = 6; // beyond the route's max_attempts, for engines that did not execute the request; a lost domain refuses several in a row
@@ -226,6 +228,7 @@
         };
         let waited = node.now().saturating_duration_since(now);
         node.metrics.placing_seconds.observe(waited.as_secs_f64());
+        let share = outcome.share_name();
         let placement = match outcome.answer {
             DispatchAnswer::Placed(placement) => placement,
             DispatchAnswer::Refused {
@@ -239,6 +242,8 @@
                     retry_after_ms = retry_after.as_millis() as u64,
                     waited_ms = waited.as_millis() as u64,
                     decided_by = outcome.decided_by,
+                    rank = outcome.rank,
+                    share,
                     "placement refused"
                 );
                 let refusal =
@@ -268,6 +273,8 @@
             predicted_ms = placement.predicted_first_event.as_millis() as u64,
             waited_ms = waited.as_millis() as u64,
             decided_by = outcome.decided_by,
+            rank = outcome.rank,
+            share,
             send = attempts,
             "placed"
         );
@@ -373,6 +380,7 @@
 ) -> Option<PlacementOutcome> {
     loop {
         let now = node.now();
+        let rank = request_rank(node, caller);
         if lacks_time(node, caller, now) {
             return None;
         }
@@ -389,7 +397,7 @@
         };
         request.job = node.new_job_id();
         let outcome = tokio::select! {
-            outcome = place(node, request) => outcome,
+            outcome = place(node, request, rank) => outcome,
             () = caller.stop.begins() => {
                 record_update(node, JobUpdate::Ended(request.job));
                 continue;
@@ -407,6 +415,12 @@
     }
 }
 
+/// The urgency of a caller's request, if ranks count at its service.
+fn request_rank(node: &NodeState, caller: &CallerRequest) -> Option<RequestRank> {
+    let catalog = node.catalog.borrow();
+    RequestRank::among(caller.rank, catalog.table()?.ranks_of(&caller.service))
+}
+
 fn helper_names(placement: &EnginePlacement) -> String {
     let names: Vec<&str> = placement
         .helpers
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -8,7 +8,9 @@
 use crate::fleet::feed::LogPosition;
 use crate::fleet::members::{MemberRecord, RosterUpdate};
 use crate::ids::{PartName, RequestDigest, TargetName, VmName};
-use crate::policy::dispatch::{DispatchAnswer, JobId, JobReport, PlacementRequest};
+use crate::policy::dispatch::{
+    DispatchAnswer, JobId, JobReport, PlacementRequest, RequestRank, ShareState,
+};
 use crate::policy::part_guard::PartBan;
 use crate::policy::permits::PermitAnswer;
 use crate::policy::rate_limits::RateLimit;
@@ -80,6 +82,24 @@
     pub max_wait: Duration,
 }
 
+/// Asks for a placement at a service whose requests have different ranks.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RankedPlacementRequest {
+    /// The request.
+    pub request: PlacementRequest,
+    /// Its urgency.
+    pub rank: RequestRank,
+}
+
+/// The answer to a [`RankedPlacementRequest`], or to a placement request of the deciding VM itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RankedAnswer {
+    /// The placement or its refusal.
+    pub answer: DispatchAnswer,
+    /// Whether the account was over its share.
+    pub share: ShareState,
+}
+
 /// All requests of a VM that are placed at engines, from which a coordinator corrects its own
 /// records.
 #[derive(Debug, Serialize, Deserialize)]
@@ -185,11 +205,14 @@
     ClaimRun(RunClaim),
     /// Gives a claim back, as the request has not run and never will.
     ReleaseRun(RunClaim),
+    /// Asks for a placement like [`Self::Place`], for a service whose requests have different ranks.
+    /// A VM of a build without this call answers 400.
+    PlaceRanked(RankedPlacementRequest),
 }
 
 impl NodeCall {
     /// The values that [`Self::kind`] may return.
-    pub const KINDS: [&'static str; 11] = [
+    pub const KINDS: [&'static str; 12] = [
         "heartbeat",
         "place",
         "updates",
@@ -201,6 +224,7 @@
         "share_evidence",
         "claim_run",
         "release_run",
+        "place_ranked",
     ];
 
     /// Name of the kind of call, for metrics.
@@ -217,6 +241,7 @@
             Self::ShareEvidence(_) => "share_evidence",
             Self::ClaimRun(_) => "claim_run",
             Self::ReleaseRun(_) => "release_run",
+            Self::PlaceRanked(_) => "place_ranked",
         }
     }
 }
@@ -240,4 +265,6 @@
     NoPath,
     /// Whether the claim was taken, in reply to [`NodeCall::ClaimRun`]; another attempt holds it if not.
     Claimed(bool),
+    /// The placement or its refusal, in reply to [`NodeCall::PlaceRanked`].
+    PlacedRanked(RankedAnswer),
 }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::Registry;
 
 use super::messages::NodeCall;
+use crate::policy::dispatch::{DispatchAnswer, DispatchDecision};
 
 const LATENCY_BUCKETS_S: [f64; 12] = [
     0.01, 0.03, 0.06, 0.1, 0.15, 0.3, 0.6, 1.2, 2.5, 5.0, 10.0, 20.0,
@@ -67,6 +68,32 @@
     pub part: &'static str,
 }
 
+/// Labels of the counter of placements and refusals.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PlacementLabels {
+    /// Rank of the request, or `none`.
+    pub rank: String,
+    /// State of its account's share, as `ShareState::as_str` names it.
+    pub share: &'static str,
+    /// `placed`, or the reason of the refusal.
+    pub outcome: &'static str,
+}
+
+impl PlacementLabels {
+    /// The labels of a decision.
+    pub fn of(decision: &DispatchDecision) -> Self {
+        let rank = decision.rank.map(|rank| rank.to_string());
+        Self {
+            rank: rank.unwrap_or_else(|| "none".to_owned()),
+            share: decision.share.as_str(),
+            outcome: match &decision.answer {
+                DispatchAnswer::Placed(_) => "placed",
+                DispatchAnswer::Refused { reason, .. } => reason.as_str(),
+            },
+        }
+    }
+}
+
 /// The metrics of one node, updated where the events occur.
 #[derive(Debug)]
 pub struct NodeMetrics {
@@ -115,6 +142,8 @@
     /// Placements and permits, refusals included, that this node decided after an owner of placement
     /// did not answer.
     pub placed_alone: Counter,
+    /// Placements and refusals that this node decided, by rank and share state.
+    pub placements: Family<PlacementLabels, Counter>,
     /// Requests that run at most once and were not sent, as their id had come before.
     pub repeats_refused: Counter,
     /// Claims of requests that no other VM confirmed.
@@ -157,6 +186,7 @@
             carried: Counter::default(),
             probes: Counter::default(),
             placed_alone: Counter::default(),
+            placements: Family::default(),
             repeats_refused: Counter::default(),
             claims_unconfirmed: Counter::default(),
             log_lines_dropped: Gauge::default(),
@@ -284,6 +314,11 @@
             "Responses of targets given up because a part was too long",
             self.oversized_responses.clone(),
         );
+        registry.register(
+            "placements",
+            "Placements and refusals decided here by rank and share state",
+            self.placements.clone(),
+        );
         self.register_peer_traffic();
     }
 
@@ -306,6 +341,11 @@
         );
     }
 
+    /// Counts a placement or refusal that this node decided.
+    pub fn count_placement(&self, labels: &PlacementLabels) {
+        self.placements.get_or_create(labels).inc();
+    }
+
     /// Counts a call that another node accepted, and the bytes of its body.
     pub fn count_peer_call(&self, labels: &PeerTrafficLabels, sent_bytes: usize) {
         self.peer_calls.get_or_create(labels).inc();
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -11,7 +11,9 @@
 use tokio::time::{sleep, timeout};
 
 use super::crash_bans::{import_bans, import_evidence, known_bans};
-use super::messages::{HeartbeatMessage, HeartbeatReply, NodeCall, NodeReply, RecordsRequest};
+use super::messages::{
+    HeartbeatMessage, HeartbeatReply, NodeCall, NodeReply, RankedPlacementRequest, RecordsRequest,
+};
 use super::packed_records::{FetchedRecords, unpack_records};
 use super::peer_calls::call_node;
 use super::placement::{apply_update, decide_waiting_jobs, place_locally};
@@ -41,7 +43,7 @@
             NodeCall::Heartbeat(message) => {
                 NodeReply::Heartbeat(Box::new(answer_heartbeat(&node, message)))
             }
-            NodeCall::Place(_) | NodeCall::TakePermit(_)
+            NodeCall::Place(_) | NodeCall::PlaceRanked(_) | NodeCall::TakePermit(_)
                 if node.paths.borrow().are_lost() || node.stop.has_begun() =>
             {
                 NodeReply::NoPath
@@ -49,7 +51,18 @@
             NodeCall::Place(request) => {
                 let stop = node.stop.subscribe();
                 tokio::select! {
-                    answer = place_locally(&node, request) => NodeReply::Placed(answer),
+                    decided = place_locally(&node, request, None) => {
+                        NodeReply::Placed(decided.answer)
+                    }
+                    () = stop.begins() => NodeReply::NoPath,
+                }
+            }
+            NodeCall::PlaceRanked(RankedPlacementRequest { request, rank }) => {
+                let stop = node.stop.subscribe();
+                tokio::select! {
+                    decided = place_locally(&node, request, Some(rank)) => {
+                        NodeReply::PlacedRanked(decided)
+                    }
                     () = stop.begins() => NodeReply::NoPath,
                 }
             }
--- a/src/node/placement.rs
+++ b/src/node/placement.rs
@@ -8,13 +8,19 @@
 use tokio::time::{interval, sleep};
 
 use super::crash_bans::{apply_broken, apply_served};
-use super::messages::{JobUpdate, JobsReport, NodeCall, NodeReply, UpdatesReport};
-use super::peer_calls::call_node;
+use super::messages::{
+    JobUpdate, JobsReport, NodeCall, NodeReply, RankedAnswer, RankedPlacementRequest, UpdatesReport,
+};
+use super::metrics::PlacementLabels;
+use super::peer_calls::{PendingNodeReply, call_node};
 use super::rate_limits::apply_observed;
 use super::state::NodeState;
 use crate::fleet::members::MemberRecord;
 use crate::ids::VmName;
-use crate::policy::dispatch::{DispatchAnswer, JobId, JobReport, PlacementRequest, RefusalReason};
+use crate::policy::account_shares::Account;
+use crate::policy::dispatch::{
+    DispatchAnswer, JobId, JobReport, PlacementRequest, RefusalReason, RequestRank, ShareState,
+};
 use crate::wire::client::CallError;
 
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(100); // a round trip takes 2 ms, and a throttled VM pauses for up to 75 ms
@@ -62,30 +68,51 @@
     pub answer: DispatchAnswer,
     /// Name of the VM whose dispatcher decided, for the log.
     pub decided_by: String,
+    /// Rank of the request, if ranks count.
+    pub rank: Option<i64>,
+    /// Whether its account was over its share; `None` if the VM that decided did not say.
+    pub share: Option<ShareState>,
+}
+
+impl PlacementOutcome {
+    /// Name of the share state for the log.
+    pub fn share_name(&self) -> &'static str {
+        self.share.map_or("unknown", ShareState::as_str)
+    }
 }
 
 /// Has a request placed, and waits until its dispatcher places or refuses it.
 ///
 /// An owner that does not answer is marked suspect, so that the next coordinator in rank becomes
 /// the owner; after [`MAX_OWNER_SEARCH`] without one, this VM decides.
-pub async fn place(node: &Rc<NodeState>, request: &PlacementRequest) -> PlacementOutcome {
-    let ask = async |owner: &MemberRecord| request_from_owner(node, owner, request).await;
-    let Some((decided_by, answer)) = ask_owner(node, ask).await else {
+pub async fn place(
+    node: &Rc<NodeState>,
+    request: &PlacementRequest,
+    rank: Option<RequestRank>,
+) -> PlacementOutcome {
+    let ask = async |owner: &MemberRecord| request_from_owner(node, owner, request, rank).await;
+    let rank_number = rank.map(|rank| rank.rank);
+    let Some((decided_by, (answer, share))) = ask_owner(node, ask).await else {
+        let decided = place_locally(node, request.clone(), rank).await;
         return PlacementOutcome {
-            answer: place_locally(node, request.clone()).await,
+            answer: decided.answer,
             decided_by: node.settings.vm.to_string(),
+            rank: rank_number,
+            share: Some(decided.share),
         };
     };
     if let DispatchAnswer::Placed(placement) = &answer {
         let now = node.now();
         let mut dispatchers = node.dispatchers.borrow_mut();
         if let Some(dispatcher) = dispatchers.get_mut(&request.service) {
-            dispatcher.record_placement(request, placement, now);
+            dispatcher.record_placement(request, rank, placement, now);
         }
     }
     PlacementOutcome {
         answer,
         decided_by: decided_by.to_string(),
+        rank: rank_number,
+        share,
     }
 }
 
@@ -133,9 +160,12 @@
     node: &Rc<NodeState>,
     owner: &MemberRecord,
     request: &PlacementRequest,
-) -> Result<DispatchAnswer, CallError> {
-    let call = NodeCall::Place(request.clone());
-    let pending = call_node(node, owner.peer_address, &call, ACCEPT_TIMEOUT).await?;
+    rank: Option<RequestRank>,
+) -> Result<(DispatchAnswer, Option<ShareState>), CallError> {
+    let pending = match rank.filter(|_| !is_unranked(node, owner)) {
+        Some(rank) => send_ranked(node, owner, request, rank).await?,
+        None => send_unranked(node, owner, request).await?,
+    };
     let owner_lost = async {
         let mut checks = interval(OWNER_CHECK_INTERVAL);
         loop {
@@ -152,7 +182,8 @@
     };
     tokio::select! {
         reply = pending.read() => match reply? {
-            NodeReply::Placed(answer) => Ok(answer),
+            NodeReply::Placed(answer) => Ok((answer, None)),
+            NodeReply::PlacedRanked(decided) => Ok((decided.answer, Some(decided.share))),
             _ => Err(CallError::Status(http::StatusCode::BAD_GATEWAY)),
         },
         // A lost, leaving or suspect owner is reported as a timeout, however long the call took.
@@ -160,19 +191,59 @@
     }
 }
 
+async fn send_unranked(
+    node: &Rc<NodeState>,
+    owner: &MemberRecord,
+    request: &PlacementRequest,
+) -> Result<PendingNodeReply, CallError> {
+    let call = NodeCall::Place(request.clone());
+    call_node(node, owner.peer_address, &call, ACCEPT_TIMEOUT).await
+}
+
+/// Sends a request with its rank, or without if the owner runs a build that does not know ranks.
+async fn send_ranked(
+    node: &Rc<NodeState>,
+    owner: &MemberRecord,
+    request: &PlacementRequest,
+    rank: RequestRank,
+) -> Result<PendingNodeReply, CallError> {
+    let call = NodeCall::PlaceRanked(RankedPlacementRequest {
+        request: request.clone(),
+        rank,
+    });
+    match call_node(node, owner.peer_address, &call, ACCEPT_TIMEOUT).await {
+        Err(CallError::Status(http::StatusCode::BAD_REQUEST)) => {
+            if !is_unranked(node, owner) {
+                tracing::info!(owner = %owner.vm, "owner of placement does not know ranks");
+            }
+            *node.unranked_owner.borrow_mut() = Some((owner.vm.clone(), owner.incarnation));
+            send_unranked(node, owner, request).await
+        }
+        sent => sent,
+    }
+}
+
+fn is_unranked(node: &NodeState, owner: &MemberRecord) -> bool {
+    let unranked = node.unranked_owner.borrow();
+    unranked
+        .as_ref()
+        .is_some_and(|(vm, incarnation)| *vm == owner.vm && *incarnation == owner.incarnation)
+}
+
 /// Places a request with this node's dispatcher, as the owner or because no owner answers.
-pub async fn place_locally(node: &Rc<NodeState>, request: PlacementRequest) -> DispatchAnswer {
+pub async fn place_locally(
+    node: &Rc<NodeState>,
+    request: PlacementRequest,
+    rank: Option<RequestRank>,
+) -> RankedAnswer {
     let (job, now) = (request.job, node.now());
     let (sender, receiver) = oneshot::channel();
     {
         let mut dispatchers = node.dispatchers.borrow_mut();
         let Some(dispatcher) = dispatchers.get_mut(&request.service) else {
-            return DispatchAnswer::Refused {
-                reason: RefusalReason::NoTarget,
-                retry_after: NO_TARGET_RETRY_AFTER,
-            };
+            return no_target();
         };
-        dispatcher.enqueue(request, now);
+        dispatcher.enqueue_ranked(request, rank, now);
     }
     node.placement_waiters.borrow_mut().insert(job, sender);
     let mut queued_job = QueuedJobGuard {
@@ -181,12 +252,20 @@
         decided: false,
     };
     decide_waiting_jobs(node);
-    let answer = receiver.await.unwrap_or(DispatchAnswer::Refused {
-        reason: RefusalReason::NoTarget,
-        retry_after: NO_TARGET_RETRY_AFTER,
-    });
+    let decided = receiver.await.unwrap_or_else(|_| no_target());
     queued_job.decided = true;
-    answer
+    decided
+}
+
+/// The answer to requests for a service without engines.
+pub fn no_target() -> RankedAnswer {
+    RankedAnswer {
+        answer: DispatchAnswer::Refused {
+            reason: RefusalReason::NoTarget,
+            retry_after: NO_TARGET_RETRY_AFTER,
+        },
+        share: ShareState::NotCounted,
+    }
 }
 
 /// Share that this node may use of the limits on requests to targets that started recently or that
@@ -229,17 +308,36 @@
     let mut decisions = Vec::new();
     let mut waiting_jobs = 0;
     let limit_share = limit_share(node);
-    for dispatcher in node.dispatchers.borrow_mut().values_mut() {
+    for (service, dispatcher) in node.dispatchers.borrow_mut().iter_mut() {
         if dispatcher.waiting_count() > 0 {
             dispatcher.set_limit_share(limit_share);
             decisions.extend(dispatcher.decide(now));
             waiting_jobs += dispatcher.waiting_count();
+            if let Some(over) = dispatcher.take_share_change() {
+                let name = |account: &Account| {
+                    let name = account.as_ref().map(|account| account.as_str());
+                    name.unwrap_or("(none)").to_owned()
+                };
+                let names: Vec<String> = over.iter().map(name).collect();
+                let names = names.join(" ");
+                tracing::info!(
+                    service,
+                    accounts = names,
+                    "accounts over their share changed"
+                );
+            }
         }
     }
     node.metrics.waiting.set(waiting_jobs as i64);
     for decision in decisions {
+        node.metrics
+            .count_placement(&PlacementLabels::of(&decision));
         let waiter = node.placement_waiters.borrow_mut().remove(&decision.job);
-        let delivered = waiter.is_some_and(|waiter| waiter.send(decision.answer).is_ok());
+        let decided = RankedAnswer {
+            answer: decision.answer,
+            share: decision.share,
+        };
+        let delivered = waiter.is_some_and(|waiter| waiter.send(decided).is_ok());
         if !delivered {
             end_job(node, decision.job);
         }
--- a/src/node/request_handler.rs
+++ b/src/node/request_handler.rs
@@ -21,7 +21,7 @@
     wait_until_unservable,
 };
 use super::{generation, service};
-use crate::fleet::routes::{RouteRule, RouteTable};
+use crate::fleet::routes::{KeyTeam, RouteRule, RouteTable};
 use crate::ids::{RequestDigest, TeamName};
 use crate::platform::callers::{CallerHeaders, decode_caller_headers, node_response_headers};
 
@@ -176,10 +176,12 @@
     let Some(route) = route else {
         return from_node(reject(StatusCode::NOT_FOUND, "no_route", "no such route"));
     };
-    let team = match find_team(&table, &route, &parsed_headers) {
-        Ok(team) => team,
+    let key_team = match find_team(&table, &route, &parsed_headers) {
+        Ok(key_team) => key_team,
         Err(rejection) => return from_node(rejection),
     };
+    let rank = key_team.and_then(|key_team| key_team.priority);
+    let team = key_team.map(|key_team| key_team.team.clone());
     let time_allowed = parsed_headers
         .deadline
         .unwrap_or(route.timeout)
@@ -203,6 +205,7 @@
         body_share,
         service,
         team,
+        rank: rank.unwrap_or(route.priority),
         config_version: table.version,
         arrived_at,
         deadline_at: arrived_at + time_allowed.saturating_sub(RESPONSE_MARGIN),
@@ -302,17 +305,17 @@
     table.find_route(host, request.path())
 }
 
-fn find_team(
-    table: &RouteTable,
+fn find_team<'a>(
+    table: &'a RouteTable,
     route: &RouteRule,
     parsed_headers: &CallerHeaders,
-) -> Result<Option<TeamName>, NodeResponse> {
+) -> Result<Option<&'a KeyTeam>, NodeResponse> {
     let team_key = parsed_headers
         .key
         .as_ref()
         .and_then(|key| table.keys.get(key));
     match team_key {
-        Some(team_key) => Ok(Some(team_key.team.clone())),
+        Some(team_key) => Ok(Some(team_key)),
         None if !table.keys_required || route.public => Ok(None),
         None => Err(reject(
             StatusCode::UNAUTHORIZED,
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -10,10 +10,10 @@
 
 use super::body_budget::{BodyBudget, BodyLimits};
 use super::connection::{ConnectionPool, ExchangeError};
-use super::messages::JobUpdate;
+use super::messages::{JobUpdate, RankedAnswer};
 use super::metrics::NodeMetrics;
 use super::packed_records::RecordPacker;
-use super::placement::NO_TARGET_RETRY_AFTER;
+use super::placement::no_target;
 use super::stopping::StopState;
 use crate::clock::TimeSource;
 use crate::fleet::catalog::{
@@ -25,9 +25,7 @@
 use crate::ids::{TargetName, VmName};
 use crate::platform::records::TARGET_TOPIC;
 use crate::policy::cold_pacing::ColdPacing;
-use crate::policy::dispatch::{
-    DispatchAnswer, EngineDispatcher, EngineTarget, JobId, RefusalReason,
-};
+use crate::policy::dispatch::{EngineDispatcher, EngineTarget, JobId, QueueRules};
 use crate::policy::part_guard::PartGuard;
 use crate::policy::paused_targets::PausedTargets;
 use crate::policy::permits::PermitLedger;
@@ -61,7 +59,10 @@
     /// One dispatcher for each service of model engines, by service name.
     pub dispatchers: RefCell<BTreeMap<String, EngineDispatcher>>,
     /// Local requests and peers' calls that wait for this node's decision on their job.
-    pub placement_waiters: RefCell<HashMap<JobId, oneshot::Sender<DispatchAnswer>>>,
+    pub placement_waiters: RefCell<HashMap<JobId, oneshot::Sender<RankedAnswer>>>,
+    /// The last owner of placement that answered that it does not know ranked requests, with its
+    /// incarnation.
+    pub unranked_owner: RefCell<Option<(VmName, u64)>>,
     /// Connections to other nodes, by peer address.
     pub peer_clients: RefCell<HashMap<SocketAddr, Rc<PeerClient>>>,
     /// Idle connections to targets.
@@ -156,6 +157,7 @@
             members: RefCell::new(MemberTable::new(own)),
             dispatchers: RefCell::default(),
             placement_waiters: RefCell::default(),
+            unranked_owner: RefCell::default(),
             peer_clients: RefCell::default(),
             connection_pool: RefCell::default(),
             body_budget: Rc::new(BodyBudget::new(RESPONSE_BODIES)),
@@ -274,10 +276,14 @@
                 .filter(|target| self.is_healthy(&target.record.name, now))
                 .map(|target| engine_target(target, &limits))
                 .collect();
-            dispatchers
-                .entry(service.name.clone())
-                .or_insert_with(|| EngineDispatcher::new(spec.clone(), service.cold_requests_per_s))
-                .set_engines(spec, service.cold_requests_per_s, &targets);
+            let dispatcher = dispatchers.entry(service.name.clone()).or_insert_with(|| {
+                EngineDispatcher::new(spec.clone(), service.cold_requests_per_s)
+            });
+            dispatcher.set_engines(spec, service.cold_requests_per_s, &targets);
+            dispatcher.set_queue_rules(QueueRules {
+                ranks: table.ranks_of(&service.name).len() > 1,
+                shares: table.has_several_accounts(),
+            });
         }
     }
 
@@ -285,13 +291,9 @@
     fn refuse_waiting(&self, dispatcher: &EngineDispatcher) {
         let mut waiters = self.placement_waiters.borrow_mut();
         for job in dispatcher.waiting_jobs() {
-            let refusal = DispatchAnswer::Refused {
-                reason: RefusalReason::NoTarget,
-                retry_after: NO_TARGET_RETRY_AFTER,
-            };
             if let Some(waiter) = waiters.remove(&job) {
                 // Fails only if the caller has left.
-                waiter.send(refusal).ok();
+                waiter.send(no_target()).ok();
             }
         }
     }
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -192,7 +192,7 @@
             keys.insert(key, key_team);
         }
     }
-    Ok(RouteTable {
+    let mut table = RouteTable {
         version: body.version,
         routes_by_host,
         services,
@@ -201,7 +201,10 @@
         limits: CallerLimits {
             body_bytes: body.limits.max_body_bytes,
         },
-    })
+        service_ranks: BTreeMap::new(),
+    };
+    table.service_ranks = table.reachable_ranks();
+    Ok(table)
 }
 
 fn decode_route(route: RouteBody) -> Result<RouteRule> {
--- a/src/policy/dispatch/choice.rs
+++ b/src/policy/dispatch/choice.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
-use super::ledger::{EngineLedger, LATE_VALUE_SHARE, prompt_value};
+use super::ledger::{EngineLedger, LATE_VALUE_SHARE};
 use super::request::{EnginePlacement, PlacementRequest, SplitPart};
 use super::{EngineDispatcher, MAX_SHORT_PREFILL, QueuedRequest, decode_pass_time};
 use crate::policy::engine_model::{decode_time, pass_time, prefill_time};
@@ -165,7 +165,7 @@
             &available,
             request.prompt_tokens + request.max_output_tokens,
         )?;
-        let parts = self.part_count(&available, min_parts, request, objective_left, now)?;
+        let parts = self.part_count(&available, min_parts, queued, objective_left, now)?;
         let prefill = prefill_time(&self.spec, request.prompt_tokens, parts);
         // The lead needs a permit, its helpers do not.
         if !available[..parts]
@@ -199,11 +199,11 @@
         &self,
         available: &[&EngineLedger],
         min_parts: usize,
-        request: &PlacementRequest,
+        queued: &QueuedRequest,
         objective_left: Duration,
         now: Instant,
     ) -> Option<usize> {
-        let value = prompt_value(request.prompt_tokens);
+        let (request, value) = (&queued.request, queued.value());
         let max_parts = available.len().min(MAX_PARTS);
         let gain = |parts: usize| {
             let prefill = prefill_time(&self.spec, request.prompt_tokens, parts);
@@ -220,7 +220,7 @@
             value * value_share(first_event, objective_left) - cost
         };
         let best = (min_parts..=max_parts).max_by(|a, b| gain(*a).total_cmp(&gain(*b)))?;
-        if gain(best) >= self.value_of_waiting(request, objective_left, now) {
+        if gain(best) >= self.value_of_waiting(queued, objective_left, now) {
             return Some(best);
         }
         None
@@ -231,10 +231,11 @@
     /// available already or lack the memory.
     pub(super) fn value_of_waiting(
         &self,
-        request: &PlacementRequest,
+        queued: &QueuedRequest,
         objective_left: Duration,
         now: Instant,
     ) -> f64 {
+        let request = &queued.request;
         let candidates: Vec<&EngineLedger> = self
             .engines
             .values()
@@ -256,7 +257,7 @@
         }
         let parts = candidates.len().min(MAX_PARTS);
         let prefill = prefill_time(&self.spec, request.prompt_tokens, parts);
-        prompt_value(request.prompt_tokens)
+        queued.value()
             * value_share(
                 wait + prefill + self.decode_pass_time(candidates[0], 0),
                 objective_left,
--- a/src/policy/dispatch/ledger.rs
+++ b/src/policy/dispatch/ledger.rs
@@ -37,6 +37,8 @@
     /// Latest time for its first event to be on time.
     pub(super) objective_at: Instant,
     pub(super) expires_at: Instant,
+    /// Its prompt's value, by length and rank.
+    value: f64,
     /// Predicted time from its first event to its last one.
     decode: Duration,
     /// Predicted time at which its memory is free.
@@ -64,13 +66,15 @@
     pass_ends_at: Option<Instant>,
 }
 
-/// Times that are predicted for a job when it is added.
+/// Times that are predicted for a job when it is added, and the factor of its value.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct JobTimes {
     /// From its first event to its last one.
     pub(super) decode: Duration,
     /// Until it is dropped if no end is reported.
     pub(super) lifetime: Duration,
+    /// Factor of its prompt's value by its rank.
+    pub(super) value_factor: f64,
 }
 
 /// The pass that prefills a request that arrives now.
@@ -177,6 +181,7 @@
         self.jobs.push(EngineJob {
             is_late: prefill_pass.is_some() && objective_at < first_event,
             ends_at: now + report.prefill_left + times.decode,
+            value: prompt_value(report.prompt_tokens) * times.value_factor,
             report,
             prefill_pass,
             added_at: now,
@@ -275,7 +280,7 @@
     pub(super) fn on_time_generating_value(&self) -> f64 {
         self.generating()
             .filter(|job| !job.is_late)
-            .map(|job| prompt_value(job.report.prompt_tokens))
+            .map(|job| job.value)
             .sum()
     }
 
@@ -306,7 +311,7 @@
                     true => LATE_VALUE_SHARE * LATE_GAP_COST_SHARE,
                     false => 1.0 - LATE_VALUE_SHARE,
                 };
-                prompt_value(job.report.prompt_tokens) * lost_share
+                job.value * lost_share
             })
             .sum()
     }
--- a/src/policy/dispatch/mod.rs
+++ b/src/policy/dispatch/mod.rs
@@ -6,19 +6,22 @@
 
 mod choice;
 mod ledger;
+mod queue_order;
 mod request;
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use super::account_shares::{Account, AccountShares, engine_seconds};
 use super::engine_model::{decode_time, pass_time, prefill_time};
 use super::permits::{PermitBucket, ReturnOrder, permit_wait, total_rate};
 use crate::fleet::routes::EngineSpec;
 use crate::ids::{TargetName, VmName};
 
 use choice::{MAX_PACKED_SHORT_PROMPTS, MAX_PARTS, PLANNED_MEMORY_SHARE};
-use ledger::{EngineLedger, JobTimes};
+use ledger::{EngineLedger, JobTimes, prompt_value};
+pub use queue_order::{QueueKey, QueuePosition, QueueRules, RequestRank, ShareState};
 pub use request::{
     DispatchAnswer, DispatchDecision, EnginePlacement, EngineTarget, JobId, JobReport,
     PlacementRequest, RefusalReason, SplitPart,
@@ -47,6 +50,7 @@
 #[derive(Debug, Clone)]
 struct QueuedRequest {
     request: PlacementRequest,
+    rank: Option<RequestRank>,
     queued_at: Instant,
     /// Earliest time at which engines have the memory for it, as predicted when it was queued.
     memory_at: Instant,
@@ -60,6 +64,11 @@
     fn gives_up_at(&self) -> Instant {
         self.queued_at + self.request.give_up_after
     }
+
+    /// The prompt's value, by length and rank.
+    fn value(&self) -> f64 {
+        prompt_value(self.request.prompt_tokens) * value_factor(self.rank)
+    }
 }
 
 /// Scheduler of one service: its engines, their jobs, and the queued requests.
@@ -71,6 +80,10 @@
     engines: BTreeMap<TargetName, EngineLedger>,
     queue: Vec<QueuedRequest>,
     return_order: ReturnOrder,
+    rules: QueueRules,
+    shares: AccountShares,
+    /// The accounts over their share, if they changed since [`Self::take_share_change`].
+    share_change: Option<BTreeSet<Account>>,
 }
 
 impl EngineDispatcher {
@@ -84,6 +97,9 @@
             engines: BTreeMap::new(),
             queue: Vec::new(),
             return_order: ReturnOrder::default(),
+            rules: QueueRules::default(),
+            shares: AccountShares::default(),
+            share_change: None,
         }
     }
 
@@ -93,6 +109,19 @@
         self.limit_share = limit_share.clamp(0.0, 1.0);
     }
 
+    /// Sets whether ranks and shares of accounts count; neither does in a new dispatcher.
+    pub fn set_queue_rules(&mut self, rules: QueueRules) {
+        if !rules.shares {
+            self.shares = AccountShares::default();
+        }
+        self.rules = rules;
+    }
+
+    /// The accounts over their share, if they changed since the last call.
+    pub fn take_share_change(&mut self) -> Option<BTreeSet<Account>> {
+        self.share_change.take()
+    }
+
     /// Performance model of the engines, from [`Self::new`] or the last [`Self::set_engines`].
     pub fn spec(&self) -> &EngineSpec {
         &self.spec
@@ -134,11 +163,27 @@
             .retain(|_, engine| engine.accepts_work || !engine.jobs.is_empty());
     }
 
-    /// Queues a request for the next call of [`Self::decide`].
+    /// Queues a request without a rank for the next call of [`Self::decide`].
     pub fn enqueue(&mut self, request: PlacementRequest, now: Instant) {
+        self.enqueue_ranked(request, None, now);
+    }
+
+    /// Queues a request for the next call of [`Self::decide`]. One without a rank counts as the most
+    /// urgent.
+    pub fn enqueue_ranked(
+        &mut self,
+        request: PlacementRequest,
+        rank: Option<RequestRank>,
+        now: Instant,
+    ) {
+        if self.rules.shares {
+            let cost = self.engine_seconds(&request);
+            self.shares.record_demand(&request.team, cost, now);
+        }
         let memory_wait = self.memory_wait(&request, now);
         self.queue.push(QueuedRequest {
             request,
+            rank: rank.filter(|_| self.rules.ranks),
             queued_at: now,
             memory_at: now + memory_wait.mul_f64(MIN_MEMORY_WAIT_SHARE),
         });
@@ -146,8 +191,9 @@
 
     /// Places or refuses queued requests and returns these decisions; the rest stay queued.
     ///
-    /// Order: short prompts first, then prompts that can still meet their objective, then by
-    /// the time of the objective. A long prompt counts as late only once its objective has passed.
+    /// Order: short prompts first, then prompts that can still meet their objective, then those of
+    /// accounts within their share, then by the time of the objective. If ranks count, the lateness and
+    /// the rank come first. A long prompt counts as late only once its objective has passed.
     /// While all engines name rate limits, long prompts come first: of a limited number of requests
     /// they are worth most, and they are few.
     pub fn decide(&mut self, now: Instant) -> Vec<DispatchDecision> {
@@ -158,6 +204,11 @@
                 permits.set_share(self.limit_share, now);
             }
         }
+        if self.rules.shares
+            && let Some(over) = self.shares.refresh(now)
+        {
+            self.share_change = Some(over.clone());
+        }
         let all_limited = self.permits().is_some();
         let mut queue = std::mem::take(&mut self.queue);
         queue.sort_by_cached_key(|queued| {
@@ -165,12 +216,15 @@
                 prefill_time(&self.spec, queued.request.prompt_tokens, 1) <= MAX_SHORT_PREFILL;
             let late = queued.objective_at()
                 <= now + self.typical_first_event_time(queued.request.prompt_tokens);
-            (
-                short == all_limited,
-                late,
-                queued.objective_at(),
-                queued.request.job,
-            )
+            let position = QueuePosition {
+                is_late: late,
+                rank: queued.rank.map(|rank| rank.rank),
+                is_over_share: self.share_state(queued) == ShareState::Over,
+                is_after_by_length: short == all_limited,
+                objective_at: queued.objective_at(),
+                job: queued.request.job,
+            };
+            position.key(self.rules.ranks)
         });
         let mut decisions = Vec::new();
         let mut queued_prefill = Duration::ZERO;
@@ -180,6 +234,8 @@
                 Some(answer) => decisions.push(DispatchDecision {
                     job: queued.request.job,
                     answer,
+                    rank: queued.rank.map(|rank| rank.rank),
+                    share: self.share_state(&queued),
                 }),
                 None => {
                     queued_prefill += prefill_time(&self.spec, queued.request.prompt_tokens, 1);
@@ -190,6 +246,18 @@
         decisions
     }
 
+    fn share_state(&self, queued: &QueuedRequest) -> ShareState {
+        match self.rules.shares {
+            false => ShareState::NotCounted,
+            true if self.shares.is_over(&queued.request.team) => ShareState::Over,
+            true => ShareState::Within,
+        }
+    }
+
+    fn engine_seconds(&self, request: &PlacementRequest) -> f64 {
+        engine_seconds(&self.spec, request.prompt_tokens, request.max_output_tokens)
+    }
+
     fn decide_one(
         &mut self,
         queued: &QueuedRequest,
@@ -225,7 +293,11 @@
             if let Some(permits) = lead.and_then(|lead| lead.permits.as_mut()) {
                 permits.take(now);
             }
-            self.add_jobs(request, &placement, now);
+            if self.rules.shares {
+                let cost = self.engine_seconds(request);
+                self.shares.record_use(&request.team, cost, now);
+            }
+            self.add_jobs(request, queued.rank, &placement, now);
             return Some(DispatchAnswer::Placed(placement));
         }
         self.limit_refusal(queued, now)
@@ -373,7 +445,13 @@
             .unwrap_or(Duration::MAX)
     }
 
-    fn add_jobs(&mut self, request: &PlacementRequest, placement: &EnginePlacement, now: Instant) {
+    fn add_jobs(
+        &mut self,
+        request: &PlacementRequest,
+        rank: Option<RequestRank>,
+        placement: &EnginePlacement,
+        now: Instant,
+    ) {
         let parts = 1 + placement.helpers.len();
         let prefill = prefill_time(&self.spec, request.prompt_tokens, parts);
         let is_short = prefill_time(&self.spec, request.prompt_tokens, 1) <= MAX_SHORT_PREFILL;
@@ -386,6 +464,7 @@
         let times = JobTimes {
             decode,
             lifetime: prefill + decode + JOB_EXPIRY_MARGIN,
+            value_factor: value_factor(rank),
         };
         let lead_memory =
             (request.prompt_tokens + request.max_output_tokens).saturating_sub(reserved);
@@ -440,10 +519,11 @@
     pub fn record_placement(
         &mut self,
         request: &PlacementRequest,
+        rank: Option<RequestRank>,
         placement: &EnginePlacement,
         now: Instant,
     ) {
-        self.add_jobs(request, placement, now);
+        self.add_jobs(request, rank, placement, now);
     }
 
     /// Records a request's first event: the prefill of all its parts is done.
@@ -518,6 +598,7 @@
             let times = JobTimes {
                 decode: reported_decode_time(&self.spec, report, reports),
                 lifetime: JOB_EXPIRY_MARGIN,
+                value_factor: value_factor(None),
             };
             engine.add_job(report.clone(), times, decode_pass, now);
         }
@@ -538,6 +619,12 @@
     }
 }
 
+/// Factor of a prompt's value by its rank. A job that is known from a report only has none, and counts
+/// like those of the most urgent rank.
+fn value_factor(rank: Option<RequestRank>) -> f64 {
+    rank.map_or(1.0, RequestRank::value_factor)
+}
+
 /// Time of a pass without prefill on `engine`, with one more request of `extra_tokens` of context.
 fn decode_pass_time(spec: &EngineSpec, engine: &EngineLedger, extra_tokens: u64) -> Duration {
     pass_time(
--- a/src/policy/dispatch/request.rs
+++ b/src/policy/dispatch/request.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::queue_order::ShareState;
+
 use crate::ids::{DomainName, TargetName, TeamName, VmName};
 
 /// Identifies one placement of a request, unique over all VMs; the jobs on all its engines share
@@ -109,6 +111,10 @@
     pub job: JobId,
     /// Placement or refusal.
     pub answer: DispatchAnswer,
+    /// Rank of the request, if ranks count and it came with one.
+    pub rank: Option<i64>,
+    /// Whether its account was over its share.
+    pub share: ShareState,
 }
 
 /// An engine of the dispatcher's service.
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -3,6 +3,7 @@
 // quickcheck passes owned values to properties.
 #![allow(clippy::needless_pass_by_value)]
 
+mod account_shares;
 mod adapter;
 mod assembler;
 mod catalog;
@@ -26,6 +27,8 @@
 mod permits;
 mod placement_owner;
 mod queue;
+mod queued_load;
+mod ranks;
 mod rate_limits;
 mod read_pacing;
 mod request_guard;
