Test ranks beside an owner of an earlier build and after the loss of the owner

Cause: nothing showed with real nodes that ranked requests are served by an owner that does not know them, or when their owner dies.

A second test kills the owner of placement among three nodes.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod lost_paths;
 mod members;
 mod memory;
+mod ranks;
 mod rate_limits;
 mod records;
 mod silent_targets;
--- a/tests/support/bed.rs
+++ b/tests/support/bed.rs
@@ -16,6 +16,8 @@
 
 const ENGINE_COUNT: usize = 3;
 const REPLICA_COUNT: usize = 3;
+/// Paths whose routes have the ranks 0, 1 and 2 in [`ranked_config`].
+pub const PATHS_BY_RANK: [&str; 3] = ["/single/a", "/resumable/a", "/archive/a"];
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The running parts of a test.
@@ -74,6 +76,21 @@
     })
 }
 
+/// A configuration whose three routes to the engines have the ranks 0, 1 and 2, in the order of [`PATHS_BY_RANK`].
+pub fn ranked_config(version: u64) -> Value {
+    let mut table = config(version);
+    for (rank, route) in [2, 3, 4].into_iter().enumerate() {
+        table["routes"][route]["priority"] = json!(rank);
+    }
+    for tenant in table["tenants"].as_array_mut().expect("a list") {
+        tenant
+            .as_object_mut()
+            .expect("an object")
+            .remove("priority");
+    }
+    table
+}
+
 impl TestBed {
     /// Starts a test bed and waits until its `count` nodes serve requests.
     pub fn start(count: usize) -> Self {
