--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -11,7 +11,7 @@
 use prometheus_client::registry::Registry;
 
 use super::messages::NodeCall;
-use crate::policy::dispatch::{DispatchAnswer, DispatchDecision};
+use crate::policy::dispatch::{DispatchAnswer, RankedDecision};
 
 const LATENCY_BUCKETS_S: [f64; 12] = [
     0.01, 0.03, 0.06, 0.1, 0.15, 0.3, 0.6, 1.2, 2.5, 5.0, 10.0, 20.0,
@@ -81,12 +81,12 @@
 
 impl PlacementLabels {
     /// The labels of a decision.
-    pub fn of(decision: &DispatchDecision) -> Self {
-        let rank = decision.rank.map(|rank| rank.to_string());
+    pub fn of(ranked: &RankedDecision) -> Self {
+        let rank = ranked.rank.map(|rank| rank.to_string());
         Self {
             rank: rank.unwrap_or_else(|| "none".to_owned()),
-            share: decision.share.as_str(),
-            outcome: match &decision.answer {
+            share: ranked.share.as_str(),
+            outcome: match &ranked.decision.answer {
                 DispatchAnswer::Placed(_) => "placed",
                 DispatchAnswer::Refused { reason, .. } => reason.as_str(),
             },
@@ -109,6 +109,14 @@
     pub in_flight: Gauge,
     /// Jobs in this node's dispatcher queues.
     pub waiting: Gauge,
+    /// Calls of the dispatchers to decide on waiting jobs.
+    pub decide_calls: Counter,
+    /// Seconds spent in these calls.
+    pub decide_seconds: Counter<f64, AtomicU64>,
+    /// Seconds by which the loop that decides ran later than planned.
+    pub decision_lag_seconds: Histogram,
+    /// Placements and refusals that these calls decided on.
+    pub decisions: Counter,
     /// Retries that the budget allowed, counted before they are sent.
     pub retries: Counter,
     /// Retries that the budget did not allow.
@@ -170,6 +178,10 @@
             placing_seconds: Histogram::new(LATENCY_BUCKETS_S),
             in_flight: Gauge::default(),
             waiting: Gauge::default(),
+            decide_calls: Counter::default(),
+            decide_seconds: Counter::default(),
+            decision_lag_seconds: Histogram::new(LATENCY_BUCKETS_S),
+            decisions: Counter::default(),
             retries: Counter::default(),
             retries_withheld: Counter::default(),
             connections_opened: Counter::default(),
@@ -218,6 +230,26 @@
         );
         registry.register("in_flight", "Requests under way", self.in_flight.clone());
         registry.register("waiting", "Requests that wait here", self.waiting.clone());
+        registry.register(
+            "decide_calls",
+            "Calls to decide on waiting jobs",
+            self.decide_calls.clone(),
+        );
+        registry.register(
+            "decide_seconds",
+            "Time spent in these calls",
+            self.decide_seconds.clone(),
+        );
+        registry.register(
+            "decision_lag_seconds",
+            "Time by which the loop that decides ran late",
+            self.decision_lag_seconds.clone(),
+        );
+        registry.register(
+            "decisions",
+            "Placements and refusals decided on here",
+            self.decisions.clone(),
+        );
         registry.register("retries", "Sends after the first", self.retries.clone());
         registry.register(
             "retries_withheld",
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -25,6 +25,7 @@
 use crate::ids::{TargetName, VmName};
 use crate::platform::records::TARGET_TOPIC;
 use crate::policy::cold_pacing::ColdPacing;
+use crate::policy::decision_schedule::DecisionSchedule;
 use crate::policy::dispatch::{EngineDispatcher, EngineTarget, JobId, QueueRules};
 use crate::policy::part_guard::PartGuard;
 use crate::policy::paused_targets::PausedTargets;
@@ -63,6 +64,8 @@
     /// The last owner of placement that answered that it does not know ranked requests, with its
     /// incarnation.
     pub unranked_owner: RefCell<Option<(VmName, u64)>>,
+    /// When the waiting jobs were last decided on, and whether another call is scheduled.
+    pub decision_schedule: RefCell<DecisionSchedule>,
     /// Connections to other nodes, by peer address.
     pub peer_clients: RefCell<HashMap<SocketAddr, Rc<PeerClient>>>,
     /// Idle connections to targets.
@@ -158,6 +161,7 @@
             dispatchers: RefCell::default(),
             placement_waiters: RefCell::default(),
             unranked_owner: RefCell::default(),
+            decision_schedule: RefCell::default(),
             peer_clients: RefCell::default(),
             connection_pool: RefCell::default(),
             body_budget: Rc::new(BodyBudget::new(RESPONSE_BODIES)),
--- a/src/policy/dispatch/request.rs
+++ b/src/policy/dispatch/request.rs
@@ -111,6 +111,13 @@
     pub job: JobId,
     /// Placement or refusal.
     pub answer: DispatchAnswer,
+}
+
+/// A decision with what determined the request's place in the queue, for logs and metrics.
+#[derive(Debug)]
+pub struct RankedDecision {
+    /// The decision.
+    pub decision: DispatchDecision,
     /// Rank of the request, if ranks count and it came with one.
     pub rank: Option<i64>,
     /// Whether its account was over its share.
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -10,6 +10,7 @@
 mod claims;
 mod cold_pacing;
 mod dispatch;
+mod dispatch_decisions;
 mod engine_simulation;
 mod fixtures;
 mod fold;
