--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -11,10 +11,10 @@
 use super::body_budget::{BodyBudget, BodyLimits};
 use super::connection::{ConnectionPool, ExchangeError};
 use super::engine_paces::EnginePaces;
-use super::messages::JobUpdate;
+use super::messages::{JobUpdate, RankedAnswer};
 use super::metrics::NodeMetrics;
 use super::packed_records::RecordPacker;
-use super::placement::NO_TARGET_RETRY_AFTER;
+use super::placement::no_target;
 use super::read_ahead::StreamBuffers;
 use super::stopping::StopState;
 use crate::clock::TimeSource;
@@ -28,9 +28,7 @@
 use crate::platform::records::TARGET_TOPIC;
 use crate::policy::cold_pacing::ColdPacing;
 use crate::policy::decision_schedule::DecisionSchedule;
-use crate::policy::dispatch::{
-    DispatchAnswer, EngineDispatcher, EngineTarget, JobId, RefusalReason,
-};
+use crate::policy::dispatch::{EngineDispatcher, EngineTarget, JobId, QueueRules};
 use crate::policy::part_guard::PartGuard;
 use crate::policy::paused_targets::PausedTargets;
 use crate::policy::permits::PermitLedger;
@@ -65,7 +63,10 @@
     /// One dispatcher for each service of model engines, by service name.
     pub dispatchers: RefCell<BTreeMap<String, EngineDispatcher>>,
     /// Local requests and peers' calls that wait for this node's decision on their job.
-    pub placement_waiters: RefCell<HashMap<JobId, oneshot::Sender<DispatchAnswer>>>,
+    pub placement_waiters: RefCell<HashMap<JobId, oneshot::Sender<RankedAnswer>>>,
+    /// The last owner of placement that answered that it does not know ranked requests, with its
+    /// incarnation.
+    pub unranked_owner: RefCell<Option<(VmName, u64)>>,
     /// When the waiting jobs were last decided on, and whether another call is scheduled.
     pub decision_schedule: RefCell<DecisionSchedule>,
     /// Connections to other nodes, by peer address.
@@ -167,6 +168,7 @@
             members: RefCell::new(MemberTable::new(own)),
             dispatchers: RefCell::default(),
             placement_waiters: RefCell::default(),
+            unranked_owner: RefCell::default(),
             decision_schedule: RefCell::default(),
             peer_clients: RefCell::default(),
             connection_pool: RefCell::default(),
@@ -288,10 +290,14 @@
                 .filter(|target| self.is_healthy(&target.record.name, now))
                 .map(|target| engine_target(target, &limits))
                 .collect();
-            dispatchers
-                .entry(service.name.clone())
-                .or_insert_with(|| EngineDispatcher::new(spec.clone(), service.cold_requests_per_s))
-                .set_engines(spec, service.cold_requests_per_s, &targets);
+            let dispatcher = dispatchers.entry(service.name.clone()).or_insert_with(|| {
+                EngineDispatcher::new(spec.clone(), service.cold_requests_per_s)
+            });
+            dispatcher.set_engines(spec, service.cold_requests_per_s, &targets);
+            dispatcher.set_queue_rules(QueueRules {
+                ranks: table.ranks_of(&service.name).len() > 1,
+                shares: table.has_several_accounts(),
+            });
         }
     }
 
@@ -299,13 +305,9 @@
     fn refuse_waiting(&self, dispatcher: &EngineDispatcher) {
         let mut waiters = self.placement_waiters.borrow_mut();
         for job in dispatcher.waiting_jobs() {
-            let refusal = DispatchAnswer::Refused {
-                reason: RefusalReason::NoTarget,
-                retry_after: NO_TARGET_RETRY_AFTER,
-            };
             if let Some(waiter) = waiters.remove(&job) {
                 // Fails only if the caller has left.
-                waiter.send(refusal).ok();
+                waiter.send(no_target()).ok();
             }
         }
     }
--- a/src/policy/dispatch/choice.rs
+++ b/src/policy/dispatch/choice.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
-use super::ledger::{EngineLedger, LATE_VALUE_SHARE, prompt_value};
+use super::ledger::{EngineLedger, LATE_VALUE_SHARE};
 use super::request::{EnginePlacement, PlacementRequest, SplitPart};
 use super::{DecisionPass, EngineDispatcher, MAX_SHORT_PREFILL, QueuedRequest, decode_pass_time};
 use crate::ids::TargetName;
@@ -168,7 +168,7 @@
             &available,
             request.prompt_tokens + request.max_output_tokens,
         )?;
-        let parts = self.part_count(&available, min_parts, request, objective_left, now)?;
+        let parts = self.part_count(&available, min_parts, queued, objective_left, now)?;
         let prefill = prefill_time(&self.spec, request.prompt_tokens, parts);
         // The lead needs a permit, its helpers do not.
         if !available[..parts]
@@ -231,11 +231,11 @@
         &self,
         available: &[&EngineLedger],
         min_parts: usize,
-        request: &PlacementRequest,
+        queued: &QueuedRequest,
         objective_left: Duration,
         now: Instant,
     ) -> Option<usize> {
-        let value = prompt_value(request.prompt_tokens);
+        let (request, value) = (&queued.request, queued.value());
         let max_parts = available.len().min(MAX_PARTS);
         let gain = |parts: usize| {
             let prefill = prefill_time(&self.spec, request.prompt_tokens, parts);
@@ -256,7 +256,7 @@
         };
         let gains = (min_parts..=max_parts).map(|parts| (parts, gain(parts)));
         let (best, best_gain) = gains.max_by(|a, b| a.1.total_cmp(&b.1))?;
-        if best_gain >= self.value_of_waiting(request, objective_left, now) {
+        if best_gain >= self.value_of_waiting(queued, objective_left, now) {
             return Some(best);
         }
         None
@@ -267,10 +267,11 @@
     /// available already or lack the memory.
     pub(super) fn value_of_waiting(
         &self,
-        request: &PlacementRequest,
+        queued: &QueuedRequest,
         objective_left: Duration,
         now: Instant,
     ) -> f64 {
+        let request = &queued.request;
         let candidates: Vec<&EngineLedger> = self
             .engines
             .values()
@@ -292,7 +293,7 @@
         }
         let parts = candidates.len().min(MAX_PARTS);
         let prefill = prefill_time(&self.spec, request.prompt_tokens, parts);
-        prompt_value(request.prompt_tokens)
+        queued.value()
             * value_share(
                 wait + prefill + self.decode_pass_time(candidates[0], 0),
                 objective_left,
--- a/src/policy/dispatch/ledger.rs
+++ b/src/policy/dispatch/ledger.rs
@@ -44,7 +44,7 @@
     pub(super) ends_at: Instant,
     /// Whether it is late or predicted to be, so that a further delay costs less.
     pub(super) is_late: bool,
-    /// [`prompt_value`] of its prompt.
+    /// Its prompt's value, by length and rank.
     value: f64,
 }
 
@@ -157,13 +157,15 @@
     pass_ends_at: Option<Instant>,
 }
 
-/// Times that are predicted for a job when it is added.
+/// Times that are predicted for a job when it is added, and the factor of its value.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct JobTimes {
     /// From its first event to its last one.
     pub(super) decode: Duration,
     /// Until it is dropped if no end is reported.
     pub(super) lifetime: Duration,
+    /// Factor of its prompt's value by its rank.
+    pub(super) value_factor: f64,
 }
 
 /// The pass that prefills a request that arrives now.
@@ -301,7 +303,7 @@
         let next = self.next_pass(decode_pass, now);
         let first_event = now + next.starts_in + next.prefill + report.prefill_left + decode_pass;
         let objective_at = now + report.objective;
-        let value = prompt_value(report.prompt_tokens);
+        let value = prompt_value(report.prompt_tokens) * times.value_factor;
         let prefill_pass = (!report.prefill_left.is_zero())
             .then(|| self.schedule_prefill(&report, decode_pass, now));
         self.jobs.push(EngineJob {
--- a/src/policy/dispatch/mod.rs
+++ b/src/policy/dispatch/mod.rs
@@ -6,12 +6,14 @@
 
 mod choice;
 mod ledger;
+mod queue_order;
 mod request;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
+use super::account_shares::{Account, AccountShares, engine_seconds};
 use super::engine_model::{decode_time, pass_time, prefill_time};
 use super::engine_pace::EngineLoad;
 use super::permits::{PermitBucket, ReturnOrder, permit_wait, total_rate};
@@ -19,10 +21,11 @@
 use crate::ids::{TargetName, VmName};
 
 use choice::{MAX_PACKED_SHORT_PROMPTS, MAX_PARTS, PLANNED_MEMORY_SHARE};
-use ledger::{EngineJob, EngineLedger, JobTimes};
+use ledger::{EngineJob, EngineLedger, JobTimes, prompt_value};
+pub use queue_order::{QueueKey, QueuePosition, QueueRules, RequestRank, ShareState};
 pub use request::{
     DispatchAnswer, DispatchDecision, EnginePlacement, EngineTarget, JobId, JobReport,
-    PlacementRequest, RefusalReason, SplitPart,
+    PlacementRequest, RankedDecision, RefusalReason, SplitPart,
 };
 
 /// Longest prefill on one engine that counts as short: it fits between two events of a stream
@@ -48,6 +51,7 @@
 #[derive(Debug, Clone)]
 struct QueuedRequest {
     request: PlacementRequest,
+    rank: Option<RequestRank>,
     queued_at: Instant,
     /// Earliest time at which engines have the memory for it, as predicted when it was queued.
     memory_at: Instant,
@@ -73,6 +77,11 @@
     fn gives_up_at(&self) -> Instant {
         self.queued_at + self.request.give_up_after
     }
+
+    /// The prompt's value, by length and rank.
+    fn value(&self) -> f64 {
+        prompt_value(self.request.prompt_tokens) * value_factor(self.rank)
+    }
 }
 
 /// What one call of [`EngineDispatcher::decide`] found out that holds for the requests behind.
@@ -115,6 +124,10 @@
     queue: Vec<QueuedRequest>,
     queued_jobs: HashSet<JobId>,
     return_order: ReturnOrder,
+    rules: QueueRules,
+    shares: AccountShares,
+    /// The accounts over their share, if they changed since [`Self::take_share_change`].
+    share_change: Option<BTreeSet<Account>>,
 }
 
 impl EngineDispatcher {
@@ -131,6 +144,9 @@
             queue: Vec::new(),
             queued_jobs: HashSet::new(),
             return_order: ReturnOrder::default(),
+            rules: QueueRules::default(),
+            shares: AccountShares::default(),
+            share_change: None,
         }
     }
 
@@ -140,6 +156,19 @@
         self.limit_share = limit_share.clamp(0.0, 1.0);
     }
 
+    /// Sets whether ranks and shares of accounts count; neither does in a new dispatcher.
+    pub fn set_queue_rules(&mut self, rules: QueueRules) {
+        if !rules.shares {
+            self.shares = AccountShares::default();
+        }
+        self.rules = rules;
+    }
+
+    /// The accounts over their share, if they changed since the last call.
+    pub fn take_share_change(&mut self) -> Option<BTreeSet<Account>> {
+        self.share_change.take()
+    }
+
     /// Performance model of the engines, from [`Self::new`] or the last [`Self::set_engines`].
     pub fn spec(&self) -> &EngineSpec {
         &self.spec
@@ -222,13 +251,29 @@
         })
     }
 
-    /// Queues a request for the next call of [`Self::decide`].
+    /// Queues a request without a rank for the next call of [`Self::decide`].
     pub fn enqueue(&mut self, request: PlacementRequest, now: Instant) {
+        self.enqueue_ranked(request, None, now);
+    }
+
+    /// Queues a request for the next call of [`Self::decide`]. One without a rank counts as the most
+    /// urgent.
+    pub fn enqueue_ranked(
+        &mut self,
+        request: PlacementRequest,
+        rank: Option<RequestRank>,
+        now: Instant,
+    ) {
+        if self.rules.shares {
+            let cost = self.engine_seconds(&request);
+            self.shares.record_demand(&request.team, cost, now);
+        }
         let memory_wait = self.memory_wait(&request, now);
         self.queued_jobs.insert(request.job);
         self.queue.push(QueuedRequest {
             times: self.request_times(request.prompt_tokens),
             request,
+            rank: rank.filter(|_| self.rules.ranks),
             queued_at: now,
             memory_at: now + memory_wait.mul_f64(MIN_MEMORY_WAIT_SHARE),
         });
@@ -236,11 +281,18 @@
 
     /// Places or refuses queued requests and returns these decisions; the rest stay queued.
     ///
-    /// Order: short prompts first, then prompts that can still meet their objective, then by
-    /// the time of the objective. A long prompt counts as late only once its objective has passed.
+    /// Order: short prompts first, then prompts that can still meet their objective, then those of
+    /// accounts within their share, then by the time of the objective. If ranks count, the lateness and
+    /// the rank come first. A long prompt counts as late only once its objective has passed.
     /// While all engines name rate limits, long prompts come first: of a limited number of requests
     /// they are worth most, and they are few.
     pub fn decide(&mut self, now: Instant) -> Vec<DispatchDecision> {
+        let ranked = self.decide_ranked(now).into_iter();
+        ranked.map(|ranked| ranked.decision).collect()
+    }
+
+    /// Like [`Self::decide`], with the rank and the share state of each request.
+    pub fn decide_ranked(&mut self, now: Instant) -> Vec<RankedDecision> {
         self.expire_jobs(now);
         self.advance_all_to_current_pass(now);
         for engine in self.engines.values_mut() {
@@ -248,17 +300,24 @@
                 permits.set_share(self.limit_share, now);
             }
         }
+        if self.rules.shares
+            && let Some(over) = self.shares.refresh(now)
+        {
+            self.share_change = Some(over.clone());
+        }
         let all_limited = self.permits().is_some();
         let mut queue = std::mem::take(&mut self.queue);
         queue.sort_by_cached_key(|queued| {
             let short = queued.times.unsplit_prefill <= MAX_SHORT_PREFILL;
-            let late = queued.objective_at() <= now + queued.times.typical_first_event;
-            (
-                short == all_limited,
-                late,
-                queued.objective_at(),
-                queued.request.job,
-            )
+            let position = QueuePosition {
+                is_late: queued.objective_at() <= now + queued.times.typical_first_event,
+                rank: queued.rank.map(|rank| rank.rank),
+                is_over_share: self.share_state(queued) == ShareState::Over,
+                is_after_by_length: short == all_limited,
+                objective_at: queued.objective_at(),
+                job: queued.request.job,
+            };
+            position.key(self.rules.ranks)
         });
         let mut decisions = Vec::new();
         let mut queued_prefill = Duration::ZERO;
@@ -268,9 +327,14 @@
             match answer {
                 Some(answer) => {
                     self.queued_jobs.remove(&queued.request.job);
-                    decisions.push(DispatchDecision {
+                    let decision = DispatchDecision {
                         job: queued.request.job,
                         answer,
+                    };
+                    decisions.push(RankedDecision {
+                        decision,
+                        rank: queued.rank.map(|rank| rank.rank),
+                        share: self.share_state(&queued),
                     });
                 }
                 None => {
@@ -282,6 +346,18 @@
         decisions
     }
 
+    fn share_state(&self, queued: &QueuedRequest) -> ShareState {
+        match self.rules.shares {
+            false => ShareState::NotCounted,
+            true if self.shares.is_over(&queued.request.team) => ShareState::Over,
+            true => ShareState::Within,
+        }
+    }
+
+    fn engine_seconds(&self, request: &PlacementRequest) -> f64 {
+        engine_seconds(&self.spec, request.prompt_tokens, request.max_output_tokens)
+    }
+
     fn request_times(&self, prompt_tokens: u64) -> RequestTimes {
         RequestTimes {
             unsplit_prefill: prefill_time(&self.spec, prompt_tokens, 1),
@@ -326,7 +402,11 @@
             if let Some(permits) = lead.and_then(|lead| lead.permits.as_mut()) {
                 permits.take(now);
             }
-            self.add_jobs(request, &placement, now);
+            if self.rules.shares {
+                let cost = self.engine_seconds(request);
+                self.shares.record_use(&request.team, cost, now);
+            }
+            self.add_jobs(request, queued.rank, &placement, now);
             pass.forget_engines();
             return Some(DispatchAnswer::Placed(placement));
         }
@@ -475,7 +555,9 @@
         pass: &mut DecisionPass,
         now: Instant,
     ) -> Duration {
-        let load = pass.load.get_or_insert_with(|| self.engine_availability(now));
+        let load = pass
+            .load
+            .get_or_insert_with(|| self.engine_availability(now));
         let prompt_tokens = queued.request.prompt_tokens;
         let wait = queued_prefill.div_f64(load.long_prefill_capacity);
         let pass_time = queued.times.single_pass;
@@ -497,7 +579,9 @@
         pass: &mut DecisionPass,
         now: Instant,
     ) -> Option<Duration> {
-        let load = pass.load.get_or_insert_with(|| self.engine_availability(now));
+        let load = pass
+            .load
+            .get_or_insert_with(|| self.engine_availability(now));
         let wait = queued_prefill.div_f64(load.long_prefill_capacity);
         let times = &queued.times;
         let busy = load.busy_for.first()?;
@@ -519,7 +603,13 @@
         }
     }
 
-    fn add_jobs(&mut self, request: &PlacementRequest, placement: &EnginePlacement, now: Instant) {
+    fn add_jobs(
+        &mut self,
+        request: &PlacementRequest,
+        rank: Option<RequestRank>,
+        placement: &EnginePlacement,
+        now: Instant,
+    ) {
         let parts = 1 + placement.helpers.len();
         let prefill = prefill_time(&self.spec, request.prompt_tokens, parts);
         let is_short = prefill_time(&self.spec, request.prompt_tokens, 1) <= MAX_SHORT_PREFILL;
@@ -532,6 +622,7 @@
         let times = JobTimes {
             decode,
             lifetime: prefill + decode + JOB_EXPIRY_MARGIN,
+            value_factor: value_factor(rank),
         };
         let lead_memory =
             (request.prompt_tokens + request.max_output_tokens).saturating_sub(reserved);
@@ -593,10 +684,11 @@
     pub fn record_placement(
         &mut self,
         request: &PlacementRequest,
+        rank: Option<RequestRank>,
         placement: &EnginePlacement,
         now: Instant,
     ) {
-        self.add_jobs(request, placement, now);
+        self.add_jobs(request, rank, placement, now);
     }
 
     /// Records a request's first event: the prefill of all its parts is done.
@@ -674,6 +766,7 @@
             let times = JobTimes {
                 decode: reported_decode_time(&self.spec, report, reports),
                 lifetime: JOB_EXPIRY_MARGIN,
+                value_factor: value_factor(None),
             };
             engine.add_job(report.clone(), times, decode_pass, now);
             self.targets_by_job
@@ -727,6 +820,12 @@
     }
 }
 
+/// Factor of a prompt's value by its rank. A job that is known from a report only has none, and counts
+/// like those of the most urgent rank.
+fn value_factor(rank: Option<RequestRank>) -> f64 {
+    rank.map_or(1.0, RequestRank::value_factor)
+}
+
 /// Time of a pass without prefill on `engine`, with one more request of `extra_tokens` of context.
 fn decode_pass_time(spec: &EngineSpec, engine: &EngineLedger, extra_tokens: u64) -> Duration {
     engine.paced(pass_time(
--- a/src/policy/dispatch/request.rs
+++ b/src/policy/dispatch/request.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::queue_order::ShareState;
+
 use crate::ids::{DomainName, TargetName, TeamName, VmName};
 
 /// Identifies one placement of a request, unique over all VMs; the jobs on all its engines share
@@ -111,6 +113,17 @@
     pub answer: DispatchAnswer,
 }
 
+/// A decision with what determined the request's place in the queue, for logs and metrics.
+#[derive(Debug)]
+pub struct RankedDecision {
+    /// The decision.
+    pub decision: DispatchDecision,
+    /// Rank of the request, if ranks count and it came with one.
+    pub rank: Option<i64>,
+    /// Whether its account was over its share.
+    pub share: ShareState,
+}
+
 /// An engine of the dispatcher's service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineTarget {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod lost_paths;
 mod members;
 mod memory;
+mod ranks;
 mod rate_limits;
 mod records;
 mod silent_targets;
