Test a node whose callers ignore the limits

Cause: callers that ignore the configuration's limits took processes out of memory. Nothing in the tests showed it.

--- a/tests/support/bed.rs
+++ b/tests/support/bed.rs
@@ -77,6 +77,11 @@
 impl TestBed {
     /// Starts a test bed and waits until its `count` nodes serve requests.
     pub fn start(count: usize) -> Self {
+        Self::start_with(count, |_| {})
+    }
+
+    /// Starts a test bed whose nodes have the settings that `adjust` leaves them.
+    pub fn start_with(count: usize, adjust: impl Fn(&mut NodeConfig)) -> Self {
         let runtime = BackgroundRuntime::start();
         let store = FakeStore::start(&runtime);
         let ledger = SharedRunLedger::default();
@@ -104,6 +109,7 @@
             node_configs.iter().map(|_| proxy(store.address)).collect();
         for (node_config, proxy) in node_configs.iter_mut().zip(&store_proxies) {
             node_config.store = proxy.address;
+            adjust(node_config);
         }
         let bed = Self {
             nodes: Vec::new(),
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -25,6 +25,10 @@
     pub metrics: SocketAddr,
     pub store: SocketAddr,
     pub seeds: Vec<SocketAddr>,
+    /// `limits.memory_mb`; the settings do not name it if `None`.
+    pub memory_mb: Option<u64>,
+    /// `limits.max_fds`.
+    pub max_fds: usize,
     work_dir: PathBuf,
 }
 
@@ -49,6 +53,8 @@
                 metrics: ports[4],
                 store,
                 seeds: Vec::new(),
+                memory_mb: None,
+                max_fds: 4_200,
                 work_dir,
             }
         })
@@ -78,6 +84,9 @@
 impl NodeConfig {
     fn settings(&self) -> String {
         let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("{seed:?}")).collect();
+        let memory = self.memory_mb.map_or(String::new(), |memory_mb| {
+            format!("memory_mb = {memory_mb}\n")
+        });
         format!(
             r#"node = "{}"
 role = "node"
@@ -91,8 +100,8 @@
 [limits]
 cpu_share = 0.25
 cores = 1
-max_fds = 4200
-[bounds]
+max_fds = {}
+{}[bounds]
 grace_s = 8
 retry_budget_ratio = 0.2
 budget_window_s = 10
@@ -110,6 +119,8 @@
             self.readiness,
             self.peers,
             self.directory,
+            self.max_fds,
+            memory,
             self.store,
         )
     }
@@ -177,6 +188,12 @@
         kib * 1024
     }
 
+    /// Descriptors that the process has open.
+    pub fn open_descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))
+            .map_or(0, |entries| entries.count())
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         Command::new("kill").args(["-s", name, &id]).status().ok();
