Read one request at a time from a caller, and bound what is held for all

Cause: the HTTP server reads up to 131,072 bytes ahead on each connection, decodes all requests in them (some 900), and encodes empty responses without a bound; any number of connections is taken.

Change: CallerStream, the socket that the server reads, hands over the bytes of the current request only and leaves the rest in the socket's receive buffer (64 KiB) until the response is handed to the socket. ConnectionBudget counts the connections of each kind of listener and what is held for them, within shares of max_fds (0.25 callers, 0.1 directory, readiness and metrics) and memory_mb (0.15). Slow and then idle connections give way; without one, a new connection gets 503 before it is read. Heads over max_header_bytes get 431. Overdue heads, unread responses and refused bodies end. A counter, two gauges and a log line at most every 10 s for each limit.

--- a/src/fleet/routes.rs
+++ b/src/fleet/routes.rs
@@ -142,6 +142,8 @@
 pub struct CallerLimits {
     /// Largest request body, in bytes.
     pub body_bytes: usize,
+    /// Largest head of a request, from its first line to the empty one, in bytes.
+    pub header_bytes: usize,
 }
 
 /// One version of the configuration.
--- a/src/fleet/settings.rs
+++ b/src/fleet/settings.rs
@@ -54,6 +54,8 @@
     pub cpu_cores: f64,
     /// Memory limit of the process in bytes.
     pub memory_bytes: u64,
+    /// Limit of the process's open file descriptors.
+    pub max_descriptors: usize,
     /// Bounds that the deployment sets.
     pub bounds: NodeBounds,
     /// Own address from which targets are called; the operating system chooses if `None`.
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -5,17 +5,21 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use actix_http::body::BoxBody;
+use actix_http::{Request, Response};
 use eyre::{Context, Result};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::connection_budget::ListenerKind;
 use super::listeners::{
-    directory_response, is_ready, metrics_response, readiness_response, serve_http,
+    close_overdue_loop, directory_response, is_ready, metrics_response, readiness_response,
+    serve_http,
 };
 use super::state::NodeState;
-use super::{feeds, paths, peer_calls, peers, placement, request_handler};
+use super::{feeds, listeners, paths, peer_calls, peers, placement, request_handler};
 use crate::clock::TimeSource;
 use crate::fleet::catalog::RecordDecoder;
 use crate::fleet::members::{MemberRecord, OwnState};
@@ -121,35 +125,48 @@
 
 async fn listen(node: &Rc<NodeState>, metrics: SocketAddr) -> Result<()> {
     let addresses = node.settings.addresses.clone();
-    let peer_listener = bind(addresses.peers).await?;
+    let peer_listener = bind(addresses.peers)?;
     actix_rt::spawn(peers::serve(node.clone(), peer_listener));
-    let caller_listener = bind(addresses.callers).await?;
+    let caller_listener = bind(addresses.callers)?;
     let state = node.clone();
     let listener_node = node.clone();
     let close_signal = async move { listener_node.close_listener.notified().await };
-    actix_rt::spawn(serve_http(caller_listener, close_signal, move |request| {
-        request_handler::handle(state.clone(), request)
-    }));
-    let state = node.clone();
-    let directory_listener = bind(addresses.directory).await?;
-    actix_rt::spawn(serve_http(directory_listener, pending(), move |request| {
-        std::future::ready(directory_response(&state, &request))
-    }));
-    let state = node.clone();
-    let readiness_listener = bind(addresses.readiness).await?;
-    actix_rt::spawn(serve_http(readiness_listener, pending(), move |request| {
-        std::future::ready(readiness_response(&state, &request))
-    }));
-    let state = node.clone();
-    let metrics_listener = bind(metrics).await?;
-    actix_rt::spawn(serve_http(metrics_listener, pending(), move |request| {
-        std::future::ready(metrics_response(&state, &request))
-    }));
+    actix_rt::spawn(serve_http(
+        caller_listener,
+        ListenerKind::Callers,
+        node.connections.clone(),
+        close_signal,
+        move |request| request_handler::handle(state.clone(), request),
+    ));
+    serve_other(node, addresses.directory, directory_response)?;
+    serve_other(node, addresses.readiness, readiness_response)?;
+    serve_other(node, metrics, metrics_response)?;
+    actix_rt::spawn(close_overdue_loop(node.connections.clone()));
+    Ok(())
+}
+
+/// Serves requests that `respond` answers at once.
+fn serve_other(
+    node: &Rc<NodeState>,
+    address: SocketAddr,
+    respond: fn(&NodeState, &Request) -> Response<BoxBody>,
+) -> Result<()> {
+    let listener = bind(address)?;
+    let (state, connections) = (node.clone(), node.connections.clone());
+    let handler = move |request| std::future::ready(respond(&state, &request));
+    let served = serve_http(
+        listener,
+        ListenerKind::Other,
+        connections,
+        pending(),
+        handler,
+    );
+    actix_rt::spawn(served);
     Ok(())
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.wrap_err_with(|| {
+fn bind(address: SocketAddr) -> Result<TcpListener> {
+    listeners::listen(address).wrap_err_with(|| {
         format!("cannot listen on {address}; free the port or change the settings")
     })
 }
--- a/src/node/listeners.rs
+++ b/src/node/listeners.rs
@@ -1,13 +1,20 @@
 //! The HTTP server, and the handlers of the directory, readiness and metrics listeners.
 
+use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use actix_http::body::{BoxBody, MessageBody};
-use actix_http::{HttpService, Request, Response, StatusCode};
+use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::{HttpMessage, HttpService, Request, Response, StatusCode, header};
 use actix_service::{Service, ServiceFactory, fn_service};
-use tokio::net::TcpListener;
+use bytes::Bytes;
+use tokio::net::{TcpListener, TcpSocket};
 
+use super::caller_stream::{CallerStream, ReadWaker};
+use super::connection_budget::{CallerConnection, ConnectionBudget, ListenerKind};
+use super::request_framing::BodyFraming;
 use super::state::NodeState;
 use crate::platform::directory::{
     DIRECTORY_PATH, MAX_ADDRESSES, READINESS_PATH, caller_domain, encode_addresses,
@@ -15,13 +22,40 @@
 
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(60); // longer than any caller keeps an idle connection
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(6); // above the limit within which callers send the head
+/// Of one connection; holds what the smallest link brings in 25 ms.
+const RECEIVE_BUFFER_BYTES: u32 = 64 * 1024;
+const ACCEPT_QUEUE: u32 = 1024;
+const OVERDUE_INTERVAL: Duration = Duration::from_millis(250);
+/// To a connection that is not admitted. Nothing of its requests has run or will.
+const CONNECTION_REFUSAL: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 const DIRECTORY_TTL: Duration = Duration::from_secs(2); // a lost VM stays in cached responses this long after it is noticed
 
+/// Listens at `address` with small receive buffers, since unread bytes count toward the VM's memory.
+///
+/// # Errors
+///
+/// Fails when the address cannot be bound.
+pub fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_QUEUE)
+}
+
 /// Accepts HTTP connections on `listener` until `close_signal` completes; open ones stay open.
 ///
-/// All connections share one thread, since a node has only a fraction of a core.
+/// All connections share one thread, since a node has only a fraction of a core. Connections that
+/// `connections` does not admit are refused with 503 before anything of them is read.
 pub async fn serve_http<H, F>(
     listener: TcpListener,
+    kind: ListenerKind,
+    connections: Rc<ConnectionBudget>,
     close_signal: impl Future<Output = ()>,
     handler: H,
 ) where
@@ -33,11 +67,21 @@
         .client_request_timeout(REQUEST_HEAD_TIMEOUT)
         .client_disconnect_timeout(Duration::from_secs(1))
         .h1_allow_half_closed(false)
+        .on_connect_ext(|stream: &CallerStream, data| {
+            data.insert(ConnectionProgress::new(stream));
+        })
         .h1(fn_service(move |request: Request| {
+            let progress = request.conn_data::<ConnectionProgress>().cloned();
+            let exchange = progress.map(|progress| ExchangeGuard::begin(progress, &request));
             let response = handler(request);
-            async move { Ok::<_, Response<BoxBody>>(response.await) }
-        }))
-        .tcp();
+            async move {
+                let response = response.await;
+                Ok::<_, Response<BoxBody>>(match exchange {
+                    Some(exchange) => count_response(response, exchange),
+                    None => response,
+                })
+            }
+        }));
     let service = match service.new_service(()).await {
         Ok(service) => Rc::new(service),
         Err(()) => {
@@ -52,13 +96,25 @@
             () = &mut close_signal => return,
         };
         match accepted {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
+                let Some(connection) = connections.admit(kind, peer) else {
+                    // Fails only if the caller has left.
+                    stream.try_write(CONNECTION_REFUSAL).ok();
+                    continue;
+                };
                 stream.set_nodelay(true).ok();
                 let service = service.clone();
                 actix_rt::spawn(async move {
-                    if let Err(error) = service.call(stream).await {
-                        tracing::debug!(%error, "connection ended early");
+                    let stream = CallerStream::new(stream, connection.clone());
+                    tokio::select! {
+                        served = service.call((stream, Some(peer))) => {
+                            if let Err(error) = served {
+                                tracing::debug!(%error, "connection ended early");
+                            }
+                        }
+                        () = connection.closed() => {}
                     }
+                    connection.release();
                 });
             }
             Err(error) => {
@@ -69,6 +125,86 @@
     }
 }
 
+/// Closes connections whose callers take too long, for as long as the process runs.
+pub async fn close_overdue_loop(connections: Rc<ConnectionBudget>) {
+    loop {
+        tokio::time::sleep(OVERDUE_INTERVAL).await;
+        connections.close_overdue();
+    }
+}
+
+/// What a handler tells the stream that its request came on.
+#[derive(Clone)]
+struct ConnectionProgress {
+    connection: Rc<CallerConnection>,
+    read_waker: Rc<ReadWaker>,
+}
+
+impl ConnectionProgress {
+    fn new(stream: &CallerStream) -> Self {
+        Self {
+            connection: stream.connection().clone(),
+            read_waker: stream.read_waker().clone(),
+        }
+    }
+}
+
+/// One request and its response, which ends when this is dropped.
+struct ExchangeGuard(ConnectionProgress);
+
+impl ExchangeGuard {
+    fn begin(progress: ConnectionProgress, request: &Request) -> Self {
+        progress.connection.begin_request(body_framing(request));
+        progress.read_waker.wake();
+        Self(progress)
+    }
+}
+
+impl Drop for ExchangeGuard {
+    fn drop(&mut self) {
+        self.0.connection.end_response();
+    }
+}
+
+/// How long a request's body is. A request without a length has none, also if it asks for an upgrade.
+fn body_framing(request: &Request) -> BodyFraming {
+    if request.chunked().unwrap_or(false) {
+        return BodyFraming::Chunked;
+    }
+    let length = request.headers().get(header::CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    BodyFraming::Sized(length.unwrap_or(0))
+}
+
+/// The body of a response, whose bytes count as held until the caller's socket takes them.
+struct UnsentBody {
+    body: BoxBody,
+    exchange: ExchangeGuard,
+}
+
+fn count_response(response: Response<BoxBody>, exchange: ExchangeGuard) -> Response<BoxBody> {
+    response.map_body(|_, body| UnsentBody { body, exchange }.boxed())
+}
+
+impl MessageBody for UnsentBody {
+    type Error = <BoxBody as MessageBody>::Error;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        let next = Pin::new(&mut self.body).poll_next(cx);
+        if let Poll::Ready(Some(Ok(bytes))) = &next {
+            self.exchange.0.connection.add_unsent(bytes.len());
+        }
+        next
+    }
+}
+
 /// Builds a response with a text body.
 pub fn text_response(
     status: StatusCode,
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use super::connection_budget::ConnectionMetrics;
 use super::messages::NodeCall;
 
 const LATENCY_BUCKETS_S: [f64; 12] = [
@@ -129,6 +130,8 @@
     pub peer_sent_bytes: Family<PeerTrafficLabels, Counter>,
     /// Bytes of the bodies of the replies to these calls.
     pub peer_received_bytes: Family<PeerTrafficLabels, Counter>,
+    /// Connections of callers, what is held for them, and limits they reached.
+    pub connections: ConnectionMetrics,
 }
 
 impl NodeMetrics {
@@ -164,6 +167,7 @@
             peer_calls: Family::default(),
             peer_sent_bytes: Family::default(),
             peer_received_bytes: Family::default(),
+            connections: ConnectionMetrics::default(),
         };
         metrics.register_all();
         metrics
@@ -284,9 +288,29 @@
             "Responses of targets given up because a part was too long",
             self.oversized_responses.clone(),
         );
+        self.register_connections();
         self.register_peer_traffic();
     }
 
+    fn register_connections(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "caller_limits_reached",
+            "How often callers' connections reached a limit",
+            self.connections.limits_reached.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers, and to the directory, readiness and metrics",
+            self.connections.open.clone(),
+        );
+        registry.register(
+            "caller_held_bytes",
+            "Bytes counted as held for these connections",
+            self.connections.held_bytes.clone(),
+        );
+    }
+
     fn register_peer_traffic(&mut self) {
         let registry = &mut self.registry;
         registry.register(
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -3,8 +3,10 @@
 
 pub mod attempt;
 pub mod body_budget;
+pub mod caller_stream;
 pub mod carrying;
 pub mod connection;
+pub mod connection_budget;
 pub mod crash_bans;
 pub mod feeds;
 pub mod generation;
@@ -19,6 +21,7 @@
 pub mod placement;
 pub mod rate_limits;
 pub mod relay;
+pub mod request_framing;
 pub mod request_handler;
 pub mod run_claims;
 pub mod service;
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -10,6 +10,7 @@
 
 use super::body_budget::{BodyBudget, BodyLimits};
 use super::connection::{ConnectionPool, ExchangeError};
+use super::connection_budget::{ConnectionBudget, ConnectionLimits};
 use super::messages::JobUpdate;
 use super::metrics::NodeMetrics;
 use super::packed_records::RecordPacker;
@@ -70,6 +71,8 @@
     pub body_budget: Rc<BodyBudget>,
     /// Memory for the bodies of callers' requests, each until its response is complete.
     pub request_budget: Rc<BodyBudget>,
+    /// Connections of callers, and what is held for them.
+    pub connections: Rc<ConnectionBudget>,
     /// Load, requests in flight and results of attempts at each target: those of this node, and
     /// failures that peers reported.
     pub target_health: RefCell<HashMap<TargetName, TargetHealth>>,
@@ -143,6 +146,12 @@
         paths: TargetPaths,
     ) -> Self {
         let started_at = clock.now();
+        let metrics = NodeMetrics::new();
+        let connections = ConnectionBudget::new(
+            ConnectionLimits::new(&settings),
+            clock.clone(),
+            metrics.connections.clone(),
+        );
         let request_bodies = BodyLimits {
             // The configuration limits each.
             body: usize::MAX,
@@ -160,6 +169,7 @@
             connection_pool: RefCell::default(),
             body_budget: Rc::new(BodyBudget::new(RESPONSE_BODIES)),
             request_budget: Rc::new(BodyBudget::new(request_bodies)),
+            connections: Rc::new(connections),
             target_health: RefCell::default(),
             part_guard: RefCell::default(),
             request_guard: RefCell::default(),
@@ -178,7 +188,7 @@
             pending_updates: RefCell::default(),
             updates_ready: Notify::new(),
             heartbeat_now: Notify::new(),
-            metrics: NodeMetrics::new(),
+            metrics,
             stop: StopState::default(),
             last_request_at: Cell::new(started_at),
             close_listener: Notify::new(),
@@ -227,6 +237,9 @@
                 CatalogChange::Routes { version } => {
                     self.metrics.config_version.set(*version as i64);
                     tracing::info!(version, source, "configuration in force");
+                    if let Some(table) = self.catalog.borrow().table() {
+                        self.connections.set_header_bytes(table.limits.header_bytes);
+                    }
                 }
                 CatalogChange::Domain { domain, in_service } => {
                     tracing::info!(%domain, in_service, source, "failure domain changed");
--- a/src/platform/records.rs
+++ b/src/platform/records.rs
@@ -25,6 +25,7 @@
 const CONFIG_KEY: &str = "config";
 const OUT_OF_SERVICE_PREFIX: &str = "evacuate/";
 const DEFAULT_EVENT_GAP: Duration = Duration::from_secs(1); // for routes without gap_aim_ms
+const DEFAULT_HEADER_BYTES: usize = 16_384; // for configurations without max_header_bytes
 const MS_PER_S: f64 = 1000.0;
 
 /// Result of decoding a record.
@@ -117,6 +118,12 @@
 #[derive(Debug, Deserialize)]
 struct LimitsBody {
     max_body_bytes: usize,
+    #[serde(default = "default_header_bytes")]
+    max_header_bytes: usize,
+}
+
+fn default_header_bytes() -> usize {
+    DEFAULT_HEADER_BYTES
 }
 
 #[derive(Debug, Deserialize)]
@@ -200,6 +207,7 @@
         keys_required,
         limits: CallerLimits {
             body_bytes: body.limits.max_body_bytes,
+            header_bytes: body.limits.max_header_bytes,
         },
     })
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -18,6 +18,7 @@
 const MS_PER_S: f64 = 1000.0;
 const BYTES_PER_MB: f64 = 1_000_000.0;
 const DEFAULT_MEMORY_MB: f64 = 160.0; // of the smallest VMs
+const DEFAULT_MAX_FDS: f64 = 4_100.0; // of the smallest VMs
 
 /// Result of reading the settings.
 pub type Result<T> = std::result::Result<T, SettingsError>;
@@ -73,6 +74,12 @@
     cores: f64,
     #[serde(default = "default_memory_mb")]
     memory_mb: f64,
+    #[serde(default = "default_max_fds")]
+    max_fds: f64,
+}
+
+fn default_max_fds() -> f64 {
+    DEFAULT_MAX_FDS
 }
 
 fn default_memory_mb() -> f64 {
@@ -152,6 +159,7 @@
     let positive_settings = [
         ("limits.cpu_share", file.limits.cpu_share),
         ("limits.memory_mb", file.limits.memory_mb),
+        ("limits.max_fds", file.limits.max_fds),
         ("bounds.grace_s", file.bounds.grace_s),
         ("bounds.stable_ms", file.bounds.stable_ms),
         ("bounds.budget_window_s", file.bounds.budget_window_s),
@@ -189,6 +197,7 @@
         // The file has the CPU limit as a share of its `cores`.
         cpu_cores: file.limits.cpu_share * file.limits.cores,
         memory_bytes: (file.limits.memory_mb * BYTES_PER_MB) as u64,
+        max_descriptors: file.limits.max_fds as usize,
         target_source: None,
         bounds: NodeBounds {
             stop_grace: Duration::from_secs_f64(file.bounds.grace_s),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,6 +1,7 @@
 //! Scheduling policy: lanes, placement, retries, and the estimates that these use.
 
 pub mod ban_book;
+pub mod caller_admission;
 pub mod carrier_choice;
 pub mod cold_pacing;
 pub mod dispatch;
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -5,6 +5,7 @@
 
 mod adapter;
 mod assembler;
+mod caller_limits;
 mod catalog;
 mod claims;
 mod cold_pacing;
