Read callers' bodies in segments

Cause: a body's buffer doubled as it grew, or had the announced length; with connections that come and go, the allocator kept the pages of earlier bodies. Bodies that pass the limit unannounced took a node whose budget for bodies is 19 MB to 72 MB.

Change: a body is read in segments of 64 KiB and joined once it is complete.

--- a/src/node/body_budget.rs
+++ b/src/node/body_budget.rs
@@ -3,8 +3,14 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+use bytes::{Bytes, BytesMut};
+
 const SMALL_BODY_BYTES: usize = 16 * 1024; // up to which a body is read even if large ones take all memory
 
+/// Of a body that is being read; blocks of one size are reused by the allocator without leaving gaps.
+const SEGMENT_BYTES: usize = 64 * 1024;
+const FIRST_SEGMENT_BYTES: usize = 4 * 1024; // of a body whose length is not announced
+
 /// Bounds of a [`BodyBudget`], in bytes.
 #[derive(Debug, Clone, Copy)]
 pub struct BodyLimits {
@@ -80,3 +86,72 @@
         self.budget.used_bytes.set(used - self.taken_bytes);
     }
 }
+
+/// A body that is being read, which takes memory as its bytes arrive.
+///
+/// ```
+/// use plantainnotch::node::body_budget::BodyBuffer;
+/// let mut buffer = BodyBuffer::new(5);
+/// buffer.push(b"so ");
+/// buffer.push(b"me");
+/// assert_eq!(buffer.into_bytes(), "so me");
+/// ```
+#[derive(Debug)]
+pub struct BodyBuffer {
+    full_segments: Vec<BytesMut>,
+    last_segment: BytesMut,
+    body_bytes: usize,
+}
+
+impl BodyBuffer {
+    /// Creates a buffer for a body whose announced length is `length`, 0 if it is not announced.
+    pub fn new(length: usize) -> Self {
+        Self {
+            full_segments: Vec::new(),
+            last_segment: BytesMut::with_capacity(length.min(SEGMENT_BYTES)),
+            body_bytes: 0,
+        }
+    }
+
+    /// Bytes of the body so far.
+    pub fn body_bytes(&self) -> usize {
+        self.body_bytes
+    }
+
+    /// Adds bytes at the end.
+    pub fn push(&mut self, mut bytes: &[u8]) {
+        self.body_bytes += bytes.len();
+        while !bytes.is_empty() {
+            let mut room = self.last_segment.capacity() - self.last_segment.len();
+            if room == 0 {
+                let capacity = if self.last_segment.is_empty() {
+                    bytes.len().clamp(FIRST_SEGMENT_BYTES, SEGMENT_BYTES)
+                } else {
+                    SEGMENT_BYTES
+                };
+                let full =
+                    std::mem::replace(&mut self.last_segment, BytesMut::with_capacity(capacity));
+                if !full.is_empty() {
+                    self.full_segments.push(full);
+                }
+                room = capacity;
+            }
+            let (start, rest) = bytes.split_at(room.min(bytes.len()));
+            self.last_segment.extend_from_slice(start);
+            bytes = rest;
+        }
+    }
+
+    /// The whole body in one piece.
+    pub fn into_bytes(self) -> Bytes {
+        if self.full_segments.is_empty() {
+            return self.last_segment.freeze();
+        }
+        let mut body = BytesMut::with_capacity(self.body_bytes);
+        for segment in self.full_segments {
+            body.extend_from_slice(&segment);
+        }
+        body.extend_from_slice(&self.last_segment);
+        body.freeze()
+    }
+}
--- a/src/node/request_handler.rs
+++ b/src/node/request_handler.rs
@@ -7,12 +7,12 @@
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::header::{self, HeaderValue};
 use actix_http::{HttpMessage, Request, Response, StatusCode, Version};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::StreamExt;
 use tokio::time::sleep;
 
 use super::attempt::CallerRequest;
-use super::body_budget::BudgetShare;
+use super::body_budget::{BodyBuffer, BudgetShare};
 use super::run_claims::ClaimGuard;
 use super::service::{NodeResponse, ServedResponse};
 use super::state::NodeState;
@@ -370,8 +370,7 @@
     }
     let mut payload = request.take_payload();
     let mut share = BudgetShare::new(&node.request_budget);
-    // Capacity that nothing is written to takes no memory.
-    let mut body = BytesMut::with_capacity(length);
+    let mut body = BodyBuffer::new(length);
     while let Some(chunk) = payload.next().await {
         let chunk = chunk.map_err(|error| {
             reject(
@@ -380,16 +379,16 @@
                 &error.to_string(),
             )
         })?;
-        let read_bytes = body.len() + chunk.len();
+        let read_bytes = body.body_bytes() + chunk.len();
         if read_bytes > limit {
             return Err(too_large());
         }
         if !share.grow_to(read_bytes) {
             return Err(no_memory());
         }
-        body.extend_from_slice(&chunk);
+        body.push(&chunk);
     }
-    Ok((body.freeze(), share))
+    Ok((body.into_bytes(), share))
 }
 
 fn encode_node_response(id: &str, node_response: &NodeResponse) -> Response<BoxBody> {
