Bound connections and unfinished calls at the peers' port

Cause: the port for peers took any number of connections, 10,000 calls on each, and 64 MiB for each call, whoever sent them.

--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 
+use super::connection_budget::LimitCause;
 use super::crash_bans::{import_bans, import_evidence, known_bans};
 use super::messages::{HeartbeatMessage, HeartbeatReply, NodeCall, NodeReply, RecordsRequest};
 use super::packed_records::{FetchedRecords, unpack_records};
@@ -22,17 +23,43 @@
 use super::state::NodeState;
 use crate::fleet::feed::LogPosition;
 use crate::fleet::members::{MemberRecord, RosterScope};
+use crate::fleet::settings::NodeSettings;
 use crate::wire::client::CallError;
-use crate::wire::server::{self, CallHandler};
+use crate::wire::server::{self, CallHandler, LimitReporter, ReachedLimit, ServerLimits};
+
+const DESCRIPTOR_SHARE: f64 = 0.1; // for peers' connections; 410 on the smallest VMs, one for each peer
+const CALLS_MEMORY_SHARE: f64 = 0.05; // for calls that are not complete
+const MAX_CALL_BYTES: usize = 1 << 20; // the longest calls, those of heartbeats, have some 10 KB
+/// Each request that waits for a placement is a call; a VM has fewer connections of callers.
+const MAX_CALLS_PER_CONNECTION: u32 = 2_048;
 
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(400); // a throttled VM pauses for up to 75 ms; also bounds the start of a fetch
 const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000); // a configuration of 1,600 routes takes 40 ms on the smallest link
 
 /// Answers peers' calls for as long as the listener works.
 pub async fn serve(node: Rc<NodeState>, listener: TcpListener) {
-    let handler: CallHandler<NodeCall, NodeReply> =
-        Rc::new(move |call| answer_call(node.clone(), call));
-    server::serve(listener, handler).await;
+    let handler: CallHandler<NodeCall, NodeReply> = Rc::new({
+        let node = node.clone();
+        move |call| answer_call(node.clone(), call)
+    });
+    let limits = server_limits(&node.settings);
+    let report: LimitReporter = Rc::new(move |reached, peer| {
+        let cause = match reached {
+            ReachedLimit::Connections => LimitCause::PeerConnections,
+            ReachedLimit::CallBytes => LimitCause::PeerCallBytes,
+        };
+        node.connections.report(cause, peer);
+    });
+    server::serve_limited(listener, handler, limits, report).await;
+}
+
+fn server_limits(settings: &NodeSettings) -> ServerLimits {
+    ServerLimits {
+        connections: ((settings.max_descriptors as f64 * DESCRIPTOR_SHARE) as usize).max(1),
+        calls_per_connection: MAX_CALLS_PER_CONNECTION,
+        call_bytes: MAX_CALL_BYTES,
+        unfinished_bytes: (settings.memory_bytes as f64 * CALLS_MEMORY_SHARE) as usize,
+    }
 }
 
 fn answer_call(node: Rc<NodeState>, call: NodeCall) -> LocalBoxFuture<'static, NodeReply> {
