--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod account_shares;
 pub mod ban_book;
+pub mod caller_admission;
 pub mod carrier_choice;
 pub mod cold_pacing;
 pub mod decision_schedule;
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -6,6 +6,7 @@
 mod account_shares;
 mod adapter;
 mod assembler;
+mod caller_limits;
 mod catalog;
 mod claims;
 mod cold_pacing;
--- a/tests/platform/slow_readers.rs
+++ b/tests/platform/slow_readers.rs
@@ -13,9 +13,9 @@
 
 const UNREAD_LIMIT: Duration = Duration::from_secs(2);
 /// Memory of a VM at which one stream may hold 25 MB.
-const LARGE_VM_MB: u32 = 8_000;
+const LARGE_VM_MB: u64 = 8_000;
 /// Memory of a VM at which one stream may hold 12.5 kB, and all together 400 kB.
-const SMALL_VM_MB: u32 = 4;
+const SMALL_VM_MB: u64 = 4;
 const SMALL_VM_BOUND: f64 = 400_000.0;
 const SLOW_READERS: usize = 24; // each holds two events at the bound of one stream, 576 kB together
 const CALLER_TIME: Duration = Duration::from_secs(30);
@@ -25,8 +25,8 @@
 
 /// A bed whose engines send long streams without a proxy, whose buffers would hold them, and cut off
 /// those that are unread.
-fn bed_with_long_streams(memory_mb: u32) -> TestBed {
-    let bed = TestBed::start_with_memory(1, memory_mb);
+fn bed_with_long_streams(memory_mb: u64) -> TestBed {
+    let bed = TestBed::start_with(1, |config| config.memory_mb = Some(memory_mb));
     for engine in &bed.engines {
         engine.set_stream_shape(EVENT_COUNT, EVENT_BYTES);
         engine.set_delay(Duration::ZERO);
@@ -212,7 +212,7 @@
 #[test]
 fn targets_that_read_requests_slowly_hold_up_no_others_and_the_bodies_count_meanwhile() {
     // The bodies of two requests fit.
-    let bed = TestBed::start_with_memory(1, 20);
+    let bed = TestBed::start_with(1, |config| config.memory_mb = Some(20));
     let mut table = config(2);
     table["limits"]["max_body_bytes"] = json!(4_194_304);
     bed.put_config_everywhere(&table);
--- a/tests/support/bed.rs
+++ b/tests/support/bed.rs
@@ -94,11 +94,11 @@
 impl TestBed {
     /// Starts a test bed and waits until its `count` nodes serve requests.
     pub fn start(count: usize) -> Self {
-        Self::start_with_memory(count, 0)
+        Self::start_with(count, |_| {})
     }
 
-    /// Like [`Self::start`], with `limits.memory_mb` in the nodes' settings.
-    pub fn start_with_memory(count: usize, memory_mb: u32) -> Self {
+    /// Starts a test bed whose nodes have the settings that `adjust` leaves them.
+    pub fn start_with(count: usize, adjust: impl Fn(&mut NodeConfig)) -> Self {
         let runtime = BackgroundRuntime::start();
         let store = FakeStore::start(&runtime);
         let ledger = SharedRunLedger::default();
@@ -126,7 +126,7 @@
             node_configs.iter().map(|_| proxy(store.address)).collect();
         for (node_config, proxy) in node_configs.iter_mut().zip(&store_proxies) {
             node_config.store = proxy.address;
-            node_config.memory_mb = memory_mb;
+            adjust(node_config);
         }
         let bed = Self {
             nodes: Vec::new(),
