Give the test of slow readers a VM whose bound on connections is not reached

Change: 20 MB, 32 readers of six events each; the checks are the same and apply to the larger bound, 2 MB.

--- a/tests/platform/slow_readers.rs
+++ b/tests/platform/slow_readers.rs
@@ -14,10 +14,11 @@
 const UNREAD_LIMIT: Duration = Duration::from_secs(2);
 /// Memory of a VM at which one stream may hold 25 MB.
 const LARGE_VM_MB: u64 = 8_000;
-/// Memory of a VM at which one stream may hold 12.5 kB, and all together 400 kB.
-const SMALL_VM_MB: u64 = 4;
-const SMALL_VM_BOUND: f64 = 400_000.0;
-const SLOW_READERS: usize = 24; // each holds two events at the bound of one stream, 576 kB together
+/// Memory of a VM at which one stream may hold 62.5 kB, and all together 2 MB. What the HTTP server holds for
+/// as many connections stays within their bound, 3 MB.
+const SMALL_VM_MB: u64 = 20;
+const SMALL_VM_BOUND: f64 = 2_000_000.0;
+const SLOW_READERS: usize = 32; // each holds six events at the bound of one stream, 2.3 MB together
 const CALLER_TIME: Duration = Duration::from_secs(30);
 /// Events that exceed the kernel's buffers of the two connections, 8 MB at most, in 12 KB each.
 const EVENT_COUNT: u64 = 1_400;
