Show that sound engines can count as slow on loads that set no threshold

Cause: the thresholds of engine_pace were set on the seeds that the test of load plays, 1 to 5, so that it could not show this.

--- a/tests/core/engine_paces.rs
+++ b/tests/core/engine_paces.rs
@@ -141,6 +141,22 @@
     }
 }
 
+/// Guards against thresholds that fit the seeds above only: on other loads, engines of the declared speed must
+/// not count as slow either.
+#[test]
+fn engines_of_the_declared_speed_never_count_as_slow_on_further_seeds() {
+    let false_seeds: Vec<u64> = (101..=140)
+        .filter(|seed| {
+            let (kinds, load) = alternating_load(*seed);
+            let (_, changes) =
+                simulate_slow_engines(&example_spec(), &kinds, &load, ENGINES, &[], true);
+            !changes.is_empty()
+        })
+        .collect();
+
+    assert!(false_seeds.is_empty(), "seeds {false_seeds:?}");
+}
+
 /// Guards against an engine that gets no share after it was slow, and one that counts as slow too late.
 #[test]
 fn an_engine_counts_as_slow_within_seconds_and_no_longer_than_it_is() {
