Keep reserved memory of a split prompt until its first event

Callers saw long prompts cut off after their first event, and their streams begun again at another engine or broken off. Change: while a first event is due later than the lease ends, the leases are renewed every 1.5 s, if the lead answers its report at that time. If it died they end as before. Reservations move to a module of their own.

--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -5,32 +5,28 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use actix_http::Response;
 use actix_http::body::{BoxBody, MessageBody};
-use actix_http::{Method, RequestHead, Response, StatusCode};
-use bytes::Bytes;
 use tokio::time::timeout;
 
 use super::attempt::{
     AttemptOutcome, AttemptPlan, CallerRequest, TargetInFlightGuard, TargetResponse, send_attempt,
 };
 use super::carrying::{carry_if_lost, lose_paths};
-use super::connection::open_connection;
 use super::crash_bans::{part_names, refuse_banned, report_broken};
 use super::engine_paces::known_pace;
 use super::messages::JobUpdate;
 use super::placement::{JobGuard, PlacementOutcome, place, record_update};
-use super::rate_limits::observe_limit;
 use super::read_ahead::StreamBody;
 use super::relay::{
     ENDED_BEFORE_FIRST_EVENT, EventBuffer, StreamRelay, StreamSource, TargetStream,
 };
+use super::reservations::Reservations;
 use super::service::{NodeResponse, ServedResponse};
 use super::state::NodeState;
 use super::stopping::{self, is_other_vm_ready, lacks_time, refuse_for_stop};
-use crate::fleet::catalog::TargetRecord;
 use crate::ids::TargetName;
-use crate::platform::callers::{SplitHelper, decode_response_headers, forwarded_headers};
-use crate::platform::orders::{ORDER_PATH, encode_memory_release, encode_memory_reserve};
+use crate::platform::callers::{SplitHelper, forwarded_headers};
 use crate::policy::dispatch::{
     DispatchAnswer, EnginePlacement, PlacementRequest, RefusalReason, RequestRank,
 };
@@ -41,82 +37,11 @@
 const FIRST_EVENT_FACTOR: f64 = 2.0; // of the predicted time
 const FIRST_EVENT_SLACK: Duration = Duration::from_millis(700); // the engine may prefill a part of another long prompt first
 const FIRST_EVENT_SHARE: f64 = 0.55; // of the time after which the caller gives up; a second engine needs the rest
-const LEASE_DURATION: Duration = Duration::from_millis(3_600); // memory must be free 4 s after its request ended, even if this VM died
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_500); // of LEASE_DURATION, leaves 2.1 s for the next event and the target's response; most long requests end before
-const RESERVATION_TIMEOUT: Duration = Duration::from_millis(250);
 const PLACEMENT_RETRY_AFTER: Duration = Duration::from_millis(300);
 const SHORT_PROMPT_PRIORITY: u8 = 0;
 const LONG_PROMPT_PRIORITY: u8 = 3;
 const MAX_SHORT_PROMPT_TOKENS: u64 = 16_000; // an engine prefills this in under 100 ms
 
-/// Memory reserved at helpers for one request, released when dropped.
-///
-/// Leases are renewed only as events arrive, so that memory for a lead engine that died is
-/// free again when its lease ends.
-#[derive(Default)]
-pub struct Reservations {
-    node: Option<Rc<NodeState>>,
-    held: Vec<TargetReservation>,
-    renewed_at: Option<Instant>,
-}
-
-#[derive(Clone)]
-struct TargetReservation {
-    target: TargetRecord,
-    id: String,
-    tokens: u64,
-}
-
-impl Reservations {
-    /// Renews the leases if they were last set `RENEWAL_INTERVAL` ago or earlier; called for each
-    /// new event that has an id.
-    pub fn renew_if_due(&mut self) {
-        let Some(node) = &self.node else {
-            return;
-        };
-        let now = node.now();
-        let due = |at: Instant| now.saturating_duration_since(at) >= RENEWAL_INTERVAL;
-        if self.held.is_empty() || !self.renewed_at.is_some_and(due) {
-            return;
-        }
-        self.renewed_at = Some(now);
-        for reservation in self.held.clone() {
-            let node = node.clone();
-            actix_rt::spawn(async move {
-                let body = encode_memory_reserve(
-                    &reservation.id,
-                    reservation.tokens,
-                    lease_duration(&node),
-                );
-                if let Err(reason) =
-                    send_reservation_request(&node, &reservation.target, body).await
-                {
-                    tracing::info!(replica = %reservation.target.name, id = reservation.id, reason, "reservation not renewed");
-                }
-            });
-        }
-    }
-}
-
-impl Drop for Reservations {
-    fn drop(&mut self) {
-        let Some(node) = self.node.take() else {
-            return;
-        };
-        for reservation in self.held.drain(..) {
-            let node = node.clone();
-            actix_rt::spawn(async move {
-                let body = encode_memory_release(&reservation.id);
-                if let Err(reason) =
-                    send_reservation_request(&node, &reservation.target, body).await
-                {
-                    tracing::info!(replica = %reservation.target.name, id = reservation.id, reason, "release not confirmed: the lease ends it");
-                }
-            });
-        }
-    }
-}
-
 /// An attempt without a first event in time, kept in case no other engine takes the request.
 struct SilentAttempt {
     start: Pin<Box<dyn Future<Output = StreamStart>>>,
@@ -478,10 +403,13 @@
     if !may_retry {
         return left;
     }
-    let by_prediction =
-        placement.predicted_first_event.mul_f64(FIRST_EVENT_FACTOR) + FIRST_EVENT_SLACK;
     let by_event_timeout = caller.route.event_timeout().mul_f64(FIRST_EVENT_SHARE);
-    by_prediction.max(by_event_timeout).min(left)
+    first_event_bound(placement).max(by_event_timeout).min(left)
+}
+
+/// Time within which the first event comes unless the engine is lost or much slower than predicted.
+fn first_event_bound(placement: &EnginePlacement) -> Duration {
+    placement.predicted_first_event.mul_f64(FIRST_EVENT_FACTOR) + FIRST_EVENT_SLACK
 }
 
 /// What became of an attempt until its stream's first bytes.
@@ -639,16 +567,15 @@
         target.filter(|target| !target.draining && !node.is_paused(target))
     };
     let Some(lead) = target_record(&placement.lead) else {
-        return (target_gone(&placement.lead), Reservations::default());
+        return (target_gone(&placement.lead), Reservations::new(node));
     };
-    let mut reservations = Reservations::default();
-    reservations.node = Some(node.clone());
+    let mut reservations = Reservations::new(node);
     let mut helpers = Vec::new();
     // Each attempt has reservations of its own: an earlier one may still use those that it made.
     let attempt = node.new_job_id().0;
     for part in &placement.helpers {
         let Some(target) = target_record(&part.target) else {
-            return (target_gone(&part.target), Reservations::default());
+            return (target_gone(&part.target), reservations);
         };
         let mut helper = SplitHelper {
             address: target.address,
@@ -656,14 +583,8 @@
         };
         if part.reserve_tokens > 0 {
             let id = format!("{}-{attempt:x}-{}", caller.parsed_headers.id, helpers.len());
-            // Recorded before the call, so that it is released even if the response was lost.
-            reservations.held.push(TargetReservation {
-                target: target.clone(),
-                id: id.clone(),
-                tokens: part.reserve_tokens,
-            });
-            let body = encode_memory_reserve(&id, part.reserve_tokens, lease_duration(node));
-            if let Err(reason) = send_reservation_request(node, &target, body).await {
+            let reserved = reservations.reserve(&target, &id, part.reserve_tokens);
+            if let Err(reason) = reserved.await {
                 let outcome = AttemptOutcome::NotRun {
                     reason: format!("memory not reserved: {reason}"),
                     failed_target: Some(part.target.to_string()),
@@ -677,7 +598,7 @@
     }
     // Reservations are filled in the order of the helpers, so those with one come first.
     helpers.sort_by_key(|helper| helper.reservation.is_none());
-    reservations.renewed_at = Some(node.now());
+    reservations.renew_until_first_event(&lead, first_event_bound(placement));
     let priority = if caller.parsed_headers.prompt_tokens <= MAX_SHORT_PROMPT_TOKENS {
         SHORT_PROMPT_PRIORITY
     } else {
@@ -693,74 +614,3 @@
     let outcome = send_attempt(node, caller, &plan).await;
     (outcome, reservations)
 }
-
-/// Duration of a lease, within the platform's limit.
-fn lease_duration(node: &NodeState) -> Duration {
-    LEASE_DURATION.min(node.settings.bounds.max_reservation)
-}
-
-/// Asks a target to reserve, renew or release memory.
-async fn send_reservation_request(
-    node: &Rc<NodeState>,
-    target: &TargetRecord,
-    body: String,
-) -> Result<(), String> {
-    let send = async {
-        let now = node.now();
-        let pooled =
-            node.connection_pool
-                .borrow_mut()
-                .take(target.address, None, ENGINE_MAX_IDLE, now);
-        let mut connection = match pooled {
-            Some(connection) => connection,
-            None => {
-                node.metrics.connections_opened.inc();
-                let opened =
-                    open_connection(target.address, node.settings.target_source, now).await;
-                opened.map_err(|error| error.to_string())?
-            }
-        };
-        let head = reservation_request_head(target);
-        let body = Bytes::from(body);
-        let exchanged = connection.exchange(None, head, &body).await;
-        let response_head = exchanged.map_err(|error| error.to_string())?;
-        let parsed_headers = decode_response_headers(&response_head.headers);
-        if parsed_headers.leaving {
-            node.record_target_leaving(target);
-        }
-        observe_limit(node, target, &parsed_headers, now);
-        if response_head.status == StatusCode::SERVICE_UNAVAILABLE
-            && let Some(pause) = parsed_headers.pause
-        {
-            node.record_pause(target, pause);
-        }
-        let body = connection.read_body(&node.body_budget).await;
-        body.map_err(|error| error.to_string())?;
-        node.connection_pool
-            .borrow_mut()
-            .put(connection, node.now());
-        if response_head.status.is_success() {
-            Ok(())
-        } else {
-            Err(format!("target answered {}", response_head.status.as_u16()))
-        }
-    };
-    timeout(RESERVATION_TIMEOUT, send)
-        .await
-        .unwrap_or_else(|_| Err("no answer in time".to_owned()))
-}
-
-fn reservation_request_head(target: &TargetRecord) -> RequestHead {
-    use actix_http::header::{self, HeaderValue};
-    let mut head = RequestHead::default();
-    head.method = Method::POST;
-    head.uri = actix_http::Uri::from_static(ORDER_PATH);
-    head.headers.insert(
-        header::CONTENT_TYPE,
-        HeaderValue::from_static("application/json"),
-    );
-    if let Ok(host) = HeaderValue::from_str(&target.address.to_string()) {
-        head.headers.insert(header::HOST, host);
-    }
-    head
-}
--- a/src/node/paths.rs
+++ b/src/node/paths.rs
@@ -71,6 +71,19 @@
     }
 }
 
+/// Whether a target answers with its report in time.
+pub(super) async fn answers_report(node: &NodeState, target: &TargetRecord) -> bool {
+    node.metrics.probes.inc();
+    let report = timeout(PROBE_TIMEOUT, fetch_report(node, target)).await;
+    let Ok(Ok(connection)) = report else {
+        return false;
+    };
+    node.connection_pool
+        .borrow_mut()
+        .put(connection, node.now());
+    true
+}
+
 async fn fetch_report(node: &NodeState, target: &TargetRecord) -> Result<TargetConnection> {
     let source = node.settings.target_source;
     let mut connection = open_connection(target.address, source, node.now()).await?;
--- a/tests/platform/streams.rs
+++ b/tests/platform/streams.rs
@@ -373,6 +373,74 @@
     caller.join().expect("the caller's thread ends");
 }
 
+/// A bed whose engines take seconds to prefill the returned request, over several of their leases of memory.
+fn bed_with_slow_prefill(id: &str) -> (TestBed, CallerRequest) {
+    let bed = TestBed::start(1);
+    let mut table = config(2);
+    table["routes"][4]["timeout_ms"] = json!(30_000);
+    table["routes"][4]["latency_target_ms"] = json!(8_000);
+    table["services"][1]["engine"]["read_per_s"] = json!(24_000.0);
+    bed.put_config_everywhere(&table);
+    bed.set_engines(TargetMode::Prefills);
+    let mut request = bed.stream(id, "/archive/a");
+    request.tokens = Some("300000,700".to_owned());
+    request.deadline = Duration::from_secs(12);
+    (bed, request)
+}
+
+// Guards against long prompts that engines cut off because their memory expires before the first event.
+#[test]
+fn reserved_memory_lasts_until_a_first_event_that_is_due_later_than_a_lease_ends() {
+    let (bed, request) = bed_with_slow_prefill("slow-prefill");
+    let callers = bed.node_configs[0].callers;
+    let caller = std::thread::spawn(move || send(callers, &request));
+    wait_until(Duration::from_secs(4), "the lead runs the request", || {
+        !bed.runs("slow-prefill").is_empty()
+    });
+    let begun_at = std::time::Instant::now();
+
+    let mut expired = false;
+    while begun_at.elapsed() < Duration::from_secs(6) {
+        std::thread::sleep(Duration::from_millis(50));
+        let now = std::time::Instant::now();
+        let ledger = bed.ledger();
+        let mut reservations = ledger.reservations.values();
+        expired |= reservations.any(|reservation| reservation.expires_at < now);
+        assert!(!ledger.reservations.is_empty());
+    }
+
+    assert!(!expired, "memory expired while the lead prefilled");
+    assert!(bed.ledger().longest_reservation < Duration::from_secs(4));
+    caller.join().expect("the caller's thread ends");
+}
+
+// Guards against memory that stays reserved for a lead that died while it prefilled.
+#[test]
+fn reserved_memory_is_free_4_s_after_its_lead_stops_during_a_long_prefill() {
+    let (bed, request) = bed_with_slow_prefill("stopped-lead");
+    let callers = bed.node_configs[0].callers;
+    let caller = std::thread::spawn(move || send(callers, &request));
+    wait_until(Duration::from_secs(4), "the lead runs the request", || {
+        !bed.runs("stopped-lead").is_empty()
+    });
+    std::thread::sleep(Duration::from_secs(2));
+
+    let lead = &bed.runs("stopped-lead")[0].target;
+    let engines = bed.engines.iter().filter(|engine| engine.id == *lead);
+    engines.for_each(|engine| engine.set_stopped(true));
+    let stopped_at = std::time::Instant::now();
+    std::thread::sleep(Duration::from_secs(4));
+
+    let latest_expiry = bed
+        .ledger()
+        .reservations
+        .values()
+        .map(|reservation| reservation.expires_at)
+        .max();
+    assert!(latest_expiry.is_none_or(|at| at < stopped_at + Duration::from_secs(4)));
+    caller.join().expect("the caller's thread ends");
+}
+
 #[test]
 fn requests_succeed_while_two_engines_refuse_connections() {
     let bed = TestBed::start(2);
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -22,6 +22,8 @@
     ResetsAfterRun,
     /// Runs requests and never responds.
     Hangs,
+    /// Runs requests without an event for as long as they are connected, and reports its state.
+    Prefills,
     /// Refuses requests without running them, for lack of capacity.
     Full,
     /// Closes the connection before the response is complete.
@@ -560,7 +562,10 @@
         } else if self.is_engine
             && !matches!(
                 mode,
-                TargetMode::Fails | TargetMode::Hangs | TargetMode::RunsAndAnswers(_)
+                TargetMode::Fails
+                    | TargetMode::Hangs
+                    | TargetMode::Prefills
+                    | TargetMode::RunsAndAnswers(_)
             )
         {
             self.send_stream(&request, &id, mode, &steps).await;
@@ -648,7 +653,7 @@
         let unframed = format!("HTTP/1.1 200 X\r\n{lines}\r\n");
         let response_steps = match mode {
             TargetMode::ResetsAfterRun => vec![ResponseStep::Reset],
-            TargetMode::Hangs => vec![ResponseStep::Silence],
+            TargetMode::Hangs | TargetMode::Prefills => vec![ResponseStep::Silence],
             TargetMode::Truncates => {
                 vec![
                     ResponseStep::Write(whole[..whole.len() - 5].to_vec()),
