Lead split prompts by engines that generate for long prompts already

Cause: the lead of a split prompt was the chosen engine with most free memory, so that streams of long prompts ran on all engines, and each part of a further prompt made some of their events late. Change: among the chosen engines, the one whose streams of long prompts are worth most leads, up to half of its slots.

--- a/src/policy/dispatch/choice.rs
+++ b/src/policy/dispatch/choice.rs
@@ -329,6 +329,13 @@
         now: Instant,
     ) -> EnginePlacement {
         let memory = request.prompt_tokens + request.max_output_tokens;
+        // The engine that generates most already, up to half of its slots: streams of long prompts then
+        // run on few engines, and parts of further prompts, which would make their events late, have
+        // others to go to. Engines with rate limits take turns, since unused permits lapse.
+        let generating_value = |engine: &EngineLedger| {
+            let may_gather = engine.permits.is_none() && engine.running() < self.spec.slots / 2;
+            may_gather.then(|| engine.on_time_generating_value().round() as u64)
+        };
         let lead = chosen
             .iter()
             .max_by_key(|engine| {
@@ -338,6 +345,7 @@
                     self.free_memory(engine) >= memory,
                     engine.target.domain == request.domain,
                     Reverse(engine.on_time_short_prompts()),
+                    generating_value(engine),
                     self.free_memory(engine),
                 )
             })
--- a/tests/core/dispatch.rs
+++ b/tests/core/dispatch.rs
@@ -319,6 +319,33 @@
 }
 
 /// An engine that still prefills gets the next long prompt only if no other engine is free.
+// Guards against streams of long prompts on all engines, where each part of a further prompt delays some.
+#[test]
+fn a_split_prompt_is_led_by_the_engine_that_generates_for_long_prompts_already() {
+    let mut spec = example_spec();
+    spec.prefill_tokens_per_ms *= 2.0;
+    spec.ms_per_million_pairs = 0.0;
+    let mut dispatcher = dispatcher(6);
+    let targets: Vec<EngineTarget> = (0..6).map(engine_target).collect();
+    dispatcher.set_engines(&spec, COLD_REQUESTS_PER_S, &targets);
+    let mut now = Instant::now();
+    // The second prompt needs the memory of all engines.
+    let leads = [45_000, 1_200_000].map(|prompt_tokens| {
+        dispatcher.enqueue(placement_request(prompt_tokens, prompt_tokens), now);
+        let decisions = dispatcher.decide(now);
+        let DispatchAnswer::Placed(placement) = &decisions[0].answer else {
+            panic!("{decisions:?}");
+        };
+        now += Duration::from_millis(150);
+        dispatcher.record_first_event(JobId(prompt_tokens), now);
+        placement.lead.clone()
+    });
+
+    let [generating, lead] = leads;
+
+    assert_eq!(lead, generating);
+}
+
 #[test]
 fn free_engines_are_preferred_to_those_that_still_prefill() {
     let now = Instant::now();
