Report an engine's return after a pause of its streams

Cause: a VM dropped what it knew of an engine one second after its last gap, including that it had reported the engine as slow. If the engine returned to the declared speed in or right after such a pause, no VM reported it, and its pace ended by time alone (10 s for a pace of 3.4).

Change: a VM remembers for 15 s that an engine looked slow, until it has reported the return. Engines without recent gaps do not count as observed.

The new test in tests/core failed before the change.

--- a/src/policy/engine_pace.rs
+++ b/src/policy/engine_pace.rs
@@ -28,6 +28,8 @@
 const MIN_WINDOW_GAPS: usize = 4;
 /// Age up to which a VM uses the gaps that it measured.
 const MEASURED_LIFETIME: Duration = Duration::from_secs(1);
+/// Time for which a VM remembers that an engine looked slow: without evidence, the highest pace ends in 14.4 s.
+const SLOW_MEMORY: Duration = Duration::from_secs(15);
 /// Age up to which a VM's report counts: three intervals, as one report may be lost.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_600);
 /// Time over which an engine's load is kept: that of the oldest gap that may be compared with it.
@@ -144,7 +146,8 @@
 struct MeasuredEngine {
     gaps: VecDeque<MeasuredGap>,
     has_new_gaps: bool,
-    looked_slow: bool,
+    /// When it was last reported as slow, unless its return was reported since.
+    looked_slow_at: Option<Instant>,
 }
 
 /// The event gaps that a VM has measured.
@@ -185,7 +188,10 @@
                 now.saturating_duration_since(measured.at) < MEASURED_LIFETIME
             };
             engine.gaps.retain(is_recent);
-            !engine.gaps.is_empty()
+            // An engine may be fast again after a pause in its streams, which must be reported too.
+            let is_remembered = |at: Instant| now.saturating_duration_since(at) < SLOW_MEMORY;
+            engine.looked_slow_at = engine.looked_slow_at.filter(|at| is_remembered(*at));
+            !engine.gaps.is_empty() || engine.looked_slow_at.is_some()
         });
         let mut gaps = Vec::new();
         for (target, engine) in &mut self.engines {
@@ -199,14 +205,18 @@
                 continue;
             }
             let looks_slow = pace_of(observed.event_gap, known_pass) > NOTABLE_PACE;
-            let looked_slow = std::mem::replace(&mut engine.looked_slow, looks_slow);
-            if looks_slow || looked_slow {
+            let looked_slow_at =
+                std::mem::replace(&mut engine.looked_slow_at, looks_slow.then_some(now));
+            if looks_slow || looked_slow_at.is_some() {
                 gaps.push(observed);
             }
         }
+        let observed_engines = self.engines.values();
+        let observed_engines = observed_engines.filter(|engine| !engine.gaps.is_empty());
+        let observed_engines = observed_engines.count() as u64;
         (!gaps.is_empty()).then(|| PaceReport {
             vm: vm.clone(),
-            observed_engines: self.engines.len() as u64,
+            observed_engines,
             gaps,
         })
     }
--- a/tests/core/engine_paces.rs
+++ b/tests/core/engine_paces.rs
@@ -3,9 +3,11 @@
 use std::time::{Duration, Instant};
 
 use plantainnotch::ids::{TargetName, VmName};
+use plantainnotch::policy::dispatch::JobId;
 use plantainnotch::policy::engine_model::example_spec;
 use plantainnotch::policy::engine_pace::{
-    AddedPrefill, EngineLoad, GapWindow, ObservedGap, PACE_REPORT_INTERVAL, PaceBook, PaceReport,
+    AddedPrefill, EngineLoad, GapLedger, GapWindow, ObservedGap, PACE_REPORT_INTERVAL, PaceBook,
+    PaceReport,
 };
 
 use crate::engine_simulation::{
@@ -252,3 +254,29 @@
 
     assert_eq!(gaps.count(), 0);
 }
+
+/// Guards against a VM that forgets, in a pause of its streams, that it reported an engine as slow: the owner would
+/// not learn that the engine is fast again.
+#[test]
+fn the_return_of_an_engine_is_reported_after_a_pause_of_its_streams() {
+    let (start, vm, engine) = (Instant::now(), VmName::new("vm-1"), engine_name(0));
+    let mut ledger = GapLedger::default();
+    let mut report_at = |ms: u64, gap: Option<Duration>| {
+        let now = start + Duration::from_millis(ms);
+        if let Some(gap) = gap {
+            ledger.record(&engine, JobId(ms), gap, now);
+        }
+        ledger.report(&vm, |_| Some(PASS), now)
+    };
+
+    let slow = report_at(0, Some(PASS * 3));
+    let paused = report_at(1_100, None);
+    let returned = report_at(1_600, Some(PASS));
+    let later = report_at(2_100, Some(PASS));
+
+    assert_eq!(slow.expect("it looks slow").gaps[0].event_gap, PASS * 3);
+    assert!(paused.is_none());
+    let returned = returned.expect("it is fast again");
+    assert_eq!(returned.gaps[0].event_gap, PASS);
+    assert!(later.is_none());
+}
