Count an engine as slow only if its own report confirms it

Change: gap evidence makes an engine suspect. The owner of placement then requests the engine's report (at most one in flight and one a second for each engine, four a second in total), whose pace decides. Where an engine reports no pace within 250 ms, gaps count only if no prefill that the engine was given may explain them. A VM that takes over queries its suspects. Metric engine_queries; the log line tells whether the engine reported the pace. The stand-in of an engine reports the pace of its streams.

--- a/src/node/engine_paces.rs
+++ b/src/node/engine_paces.rs
@@ -1,19 +1,24 @@
 //! Paces of model engines: this VM measures the event gaps of its streams and reports engines that look
-//! slow to the owner of placement and its successor, whose dispatchers use the paces.
+//! slow to the owner of placement and its successor. The owner requests the own reports of engines that are
+//! suspect, and its dispatchers use the paces.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::messages::NodeCall;
+use super::paths::fetch_report;
 use super::peer_calls::call_node;
 use super::placement::owns_placement;
 use super::state::NodeState;
 use crate::ids::TargetName;
+use crate::platform::orders::decode_reported_pace;
 use crate::policy::dispatch::JobId;
-use crate::policy::engine_pace::{GapLedger, PACE_REPORT_INTERVAL, PaceBook, PaceReport};
+use crate::policy::engine_pace::{
+    ENGINE_QUERY_TIMEOUT, GapLedger, PACE_REPORT_INTERVAL, PaceBook, PaceReport, is_slow,
+};
 
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300); // a throttled VM pauses for up to 75 ms
 
@@ -32,10 +37,47 @@
     paces.measured.record(target, job, gap, node.now());
 }
 
-/// Takes over a VM's report, which counts from the next refresh on.
-pub fn import_report(node: &NodeState, report: &PaceReport) {
+/// Takes over a VM's report, and queries the engines that it makes suspect.
+pub fn import_report(node: &Rc<NodeState>, report: &PaceReport) {
     let mut paces = node.engine_paces.borrow_mut();
     paces.book.apply(report, node.now());
+    drop(paces);
+    query_due_engines(node);
+}
+
+/// Queries the engines that are due, if this VM is the owner of placement. Its successor queries them when
+/// it takes over, so that each engine answers one VM only.
+fn query_due_engines(node: &Rc<NodeState>) {
+    if !owns_placement(node) {
+        return;
+    }
+    let due = node.engine_paces.borrow_mut().book.due_queries(node.now());
+    for target in due {
+        actix_rt::spawn(query_engine(node.clone(), target));
+    }
+}
+
+/// Requests an engine's own report, whose pace is in force at once. A failure does not put the path to the
+/// engine in doubt, as requests to it show that themselves.
+async fn query_engine(node: Rc<NodeState>, target: TargetName) {
+    let record = {
+        let catalog = node.catalog.borrow();
+        catalog.target(&target).map(|state| state.record.clone())
+    };
+    let report = async { fetch_report(&node, &record?).await.ok() };
+    let report = timeout(ENGINE_QUERY_TIMEOUT, report).await.ok().flatten();
+    let pace = report.and_then(|body| decode_reported_pace(&body));
+    let result = match pace {
+        None => "no_pace",
+        Some(pace) if is_slow(pace) => "slow",
+        Some(_) => "not_slow",
+    };
+    tracing::debug!(replica = %target, pace, "engine queried");
+    node.metrics.count_engine_query(result);
+    let mut paces = node.engine_paces.borrow_mut();
+    paces.book.record_answer(&target, pace, node.now());
+    drop(paces);
+    refresh(&node);
 }
 
 /// Pace of an engine for the log: the one that counts at this VM, or the one that this VM measured with
@@ -59,6 +101,7 @@
     loop {
         sleep(PACE_REPORT_INTERVAL).await;
         refresh(&node);
+        query_due_engines(&node);
         let Some(report) = new_report(&node) else {
             continue;
         };
@@ -80,7 +123,8 @@
     for change in paces.book.refresh(loads, now) {
         match change.pace {
             Some(pace) => {
-                tracing::info!(replica = %change.target, pace, "engine counts as slow");
+                let is_reported = change.is_reported;
+                tracing::info!(replica = %change.target, pace, is_reported, "engine counts as slow");
             }
             None => tracing::info!(replica = %change.target, "engine no longer counts as slow"),
         }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -48,6 +48,13 @@
     pub topic: &'static str,
 }
 
+/// Label of queries of engines.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct QueryLabel {
+    /// Result: `slow`, `not_slow`, or `no_pace` if the engine reported none in time.
+    pub result: &'static str,
+}
+
 /// Labels of the metrics of calls to other nodes.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PeerTrafficLabels {
@@ -134,8 +141,10 @@
     pub pauses: Counter,
     /// Targets that name a rate limit.
     pub limited_targets: Gauge,
-    /// Engines that count as slow, at the owner of placement and its successor.
+    /// Engines that count as slow, at the owner of placement.
     pub slow_engines: Gauge,
+    /// Reports that were requested of engines that looked slow, by result.
+    pub engine_queries: Family<QueryLabel, Counter>,
     /// Combinations of prompt parts whose requests are refused.
     pub banned_parts: Gauge,
     /// Requests that are refused because targets crashed under them.
@@ -204,6 +213,7 @@
             pauses: Counter::default(),
             limited_targets: Gauge::default(),
             slow_engines: Gauge::default(),
+            engine_queries: Family::default(),
             banned_parts: Gauge::default(),
             banned_requests: Gauge::default(),
             feed_age_seconds: Family::default(),
@@ -310,6 +320,11 @@
             "Engines that count as slow",
             self.slow_engines.clone(),
         );
+        registry.register(
+            "engine_queries",
+            "Reports requested of engines that looked slow, by result",
+            self.engine_queries.clone(),
+        );
         registry.register(
             "banned_parts",
             "Combinations of prompt parts whose requests are refused",
@@ -504,6 +519,13 @@
             .inc();
     }
 
+    /// Counts a query of an engine's own report.
+    pub fn count_engine_query(&self, result: &'static str) {
+        self.engine_queries
+            .get_or_create(&QueryLabel { result })
+            .inc();
+    }
+
     /// Sets the seconds since the last successful read of a topic.
     pub fn set_feed_age(&self, topic: &'static str, seconds: f64) {
         self.feed_age_seconds
--- a/src/node/paths.rs
+++ b/src/node/paths.rs
@@ -10,7 +10,7 @@
 use rand::seq::SliceRandom;
 use tokio::time::{sleep, timeout};
 
-use super::connection::{Result, TargetConnection, open_connection, target_request_head};
+use super::connection::{Result, open_connection, target_request_head};
 use super::placement::record_update;
 use super::state::NodeState;
 use crate::fleet::catalog::TargetRecord;
@@ -49,7 +49,7 @@
     join_all(due.iter().map(|name| probe(node, name))).await;
 }
 
-/// Asks a target for its report on a new connection, which is kept for requests.
+/// Checks whether a target reports.
 async fn probe(node: &Rc<NodeState>, name: &TargetName) {
     let target = {
         let catalog = node.catalog.borrow();
@@ -58,11 +58,7 @@
     let Some(target) = target else { return };
     node.metrics.probes.inc();
     match timeout(PROBE_TIMEOUT, fetch_report(node, &target)).await {
-        Ok(Ok(connection)) => {
-            let now = node.now();
-            node.paths.borrow_mut().record_answer(now);
-            node.connection_pool.borrow_mut().put(connection, now);
-        }
+        Ok(Ok(_)) => node.paths.borrow_mut().record_answer(node.now()),
         Ok(Err(error)) => {
             tracing::debug!(replica = %name, %error, "probe failed");
             node.record_path_failure(name);
@@ -71,7 +67,12 @@
     }
 }
 
-async fn fetch_report(node: &NodeState, target: &TargetRecord) -> Result<TargetConnection> {
+/// Requests a target's report on a new connection, which is kept for requests; returns the report's body.
+///
+/// # Errors
+///
+/// Fails when the target cannot be reached, or its response is not HTTP, incomplete or too long.
+pub(super) async fn fetch_report(node: &NodeState, target: &TargetRecord) -> Result<Bytes> {
     let source = node.settings.target_source;
     let mut connection = open_connection(target.address, source, node.now()).await?;
     let mut headers = HeaderMap::new();
@@ -80,8 +81,11 @@
     }
     let head = target_request_head(Method::GET, Uri::from_static(REPORT_PATH), headers);
     connection.exchange(None, head, &Bytes::new()).await?;
-    connection.read_body(&node.body_budget).await?;
-    Ok(connection)
+    let body = connection.read_body(&node.body_budget).await?;
+    node.connection_pool
+        .borrow_mut()
+        .put(connection, node.now());
+    Ok(body)
 }
 
 fn announce_state(node: &Rc<NodeState>, before: &str, state: &str) {
--- a/src/platform/orders.rs
+++ b/src/platform/orders.rs
@@ -1,4 +1,5 @@
-//! Orders to targets, by which nodes reserve and release memory for the parts of a split prompt.
+//! Orders to targets, by which nodes reserve and release memory for the parts of a split prompt, and the
+//! reports of targets on their state.
 
 use std::time::Duration;
 
@@ -26,6 +27,11 @@
     free: u64,
 }
 
+#[derive(Debug, Deserialize)]
+struct ReportResponse {
+    pace: Option<f64>,
+}
+
 /// Encodes an order that reserves memory for `tokens`, under the reservation id `id`, for
 /// `lease_time`.
 ///
@@ -76,3 +82,17 @@
     let response: OrderResponse = serde_json::from_slice(body).ok()?;
     Some(response.free)
 }
+
+/// Decodes the pace that an engine reports: over 1 if it takes longer than its service declares.
+///
+/// Returns `None` if the report has no pace, or one that is no finite number above 0.
+///
+/// ```
+/// use plantainnotch::platform::orders::decode_reported_pace;
+/// assert_eq!(decode_reported_pace(br#"{"running":3,"pace":1.5}"#), Some(1.5));
+/// assert_eq!(decode_reported_pace(br#"{"running":3}"#), None);
+/// ```
+pub fn decode_reported_pace(body: &[u8]) -> Option<f64> {
+    let response: ReportResponse = serde_json::from_slice(body).ok()?;
+    response.pace.filter(|pace| pace.is_finite() && *pace > 0.0)
+}
--- a/src/policy/dispatch/ledger.rs
+++ b/src/policy/dispatch/ledger.rs
@@ -383,6 +383,13 @@
         }
     }
 
+    /// Prefill time, at the declared speed, of the jobs whose first event is not known yet.
+    pub(super) fn pending_prefill(&self) -> Duration {
+        let pending = self.jobs.iter().filter(|job| job.prefill_pass.is_some());
+        let prefill: Duration = pending.map(|job| job.report.prefill_left).sum();
+        prefill.div_f64(self.pace)
+    }
+
     /// Prefill time left of a job.
     pub(super) fn prefill_left_of(&self, job: &EngineJob, now: Instant) -> Duration {
         match job.prefill_pass {
--- a/src/policy/dispatch/mod.rs
+++ b/src/policy/dispatch/mod.rs
@@ -246,6 +246,7 @@
             let load = EngineLoad {
                 pass: self.declared_pass_time(name)?,
                 added_prefill: engine.added_prefill,
+                pending_prefill: engine.pending_prefill(),
             };
             Some((name.clone(), load))
         })
--- a/src/policy/engine_pace.rs
+++ b/src/policy/engine_pace.rs
@@ -5,6 +5,9 @@
 //! which knows the jobs on all engines, compares them with the pass that the engine model predicts.
 //! The shortest gaps are those of passes without prefill: a long prefill beside a stream does not raise
 //! them.
+//!
+//! Long gaps only make an engine suspect. The owner then requests the engine's own report, whose pace
+//! decides; gaps decide only where an engine reports no pace, and only if no load explains them.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -16,6 +19,15 @@
 
 /// Shortest time between two reports of a VM.
 pub const PACE_REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time in which a queried engine must answer: engines report at once, and a throttled VM pauses for up
+/// to 75 ms.
+pub const ENGINE_QUERY_TIMEOUT: Duration = Duration::from_millis(250);
+/// Shortest time between two queries of an engine: each costs it time.
+const ENGINE_QUERY_INTERVAL: Duration = Duration::from_secs(1);
+/// Queries of all engines together in [`ENGINE_QUERY_INTERVAL`].
+const MAX_QUERIES_PER_INTERVAL: usize = 4;
+/// Query intervals for which a reported pace counts: one answer may be lost, and the next one late.
+const REPORTED_PACE_INTERVALS: u32 = 3;
 /// Pace up to which an engine counts as having the declared speed. The model leaves out generated
 /// tokens and network delays, which add up to a tenth.
 const NOTABLE_PACE: f64 = 1.25;
@@ -32,8 +44,13 @@
 const SLOW_MEMORY: Duration = Duration::from_secs(15);
 /// Age up to which a VM's report counts: three intervals, as one report may be lost.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_600);
-/// Time over which an engine's load is kept: that of the oldest gap that may be compared with it.
+/// Time over which an engine's load is compared with a gap: that of the oldest gap that may be reported.
 const LOAD_LIFETIME: Duration = Duration::from_secs(2);
+/// Longest time over which gaps alone are compared with the load, which bounds the loads that are kept.
+const MAX_UNCONFIRMED_TIME: Duration = Duration::from_secs(3);
+/// Time from the start of a VM's oldest gaps until its report arrives: [`MAX_WINDOW_TIME`],
+/// [`MEASURED_LIFETIME`] and one [`PACE_REPORT_INTERVAL`].
+const MAX_GAP_AGE: Duration = Duration::from_secs(3);
 /// Requests whose gaps must show that an engine is slow.
 const MIN_SLOW_REQUESTS: usize = 3;
 /// Time over which they must show it, three intervals between reports. With 900 ms, full engines that
@@ -69,6 +86,8 @@
     pub pass: Duration,
     /// Prefills that were added so far.
     pub added_prefill: AddedPrefill,
+    /// Prefill time of the prompts and parts whose first event is not known yet.
+    pub pending_prefill: Duration,
 }
 
 /// The latest event gaps of one stream.
@@ -236,6 +255,7 @@
 #[derive(Debug)]
 struct VmEvidence {
     pace: f64,
+    event_gap: Duration,
     requests: usize,
     /// Whether the VM sees enough engines to tell a slow engine from its own slowness.
     is_compared: bool,
@@ -247,14 +267,35 @@
     by_vm: BTreeMap<VmName, VmEvidence>,
     /// Since when the evidence has shown a slow engine.
     slow_since: Option<Instant>,
-    /// Pace that counts, and the time of its last evidence.
-    counted: Option<(f64, Instant)>,
+    /// Pace that the gaps show and that no answer has settled since, and its time.
+    suspected: Option<(f64, Instant)>,
+    queries: QueryState,
+    counted: Option<CountedPace>,
     /// Pace in force at the last [`PaceBook::refresh`].
     in_force: Option<f64>,
     /// Loads at the last refreshes, the latest last.
     loads: VecDeque<(Instant, EngineLoad)>,
 }
 
+/// The queries of one engine's own report.
+#[derive(Debug, Default)]
+struct QueryState {
+    last_at: Option<Instant>,
+    is_in_flight: bool,
+    /// Whether the last one ended without a pace.
+    gave_no_pace: bool,
+}
+
+/// The pace that counts for an engine.
+#[derive(Debug)]
+struct CountedPace {
+    pace: f64,
+    /// From when on its excess over 1 halves every [`PACE_HALF_LIFE`].
+    decays_from: Instant,
+    /// Whether the engine reported it.
+    is_reported: bool,
+}
+
 /// An engine that begins to count as slow, or ceases to.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PaceChange {
@@ -262,12 +303,16 @@
     pub target: TargetName,
     /// Its pace; `None` if it no longer counts as slow.
     pub pace: Option<f64>,
+    /// Whether the engine reported the pace, which is otherwise measured.
+    pub is_reported: bool,
 }
 
-/// The paces of engines as the VMs' reports show them.
+/// The paces of engines as the VMs' reports and the engines' own show them.
 #[derive(Debug, Default)]
 pub struct PaceBook {
     engines: BTreeMap<TargetName, EngineEvidence>,
+    /// Times of the queries within the last [`ENGINE_QUERY_INTERVAL`].
+    recent_queries: Vec<Instant>,
 }
 
 impl PaceBook {
@@ -295,6 +340,7 @@
         for (observed, pace) in paces {
             let evidence = VmEvidence {
                 pace,
+                event_gap: observed.event_gap,
                 requests: observed.requests as usize,
                 is_compared,
                 at: now,
@@ -306,6 +352,51 @@
         }
     }
 
+    /// The engines to query for their own reports now; each query is to end with [`Self::record_answer`].
+    ///
+    /// These are engines that the gaps make suspect, and engines that have reported a pace that counts.
+    /// Those that were not queried for longest come first.
+    pub fn due_queries(&mut self, now: Instant) -> Vec<TargetName> {
+        self.recent_queries
+            .retain(|at| now.saturating_duration_since(*at) < ENGINE_QUERY_INTERVAL);
+        let free_queries = MAX_QUERIES_PER_INTERVAL.saturating_sub(self.recent_queries.len());
+        let mut due: Vec<(&TargetName, &mut EngineEvidence)> = self
+            .engines
+            .iter_mut()
+            .filter(|(_, engine)| engine.needs_report(now) && engine.queries.is_due(now))
+            .collect();
+        due.sort_by_key(|(_, engine)| engine.queries.last_at);
+        due.truncate(free_queries);
+        self.recent_queries.extend(due.iter().map(|_| now));
+        due.into_iter()
+            .map(|(target, engine)| {
+                engine.queries.last_at = Some(now);
+                engine.queries.is_in_flight = true;
+                target.clone()
+            })
+            .collect()
+    }
+
+    /// Records the pace that an engine reports; `None` if its report has none, or none arrived within
+    /// [`ENGINE_QUERY_TIMEOUT`].
+    pub fn record_answer(&mut self, target: &TargetName, pace: Option<f64>, now: Instant) {
+        let queried = self.engines.values();
+        let queried = queried.filter(|engine| engine.needs_report(now)).count();
+        let rounds = queried.div_ceil(MAX_QUERIES_PER_INTERVAL).max(1) as u32;
+        let Some(engine) = self.engines.get_mut(target) else {
+            return;
+        };
+        engine.queries.is_in_flight = false;
+        engine.queries.gave_no_pace = pace.is_none();
+        engine.suspected = None;
+        let Some(pace) = pace else { return };
+        engine.counted = is_slow(pace).then(|| CountedPace {
+            pace: pace.min(MAX_PACE),
+            decays_from: now + ENGINE_QUERY_INTERVAL * rounds * REPORTED_PACE_INTERVALS,
+            is_reported: true,
+        });
+    }
+
     /// Records the present engines with the load of each, and returns the engines that begin or cease to count as slow.
     pub fn refresh(
         &mut self,
@@ -319,12 +410,14 @@
         let mut changes = Vec::new();
         self.engines.retain(|target, engine| {
             engine.drop_outdated(now);
-            let is_present = !engine.loads.is_empty();
+            let is_present = engine.is_present(now);
             let pace = engine.pace(now).filter(|_| is_present);
             if pace.is_some() != engine.in_force.is_some() {
+                let counted = engine.counted.as_ref();
                 changes.push(PaceChange {
                     target: target.clone(),
                     pace,
+                    is_reported: counted.is_some_and(|counted| counted.is_reported),
                 });
             }
             engine.in_force = pace;
@@ -348,9 +441,12 @@
     /// That is the longest of the passes without prefill, since a gap may have been measured before jobs
     /// ended. If so many prompts came that most passes prefilled, it is the mean of all passes.
     fn predicted_gap(&self, now: Instant) -> Option<Duration> {
-        let (from, first) = self.loads.front()?;
+        let is_recent =
+            |(at, _): &&(Instant, EngineLoad)| now.saturating_duration_since(*at) < LOAD_LIFETIME;
+        let (from, first) = self.loads.iter().find(is_recent)?;
         let (_, last) = self.loads.back()?;
-        let pass = self.loads.iter().map(|(_, load)| load.pass).max()?;
+        let recent = self.loads.iter().filter(is_recent);
+        let pass = recent.map(|(_, load)| load.pass).max()?;
         let elapsed = now.saturating_duration_since(*from);
         if elapsed.is_zero() {
             return Some(pass);
@@ -372,9 +468,43 @@
         Some(pass.div_f64(decode_share))
     }
 
+    /// Longest event gap that the engine's load may cause at the declared speed in evidence that has
+    /// lasted since `slow_since`; `None` if it may cause any.
+    ///
+    /// All prefill that may have run in that time is taken to have run in it: what was pending before the
+    /// first gap began, and all that came later. In what is left of the time, the engine made passes, and
+    /// all but one gap of a window are at least as long as the reported one.
+    fn explained_gap(&self, slow_since: Instant, now: Instant) -> Option<Duration> {
+        let lasted = now.saturating_duration_since(slow_since);
+        let lasted = lasted.min(MAX_UNCONFIRMED_TIME);
+        let is_before = |at: Instant| now.saturating_duration_since(at) >= lasted + MAX_GAP_AGE;
+        let first = self.loads.iter().rev().find(|(at, _)| is_before(*at));
+        let (from, first) = first.or_else(|| self.loads.front())?;
+        let (_, last) = self.loads.back()?;
+        let compared = self.loads.iter().filter(|(at, _)| at >= from);
+        let pass = compared.map(|(_, load)| load.pass).max()?;
+        let added = last
+            .added_prefill
+            .time
+            .saturating_sub(first.added_prefill.time);
+        let prefill = first.pending_prefill + added;
+        let decode_share = 1.0 - prefill.as_secs_f64() / lasted.as_secs_f64();
+        let longer_gaps = (WINDOW_GAPS - 1) as f64 / WINDOW_GAPS as f64;
+        (decode_share > MIN_DECODE_SHARE).then(|| pass.div_f64(decode_share * longer_gaps))
+    }
+
+    fn is_present(&self, now: Instant) -> bool {
+        let last = self.loads.back();
+        last.is_some_and(|(at, _)| now.saturating_duration_since(*at) < LOAD_LIFETIME)
+    }
+
     fn drop_outdated(&mut self, now: Instant) {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < LOAD_LIFETIME;
-        self.loads.retain(|(at, _)| is_recent(*at));
+        // The last load from before the time that is compared is kept too.
+        let is_recent =
+            |at: Instant| now.saturating_duration_since(at) < MAX_UNCONFIRMED_TIME + MAX_GAP_AGE;
+        let outdated = self.loads.iter().take_while(|(at, _)| !is_recent(*at));
+        let outdated = outdated.count().saturating_sub(1);
+        self.loads.drain(..outdated);
         self.by_vm
             .retain(|_, evidence| now.saturating_duration_since(evidence.at) < REPORT_LIFETIME);
         if self.by_vm.is_empty() {
@@ -393,33 +523,76 @@
             left = left.saturating_sub(evidence.requests);
             left == 0
         });
-        let Some(pace) = shortest.map(|evidence| evidence.pace) else {
+        let Some((pace, gap)) = shortest.map(|evidence| (evidence.pace, evidence.event_gap)) else {
             return;
         };
+        let is_engine = evidence.len() > 1 || evidence.iter().any(|evidence| evidence.is_compared);
         if pace <= NOTABLE_PACE {
             self.slow_since = None;
+            self.suspected = None;
             self.counted = None;
             return;
         }
         let slow_since = *self.slow_since.get_or_insert(now);
-        let is_engine = evidence.len() > 1 || evidence.iter().any(|evidence| evidence.is_compared);
-        if is_engine
-            && requests >= MIN_SLOW_REQUESTS
+        if requests < MIN_SLOW_REQUESTS {
+            return;
+        }
+        let pace = pace.min(MAX_PACE);
+        self.suspected = Some((pace, now));
+        if self.queries.gave_no_pace
+            && is_engine
             && now.saturating_duration_since(slow_since) >= MIN_SLOW_TIME
+            && let Some(explained_gap) = self.explained_gap(slow_since, now)
+            && pace_of(gap, explained_gap) > NOTABLE_PACE
         {
-            self.counted = Some((pace.min(MAX_PACE), now));
+            self.counted = Some(CountedPace {
+                pace,
+                decays_from: now,
+                is_reported: false,
+            });
         }
     }
 
     fn pace(&self, now: Instant) -> Option<f64> {
-        let (pace, at) = self.counted?;
-        let age = now.saturating_duration_since(at);
-        let half_lives = age.as_secs_f64() / PACE_HALF_LIFE.as_secs_f64();
-        let left = 1.0 + (pace - 1.0) * 0.5_f64.powf(half_lives);
-        (left > NOTABLE_PACE).then_some(left)
+        let counted = self.counted.as_ref()?;
+        decayed_pace(counted.pace, counted.decays_from, now)
+    }
+
+    fn needs_report(&self, now: Instant) -> bool {
+        let is_suspect = self
+            .suspected
+            .is_some_and(|(pace, at)| decayed_pace(pace, at, now).is_some());
+        let has_reported = self.counted.as_ref();
+        let has_reported = has_reported.is_some_and(|counted| counted.is_reported);
+        is_suspect || (has_reported && self.pace(now).is_some())
+    }
+}
+
+impl QueryState {
+    fn is_due(&self, now: Instant) -> bool {
+        let is_early = |at: Instant| now.saturating_duration_since(at) < ENGINE_QUERY_INTERVAL;
+        !self.is_in_flight && !self.last_at.is_some_and(is_early)
     }
 }
 
+/// What is left of a pace without evidence since `at`, if it is still notable.
+fn decayed_pace(pace: f64, at: Instant, now: Instant) -> Option<f64> {
+    let age = now.saturating_duration_since(at);
+    let half_lives = age.as_secs_f64() / PACE_HALF_LIFE.as_secs_f64();
+    let left = 1.0 + (pace - 1.0) * 0.5_f64.powf(half_lives);
+    is_slow(left).then_some(left)
+}
+
+/// Whether an engine of this pace is slower than the declared speed.
+///
+/// ```
+/// use plantainnotch::policy::engine_pace::is_slow;
+/// assert!(is_slow(1.5) && !is_slow(1.25));
+/// ```
+pub fn is_slow(pace: f64) -> bool {
+    pace > NOTABLE_PACE
+}
+
 fn pace_of(gap: Duration, pass: Duration) -> f64 {
     gap.as_secs_f64() / pass.as_secs_f64().max(f64::MIN_POSITIVE)
 }
--- a/tests/core/engine_paces.rs
+++ b/tests/core/engine_paces.rs
@@ -1,5 +1,6 @@
 //! Paces of engines: simulated loads on engines of unequal speed, and what counts as evidence.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use plantainnotch::ids::{TargetName, VmName};
@@ -37,12 +38,13 @@
 }
 
 /// The engine that is filled first, slow for 30 of the 40 seconds of the load.
-fn slow_engine(factor: f64) -> Vec<Slowdown> {
+fn slow_engine(factor: f64, is_reported: bool) -> Vec<Slowdown> {
     vec![Slowdown {
         engine: 0,
         from: Duration::from_secs(2),
         until: Duration::from_secs(32),
         factor,
+        is_reported,
     }]
 }
 
@@ -83,7 +85,8 @@
     }
 }
 
-/// A book that knows [`ENGINES`] engines with a pass of [`PASS`], and got `reports` `rounds` times.
+/// A book that knows [`ENGINES`] engines with a pass of [`PASS`], and got `reports` `rounds` times, while the
+/// engines' own reports had no pace.
 fn reported_book(start: Instant, rounds: u32, reports: &[PaceReport]) -> (PaceBook, Instant) {
     let mut book = PaceBook::default();
     let mut now = start;
@@ -93,15 +96,30 @@
         for report in reports {
             book.apply(report, now);
         }
+        answer_queries(&mut book, None, now);
     }
     refresh(&mut book, now);
     (book, now)
 }
 
+/// Answers the queries that are due with `pace`, and returns the engines.
+fn answer_queries(book: &mut PaceBook, pace: Option<f64>, now: Instant) -> Vec<TargetName> {
+    let queried = book.due_queries(now);
+    for target in &queried {
+        book.record_answer(target, pace, now);
+    }
+    queried
+}
+
 fn refresh(book: &mut PaceBook, now: Instant) {
+    refresh_loaded(book, Duration::ZERO, now);
+}
+
+fn refresh_loaded(book: &mut PaceBook, pending_prefill: Duration, now: Instant) {
     let load = EngineLoad {
         pass: PASS,
         added_prefill: AddedPrefill::default(),
+        pending_prefill,
     };
     book.refresh((0..ENGINES).map(|index| (engine_name(index), load)), now);
 }
@@ -115,8 +133,8 @@
 fn callers_are_served_on_time_while_an_engine_is_slow() {
     // The engine is lost for three quarters of the time.
     let lost_capacity = 0.75 / ENGINES as f64;
-    for factor in [3.0, 6.0] {
-        let slowdowns = slow_engine(factor);
+    for (factor, is_reported) in [(3.0, false), (3.0, true), (6.0, false), (6.0, true)] {
+        let slowdowns = slow_engine(factor, is_reported);
 
         let even = mean_on_time_share(&[], false);
         let unknown = mean_on_time_share(&slowdowns, false);
@@ -124,7 +142,7 @@
 
         assert!(
             measured >= even - lost_capacity && measured > unknown,
-            "factor {factor}: {measured:.3} on time, {even:.3} without a slow engine, \
+            "factor {factor}, reported {is_reported}: {measured:.3} on time, {even:.3} without a slow engine, \
              {unknown:.3} without paces"
         );
     }
@@ -162,11 +180,16 @@
 /// Guards against an engine that gets no share after it was slow, and one that counts as slow too late.
 #[test]
 fn an_engine_counts_as_slow_within_seconds_and_no_longer_than_it_is() {
+    for is_reported in [false, true] {
+        assert_known_while_slow(&slow_engine(4.0, is_reported));
+    }
+}
+
+fn assert_known_while_slow(slowdowns: &[Slowdown]) {
     let (kinds, load) = alternating_load(1);
-    let slowdowns = slow_engine(4.0);
 
     let (_, changes) =
-        simulate_slow_engines(&example_spec(), &kinds, &load, ENGINES, &slowdowns, true);
+        simulate_slow_engines(&example_spec(), &kinds, &load, ENGINES, slowdowns, true);
 
     let (first_at, first) = &changes[0];
     assert_eq!(first.target, engine_name(0), "{changes:?}");
@@ -280,3 +303,100 @@
     assert_eq!(returned.gaps[0].event_gap, PASS);
     assert!(later.is_none());
 }
+
+/// Guards against gaps that outweigh an engine's own report, and a reported pace that does not apply or end.
+#[test]
+fn the_pace_that_an_engine_reports_decides() {
+    let (start, mut book) = (Instant::now(), PaceBook::default());
+    let mut counted_after = |seconds: u32, pace: f64| {
+        let now = start + PACE_REPORT_INTERVAL * 2 * seconds;
+        refresh(&mut book, now);
+        book.apply(&pace_report("vm-1", 6, &[PASS * 3]), now);
+        answer_queries(&mut book, Some(pace), now);
+        refresh(&mut book, now);
+        book.slow_engines().get(&engine_name(0)).copied()
+    };
+
+    let paces = [1.0, 1.2, 1.25, 2.0, 1.3, 1.25];
+    let counted = (0..)
+        .zip(paces)
+        .map(|(seconds, pace)| counted_after(seconds, pace));
+
+    let counted: Vec<Option<f64>> = counted.collect();
+    assert_eq!(counted, [None, None, None, Some(2.0), Some(1.3), None]);
+}
+
+/// Guards against queries that cost engines more than one answer a second, or four in total, and against
+/// suspects or slow engines that others keep from being queried.
+#[test]
+fn queries_keep_to_their_limits_and_reach_all_suspects() {
+    let (start, mut book) = (Instant::now(), PaceBook::default());
+    let report = pace_report("vm-1", ENGINES as u64, &[PASS * 3; 6]);
+    let mut queries = Vec::new();
+
+    for tick in 0..60 {
+        let now = start + Duration::from_millis(100) * tick;
+        refresh(&mut book, now);
+        book.apply(&report, now);
+        for target in book.due_queries(now) {
+            // One query does not end.
+            if target != engine_name(5) {
+                book.record_answer(&target, Some(1.5), now);
+            }
+            queries.push((tick, target));
+        }
+    }
+
+    for second in (0..50).map(|from| from..from + 10) {
+        let within = queries.iter().filter(|(tick, _)| second.contains(tick));
+        let within: Vec<&TargetName> = within.map(|(_, target)| target).collect();
+        let engines: BTreeSet<_> = within.iter().collect();
+        assert!(within.len() <= 4 && engines.len() == within.len());
+    }
+    let count = |index| {
+        queries
+            .iter()
+            .filter(|(_, target)| *target == engine_name(index))
+            .count()
+    };
+    assert!(count(5) == 1 && (0..5).all(|index| count(index) >= 3));
+    assert_eq!(book.slow_engines().len(), 5);
+}
+
+/// Guards against prefill that counts as slowness where an engine reports no pace.
+#[test]
+fn gaps_that_pending_prefill_may_cause_do_not_make_an_engine_slow() {
+    // In 1.5 s, 1 s of prefill leaves 0.5 s for passes, so that 150 ms is the mean gap.
+    for (pending_ms, is_slow) in [(300, true), (1_000, false)] {
+        let (start, mut book) = (Instant::now(), PaceBook::default());
+        refresh_loaded(&mut book, Duration::from_millis(pending_ms), start);
+        for round in 0..4 {
+            let now = start + PACE_REPORT_INTERVAL * round;
+            book.apply(&pace_report("vm-1", 6, &[PASS * 3]), now);
+            answer_queries(&mut book, None, now);
+            refresh(&mut book, now);
+        }
+        assert_eq!(!book.slow_engines().is_empty(), is_slow, "{pending_ms} ms");
+    }
+}
+
+/// Guards against a VM that takes over after the last streams on a slow engine and takes it for fast, and against
+/// queries of engines that left.
+#[test]
+fn suspects_are_queried_after_a_takeover_until_they_leave() {
+    let (start, mut book) = (Instant::now(), PaceBook::default());
+    refresh(&mut book, start);
+    book.apply(&pace_report("vm-1", 6, &[PASS * 3]), start);
+    let taken_over_at = start + Duration::from_secs(4);
+    let left_at = taken_over_at + Duration::from_millis(2_100);
+
+    refresh(&mut book, taken_over_at);
+    let queried = answer_queries(&mut book, Some(3.0), taken_over_at);
+    refresh(&mut book, taken_over_at);
+    let slow = book.slow_engines();
+    book.refresh([], left_at);
+
+    assert_eq!(queried, [engine_name(0)]);
+    assert!(is_about(slow[&engine_name(0)], 3.0));
+    assert!(book.slow_engines().is_empty() && book.due_queries(left_at).is_empty());
+}
--- a/tests/core/engine_simulation.rs
+++ b/tests/core/engine_simulation.rs
@@ -250,6 +250,8 @@
     pub from: Duration,
     pub until: Duration,
     pub factor: f64,
+    /// Whether the engine reports its pace; engines without a slowdown report none.
+    pub is_reported: bool,
 }
 
 /// The paces that the serving VMs measure, and what the dispatcher knows of them.
@@ -813,6 +815,17 @@
                 paces.book.apply(&report, now);
             }
         }
+        for target in paces.book.due_queries(now) {
+            let reported = self
+                .slowdowns
+                .iter()
+                .find(|slow| slow.is_reported && engine_name(slow.engine) == target);
+            // An engine reports its state as of a few hundred ms ago.
+            let state_at = at.saturating_sub(Duration::from_millis(300));
+            let is_slow = |slow: &Slowdown| slow.from <= state_at && state_at < slow.until;
+            let pace = reported.map(|slow| if is_slow(slow) { slow.factor } else { 1.0 });
+            paces.book.record_answer(&target, pace, now);
+        }
     }
 
     fn report_jobs(&mut self, at: Duration) {
--- a/tests/earlier_builds/main.rs
+++ b/tests/earlier_builds/main.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError, mpsc};
 use std::time::Duration;
 
@@ -144,10 +145,8 @@
         .count()
 }
 
-// Guards against a VM that passes over an owner of an earlier build, or refuses its callers' requests,
-// because that owner does not know ranked requests.
-#[test]
-fn an_owner_of_an_earlier_build_places_requests_without_their_ranks() {
+/// Starts a node whose owner of placement runs an earlier build and has placed a request.
+fn start_under_earlier_owner() -> (TestBed, EarlierOwner) {
     let mut bed = TestBed::start(1);
     bed.put_config_everywhere(&ranked_config(2));
     let owner = EarlierOwner::start("engine-0");
@@ -162,6 +161,15 @@
         send(callers, &bed.stream(&id, PATHS_BY_RANK[0]));
         owner.placed_count() > 0
     });
+    (bed, owner)
+}
+
+// Guards against a VM that passes over an owner of an earlier build, or refuses its callers' requests,
+// because that owner does not know ranked requests.
+#[test]
+fn an_owner_of_an_earlier_build_places_requests_without_their_ranks() {
+    let (bed, owner) = start_under_earlier_owner();
+    let callers = bed.nodes[0].config.callers;
     let before = owner.placed_count();
 
     let statuses: Vec<Option<u16>> = (0..12)
@@ -179,3 +187,30 @@
     let told = log.matches("owner of placement does not know ranks");
     assert_eq!(told.count(), 1);
 }
+
+// Guards against a VM that queries engines in place of an owner of an earlier build, or passes over that owner
+// because it takes no reports of paces.
+#[test]
+fn an_owner_of_an_earlier_build_serves_callers_as_before_while_its_engine_is_slow() {
+    let (bed, owner) = start_under_earlier_owner();
+    let before = owner.placed_count();
+    let queries = bed.engines[0].report_requests.load(Ordering::Relaxed);
+    bed.engines[0].set_delay(Duration::from_millis(150));
+
+    let statuses: Vec<Option<u16>> = (0..5)
+        .map(|index| {
+            let request = bed.stream(&format!("slow-{index}"), PATHS_BY_RANK[0]);
+            send(bed.nodes[0].config.callers, &request).map(|response| response.status)
+        })
+        .collect();
+
+    assert_eq!(statuses, vec![Some(200); 5]);
+    assert_eq!(owner.placed_count(), before + 5);
+    let queried = bed.engines[0].report_requests.load(Ordering::Relaxed);
+    assert_eq!(queried, queries);
+    assert!(
+        !bed.nodes[0]
+            .log()
+            .contains("owner of placement passed over")
+    );
+}
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -187,6 +187,8 @@
     Slow,
 }
 
+/// Time of a pass at the declared speed with a few streams, by the test configuration.
+const DECLARED_PASS: Duration = Duration::from_millis(48);
 const FLOOD_BLOCK_BYTES: usize = 64 * 1024;
 const RESTART_TIME: Duration = Duration::from_secs(2);
 
@@ -275,6 +277,10 @@
     sent_refusals: Arc<Mutex<BTreeMap<u64, Vec<u8>>>>,
     /// Requests a second that its responses name as its limit, if any.
     rate_limit: Arc<Mutex<Option<f64>>>,
+    /// Its report, in place of the one with the pace of its streams.
+    report: Arc<Mutex<Option<Value>>>,
+    /// Requests for its report so far.
+    pub report_requests: Arc<AtomicU64>,
     /// Whether its process is stopped.
     stopped: watch::Sender<bool>,
     ledger: SharedRunLedger,
@@ -314,6 +320,8 @@
             retry_after_ms: Arc::default(),
             sent_refusals: Arc::default(),
             rate_limit: Arc::default(),
+            report: Arc::default(),
+            report_requests: Arc::default(),
             stopped: watch::Sender::new(false),
             ledger,
         };
@@ -454,6 +462,18 @@
         crashed_at.is_some_and(|at| at.elapsed() < RESTART_TIME)
     }
 
+    pub fn set_report(&self, report: Value) {
+        *self.report.lock().unwrap_or_else(PoisonError::into_inner) = Some(report);
+    }
+
+    fn report(&self) -> String {
+        self.report_requests.fetch_add(1, Ordering::Relaxed);
+        let report = self.report.lock().unwrap_or_else(PoisonError::into_inner);
+        let pace = self.delay().div_duration_f64(DECLARED_PASS).max(1.0);
+        let with_pace = json!({"waiting": 0, "running": 0, "pace": pace});
+        report.clone().unwrap_or(with_pace).to_string()
+    }
+
     /// Sets the time before each event of a stream, or before a plain response.
     pub fn set_delay(&self, delay: Duration) {
         *self.delay.lock().unwrap_or_else(PoisonError::into_inner) = delay;
@@ -506,7 +526,7 @@
             let step = if mode == TargetMode::Hangs {
                 ResponseStep::Silence
             } else {
-                ResponseStep::Write(encode_response(200, &[], br#"{"waiting":0,"running":0}"#))
+                ResponseStep::Write(encode_response(200, &[], self.report().as_bytes()))
             };
             steps.send(step).await.ok();
             return;
