Test that gaps do not outweigh an engine's report between queries

Cause: the test passed with the check for the engine's answer removed, as each answer came right after the gaps.

Change: gaps that come before the next query are added. Measured: the test passes, and fails with the check removed (trial).

--- a/tests/core/engine_paces.rs
+++ b/tests/core/engine_paces.rs
@@ -313,7 +313,12 @@
         refresh(&mut book, now);
         book.apply(&pace_report("vm-1", 6, &[PASS * 3]), now);
         answer_queries(&mut book, Some(pace), now);
-        refresh(&mut book, now);
+        // These gaps come before the engine is queried again.
+        book.apply(
+            &pace_report("vm-1", 6, &[PASS * 3]),
+            now + PACE_REPORT_INTERVAL,
+        );
+        refresh(&mut book, now + PACE_REPORT_INTERVAL);
         book.slow_engines().get(&engine_name(0)).copied()
     };
 
