Find the jobs of a VM by an index when it reports its jobs

Cause: reconcile_jobs_of, called for each job report of each VM, walked over the jobs of all engines, although a report concerns only the jobs of its VM.

Change: JobIndex holds the engines of each job, as before, and the jobs of each VM. A report visits the engines that have jobs of that VM.

Result: the recorded decisions of tests/core/dispatch_decisions.rs, which include reports, are unchanged (20 tests of "dispatch" in tests/core pass).

--- a/src/policy/dispatch/mod.rs
+++ b/src/policy/dispatch/mod.rs
@@ -5,12 +5,13 @@
 //! over the remaining engines, so that each of them is soon free for the next one.
 
 mod choice;
+mod job_index;
 mod ledger;
 mod queue_order;
 mod request;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::time::{Duration, Instant};
 
 use super::account_shares::{Account, AccountShares, engine_seconds};
@@ -21,6 +22,7 @@
 use crate::ids::{TargetName, VmName};
 
 use choice::{MAX_PACKED_SHORT_PROMPTS, MAX_PARTS, PLANNED_MEMORY_SHARE};
+use job_index::JobIndex;
 use ledger::{EngineJob, EngineLedger, JobTimes, prompt_value};
 pub use queue_order::{QueueKey, QueuePosition, QueueRules, RequestRank, ShareState};
 pub use request::{
@@ -119,8 +121,7 @@
     limit_share: f64,
     engines: BTreeMap<TargetName, EngineLedger>,
     accepting_engines: usize,
-    /// The engines of each job, so that a job is found without a walk over all engines.
-    targets_by_job: HashMap<JobId, Vec<TargetName>>,
+    job_index: JobIndex,
     queue: Vec<QueuedRequest>,
     queued_jobs: HashSet<JobId>,
     return_order: ReturnOrder,
@@ -140,7 +141,7 @@
             limit_share: 1.0,
             engines: BTreeMap::new(),
             accepting_engines: 0,
-            targets_by_job: HashMap::new(),
+            job_index: JobIndex::default(),
             queue: Vec::new(),
             queued_jobs: HashSet::new(),
             return_order: ReturnOrder::default(),
@@ -673,10 +674,7 @@
                 .retain(|at| now.saturating_duration_since(*at) < Duration::from_secs(1));
             engine.recent_sends.push(now);
             engine.add_job(report, times, decode_pass, now);
-            self.targets_by_job
-                .entry(request.job)
-                .or_default()
-                .push(target.clone());
+            self.job_index.add(request.job, target, &request.vm);
         }
     }
 
@@ -693,10 +691,7 @@
 
     /// Records a request's first event: the prefill of all its parts is done.
     pub fn record_first_event(&mut self, job: JobId, now: Instant) {
-        let Some(targets) = self.targets_by_job.get(&job) else {
-            return;
-        };
-        for target in targets {
+        for target in self.job_index.targets_of(job) {
             if let Some(engine) = self.engines.get_mut(target) {
                 let decode_pass = decode_pass_time(&self.spec, engine, 0);
                 engine.finish_prefill(job, decode_pass, now);
@@ -717,7 +712,7 @@
         if self.queued_jobs.remove(&job) {
             self.queue.retain(|queued| queued.request.job != job);
         }
-        for target in self.targets_by_job.remove(&job).unwrap_or_default() {
+        for target in self.job_index.remove_job(job) {
             if let Some(engine) = self.engines.get_mut(&target) {
                 engine.retain_jobs(|known| known.report.job != job);
             }
@@ -750,11 +745,23 @@
             .iter()
             .map(|report| (report.job, &report.target))
             .collect();
-        self.retain_jobs(|job| {
+        let is_kept = |job: &EngineJob| {
             job.report.vm != *serving_vm
                 || reported.contains(&(job.report.job, &job.report.target))
                 || now.saturating_duration_since(job.added_at) < MAX_REPORT_AGE
-        });
+        };
+        let known: BTreeSet<TargetName> = self
+            .job_index
+            .jobs_of(serving_vm)
+            .flat_map(|job| self.job_index.targets_of(job))
+            .cloned()
+            .collect();
+        for target in known {
+            if let Some(engine) = self.engines.get_mut(&target) {
+                let dropped = engine.retain_jobs(is_kept);
+                self.job_index.remove_parts(&dropped, &target);
+            }
+        }
         for report in reports {
             let Some(engine) = self.engines.get_mut(&report.target) else {
                 continue;
@@ -769,10 +776,7 @@
                 value_factor: value_factor(None),
             };
             engine.add_job(report.clone(), times, decode_pass, now);
-            self.targets_by_job
-                .entry(report.job)
-                .or_default()
-                .push(report.target.clone());
+            self.job_index.add(report.job, &report.target, &report.vm);
         }
     }
 
@@ -792,30 +796,14 @@
     fn expire_jobs(&mut self, now: Instant) {
         for (target, engine) in &mut self.engines {
             let dropped = engine.expire_jobs(now);
-            forget_targets(&mut self.targets_by_job, &dropped, target);
+            self.job_index.remove_parts(&dropped, target);
         }
     }
 
     fn retain_jobs(&mut self, is_kept: impl Fn(&EngineJob) -> bool) {
         for (target, engine) in &mut self.engines {
             let dropped = engine.retain_jobs(&is_kept);
-            forget_targets(&mut self.targets_by_job, &dropped, target);
-        }
-    }
-}
-
-/// Removes `target` from the targets of the `dropped` jobs.
-fn forget_targets(
-    targets_by_job: &mut HashMap<JobId, Vec<TargetName>>,
-    dropped: &[JobId],
-    target: &TargetName,
-) {
-    for job in dropped {
-        if let Some(targets) = targets_by_job.get_mut(job) {
-            targets.retain(|known| known != target);
-            if targets.is_empty() {
-                targets_by_job.remove(job);
-            }
+            self.job_index.remove_parts(&dropped, target);
         }
     }
 }
