Keep waiting prompts sorted, and evaluate only those that can be decided

Cause: each call of EngineDispatcher::decide sorted the queue and evaluated every waiting prompt, so that its cost grew with their number.

Change: WaitingQueue keeps the prompts in a balanced tree (SummaryTree) with a summary of each subtree: smallest memory, earliest due times, sum of prefills. A prompt moves when it becomes late or the share state of its account changes. A call skips the ranges in which neither a placement nor a refusal is possible. end_job now removes every waiting prompt of the job, also one that was queued twice; before, the second stayed once the first was decided.

--- a/src/policy/account_shares.rs
+++ b/src/policy/account_shares.rs
@@ -84,6 +84,11 @@
         self.over.contains(account)
     }
 
+    /// The accounts that were over their share at the last [`Self::refresh`].
+    pub fn over(&self) -> &BTreeSet<Account> {
+        &self.over
+    }
+
     /// Computes which accounts are over their share, if the last computation is 500 ms old; returns
     /// them if they changed.
     pub fn refresh(&mut self, now: Instant) -> Option<&BTreeSet<Account>> {
--- a/src/policy/dispatch/choice.rs
+++ b/src/policy/dispatch/choice.rs
@@ -67,12 +67,9 @@
             return None;
         }
         let candidates = self.engines.values().filter(|engine| {
-            engine.accepts_work
-                && !request.excluded_targets.contains(&engine.target.name)
-                && engine.running() < self.spec.slots
+            !request.excluded_targets.contains(&engine.target.name)
                 && engine.memory_used() + memory <= self.planned_memory()
-                && self.within_cold_limit(engine, now)
-                && engine.has_permit(now)
+                && self.takes_short(engine, now)
         });
         let safe_objective = objective_left.mul_f64(SAFE_OBJECTIVE_SHARE);
         let predicted = candidates.map(|engine| {
@@ -108,10 +105,7 @@
             )
         });
         let Some((best, _, _, first_event)) = best else {
-            // Smaller than the previous one, for which this function returns before this point.
-            if request.excluded_targets.is_empty() {
-                pass.failed_memory = Some(memory);
-            }
+            pass.failed_memory = Some(self.first_failed_memory(now));
             return None;
         };
         (now + first_event <= queued.gives_up_at()).then(|| EnginePlacement {
@@ -122,6 +116,87 @@
         })
     }
 
+    /// Whether `engine` can take a short prompt for which it has the memory.
+    fn takes_short(&self, engine: &EngineLedger, now: Instant) -> bool {
+        engine.accepts_work
+            && engine.running() < self.spec.slots
+            && self.within_cold_limit(engine, now)
+            && engine.has_permit(now)
+    }
+
+    /// Smallest memory, in tokens, that no engine has for a short prompt.
+    fn first_failed_memory(&self, now: Instant) -> u64 {
+        let taking = self.engines.values().filter(|engine| {
+            engine.memory_used() <= self.planned_memory() && self.takes_short(engine, now)
+        });
+        let most_free = taking.map(|engine| self.free_memory(engine)).max();
+        most_free.map_or(0, |free| free + 1)
+    }
+
+    /// Most memory, in tokens, that a prompt can get when it is split over engines that are available
+    /// now; `None` if none of them can be the lead.
+    pub(super) fn split_memory(&self, pass: &mut DecisionPass, now: Instant) -> Option<u64> {
+        if pass.split_memory.is_none() {
+            let names = pass
+                .available
+                .get_or_insert_with(|| self.available_for_long(now));
+            let available = || names.iter().filter_map(|name| self.engines.get(name));
+            let mut free: Vec<u64> = available().map(|engine| self.free_memory(engine)).collect();
+            free.sort_unstable_by_key(|free| Reverse(*free));
+            let most_free = free.into_iter().take(MAX_PARTS).sum();
+            let has_lead = available().any(|engine| engine.has_permit(now));
+            pass.split_memory = Some(has_lead.then_some(most_free));
+        }
+        pass.split_memory.flatten()
+    }
+
+    /// Lower bound of the value that running streams lose if a prompt of at least `prompt_tokens` and
+    /// without excluded targets is split over engines that are available now. It is computed for few
+    /// lengths, since a longer prompt costs no less on each engine.
+    pub(super) fn min_split_cost(
+        &self,
+        prompt_tokens: u64,
+        pass: &mut DecisionPass,
+        now: Instant,
+    ) -> f64 {
+        let Some(log) = prompt_tokens.checked_ilog2() else {
+            return 0.0;
+        };
+        let (whole, half) = (1 << log, (1 << log) + (1 << log) / 2);
+        let is_over_half = prompt_tokens >= half;
+        let tokens = if is_over_half { half } else { whole };
+        let step = 2 * log + u32::from(is_over_half);
+        if let Some(cost) = pass.split_costs.get(&step) {
+            return *cost;
+        }
+        let names = pass
+            .available
+            .get_or_insert_with(|| self.available_for_long(now));
+        let available: Vec<&EngineLedger> = names
+            .iter()
+            .take(MAX_PARTS)
+            .filter_map(|name| self.engines.get(name))
+            .collect();
+        let costs = (1..=available.len()).map(|parts| {
+            let prefill = prefill_time(&self.spec, tokens, parts);
+            self.split_cost(&available[..parts], prefill, now)
+        });
+        let least = costs.fold(f64::INFINITY, f64::min);
+        pass.split_costs.insert(step, least);
+        least
+    }
+
+    /// Value that running streams lose if each of `engines` prefills a part that takes `prefill`.
+    fn split_cost(&self, engines: &[&EngineLedger], prefill: Duration, now: Instant) -> f64 {
+        engines
+            .iter()
+            .map(|engine| {
+                let decode_pass = self.decode_pass_time(engine, 0);
+                engine.lateness_cost(engine.paced(prefill), decode_pass, now)
+            })
+            .sum()
+    }
+
     /// Time until `engine` starts the prefill of a prompt that arrives now.
     fn prefill_wait(&self, engine: &EngineLedger, now: Instant) -> Duration {
         let next = engine.next_pass(self.decode_pass_time(engine, 0), now);
@@ -239,13 +314,7 @@
         let max_parts = available.len().min(MAX_PARTS);
         let gain = |parts: usize| {
             let prefill = prefill_time(&self.spec, request.prompt_tokens, parts);
-            let cost: f64 = available[..parts]
-                .iter()
-                .map(|engine| {
-                    let decode_pass = self.decode_pass_time(engine, 0);
-                    engine.lateness_cost(engine.paced(prefill), decode_pass, now)
-                })
-                .sum();
+            let cost = self.split_cost(&available[..parts], prefill, now);
             let prefilled_in = available[..parts]
                 .iter()
                 .map(|engine| self.prefill_wait(engine, now) + engine.paced(prefill))
--- a/src/policy/dispatch/mod.rs
+++ b/src/policy/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod ledger;
 mod queue_order;
 mod request;
+mod waiting_queue;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
@@ -21,6 +22,7 @@
 use crate::fleet::routes::EngineSpec;
 use crate::ids::{TargetName, VmName};
 
+use super::summary_tree::SearchRange;
 use choice::{MAX_PACKED_SHORT_PROMPTS, MAX_PARTS, PLANNED_MEMORY_SHARE};
 use job_index::JobIndex;
 use ledger::{EngineJob, EngineLedger, JobTimes, prompt_value};
@@ -29,6 +31,7 @@
     DispatchAnswer, DispatchDecision, EnginePlacement, EngineTarget, JobId, JobReport,
     PlacementRequest, RankedDecision, RefusalReason, SplitPart,
 };
+use waiting_queue::{QueueSummary, QueueTerms, WaitingQueue};
 
 /// Longest prefill on one engine that counts as short: it fits between two events of a stream
 /// whose event gaps may last 250 ms at most.
@@ -60,7 +63,7 @@
     times: RequestTimes,
 }
 
-/// Times of a request that depend on the performance model only.
+/// Times of a request that depend on the performance model and the number of engines only.
 #[derive(Debug, Clone, Copy)]
 struct RequestTimes {
     /// Prefill on one engine.
@@ -69,6 +72,8 @@
     typical_first_event: Duration,
     /// A pass without prefill on an engine that runs nothing else.
     single_pass: Duration,
+    /// See [`EngineDispatcher::min_first_event_time`].
+    min_first_event: Duration,
 }
 
 impl QueuedRequest {
@@ -80,6 +85,11 @@
         self.queued_at + self.request.give_up_after
     }
 
+    /// Memory that it takes, in tokens.
+    fn needed_memory(&self) -> u64 {
+        self.request.prompt_tokens + self.request.max_output_tokens
+    }
+
     /// The prompt's value, by length and rank.
     fn value(&self) -> f64 {
         prompt_value(self.request.prompt_tokens) * value_factor(self.rank)
@@ -89,11 +99,20 @@
 /// What one call of [`EngineDispatcher::decide`] found out that holds for the requests behind.
 #[derive(Debug, Default)]
 struct DecisionPass {
-    /// Smallest memory for which no engine was available to a short prompt without excluded
-    /// targets. Placements only take slots, memory and permits, so this holds until the call ends.
+    /// Whether each prompt is evaluated.
+    is_exhaustive: bool,
+    /// Number of prompts that were evaluated and stay queued.
+    kept: usize,
+    /// Smallest memory for which no engine is available to a short prompt. Placements only take slots,
+    /// memory and permits, so this holds until the call ends.
     failed_memory: Option<u64>,
     /// Engines available to long prompts, best first; until the next placement.
     available: Option<Vec<TargetName>>,
+    /// Most memory that a prompt can get when it is split over available engines; `None` without such
+    /// engines. Until the next placement.
+    split_memory: Option<Option<u64>>,
+    /// Least cost of splitting a prompt, by the step of its length; until the next placement.
+    split_costs: BTreeMap<u32, f64>,
     /// Until the next placement.
     load: Option<EngineAvailability>,
 }
@@ -101,6 +120,8 @@
 impl DecisionPass {
     fn forget_engines(&mut self) {
         self.available = None;
+        self.split_memory = None;
+        self.split_costs.clear();
         self.load = None;
     }
 }
@@ -122,8 +143,8 @@
     engines: BTreeMap<TargetName, EngineLedger>,
     accepting_engines: usize,
     job_index: JobIndex,
-    queue: Vec<QueuedRequest>,
-    queued_jobs: HashSet<JobId>,
+    queue: WaitingQueue,
+    evaluated_count: u64,
     return_order: ReturnOrder,
     rules: QueueRules,
     shares: AccountShares,
@@ -142,8 +163,8 @@
             engines: BTreeMap::new(),
             accepting_engines: 0,
             job_index: JobIndex::default(),
-            queue: Vec::new(),
-            queued_jobs: HashSet::new(),
+            queue: WaitingQueue::default(),
+            evaluated_count: 0,
             return_order: ReturnOrder::default(),
             rules: QueueRules::default(),
             shares: AccountShares::default(),
@@ -180,9 +201,14 @@
         self.queue.len()
     }
 
+    /// How often [`Self::decide`] evaluated a request; its cost grows with this number.
+    pub fn evaluated_count(&self) -> u64 {
+        self.evaluated_count
+    }
+
     /// Jobs of the requests that [`Self::decide`] has not answered yet.
     pub fn waiting_jobs(&self) -> impl Iterator<Item = JobId> {
-        self.queue.iter().map(|queued| queued.request.job)
+        self.queue.jobs()
     }
 
     /// Replaces the performance model, the cold limit and the list of engines that accept new
@@ -193,13 +219,9 @@
         cold_requests_per_s: f64,
         targets: &[EngineTarget],
     ) {
-        if self.spec != *spec {
+        let is_same_spec = self.spec == *spec;
+        if !is_same_spec {
             self.spec = spec.clone();
-            let mut queue = std::mem::take(&mut self.queue);
-            for queued in &mut queue {
-                queued.times = self.request_times(queued.request.prompt_tokens);
-            }
-            self.queue = queue;
         }
         self.cold_requests_per_s = cold_requests_per_s;
         for engine in self.engines.values_mut() {
@@ -214,11 +236,14 @@
         }
         self.engines
             .retain(|_, engine| engine.accepts_work || !engine.jobs().is_empty());
-        self.accepting_engines = self
-            .engines
-            .values()
-            .filter(|engine| engine.accepts_work)
-            .count();
+        let accepting = self.engines.values().filter(|engine| engine.accepts_work);
+        let accepting_engines = accepting.count();
+        if !is_same_spec || self.accepting_engines != accepting_engines {
+            self.accepting_engines = accepting_engines;
+            let mut queue = std::mem::take(&mut self.queue);
+            queue.set_times(|prompt_tokens| self.request_times(prompt_tokens));
+            self.queue = queue;
+        }
     }
 
     /// Sets the paces of the engines that count as slow; all others have the declared speed.
@@ -270,14 +295,14 @@
             self.shares.record_demand(&request.team, cost, now);
         }
         let memory_wait = self.memory_wait(&request, now);
-        self.queued_jobs.insert(request.job);
-        self.queue.push(QueuedRequest {
+        let queued = QueuedRequest {
             times: self.request_times(request.prompt_tokens),
             request,
             rank: rank.filter(|_| self.rules.ranks),
             queued_at: now,
             memory_at: now + memory_wait.mul_f64(MIN_MEMORY_WAIT_SHARE),
-        });
+        };
+        self.queue.insert(queued, now);
     }
 
     /// Places or refuses queued requests and returns these decisions; the rest stay queued.
@@ -294,6 +319,21 @@
 
     /// Like [`Self::decide`], with the rank and the share state of each request.
     pub fn decide_ranked(&mut self, now: Instant) -> Vec<RankedDecision> {
+        self.decide_candidates(DecisionPass::default(), now)
+    }
+
+    /// Like [`Self::decide_ranked`], but sorts the whole queue and evaluates each request, as a reference
+    /// for tests. The decisions are the same, at a cost that grows with the number of requests.
+    pub fn decide_exhaustively(&mut self, now: Instant) -> Vec<RankedDecision> {
+        self.queue.invalidate();
+        let pass = DecisionPass {
+            is_exhaustive: true,
+            ..DecisionPass::default()
+        };
+        self.decide_candidates(pass, now)
+    }
+
+    fn decide_candidates(&mut self, mut pass: DecisionPass, now: Instant) -> Vec<RankedDecision> {
         self.expire_jobs(now);
         self.advance_all_to_current_pass(now);
         for engine in self.engines.values_mut() {
@@ -307,46 +347,79 @@
             self.share_change = Some(over.clone());
         }
         let all_limited = self.permits().is_some();
+        let terms = QueueTerms {
+            rules: self.rules,
+            is_long_first: all_limited,
+            max_memory: self.max_memory(),
+        };
         let mut queue = std::mem::take(&mut self.queue);
-        queue.sort_by_cached_key(|queued| {
-            let short = queued.times.unsplit_prefill <= MAX_SHORT_PREFILL;
-            let position = QueuePosition {
-                is_late: queued.objective_at() <= now + queued.times.typical_first_event,
-                rank: queued.rank.map(|rank| rank.rank),
-                is_over_share: self.share_state(queued) == ShareState::Over,
-                is_after_by_length: short == all_limited,
-                objective_at: queued.objective_at(),
+        queue.sort(terms, self.shares.over(), now);
+        // Without engines, and while rate limits decide, each prompt is evaluated.
+        pass.is_exhaustive |= all_limited || self.accepting_engine_count() == 0;
+        let mut decisions = Vec::new();
+        let mut last = None;
+        while let Some(candidate) =
+            queue.next_candidate(last, |range| self.may_decide(range, &mut pass, now))
+        {
+            self.evaluated_count += 1;
+            last = Some(queue.place(candidate.slot));
+            let queued = queue.get(candidate.slot);
+            let Some(answer) = self.decide_one(queued, candidate.queued_prefill, &mut pass, now)
+            else {
+                pass.kept += 1;
+                continue;
+            };
+            let queued = queue.remove(candidate.slot);
+            let decision = DispatchDecision {
                 job: queued.request.job,
+                answer,
             };
-            position.key(self.rules.ranks)
-        });
-        let mut decisions = Vec::new();
-        let mut queued_prefill = Duration::ZERO;
-        let mut pass = DecisionPass::default();
-        for queued in queue {
-            let answer = self.decide_one(&queued, queued_prefill, &mut pass, now);
-            match answer {
-                Some(answer) => {
-                    self.queued_jobs.remove(&queued.request.job);
-                    let decision = DispatchDecision {
-                        job: queued.request.job,
-                        answer,
-                    };
-                    decisions.push(RankedDecision {
-                        decision,
-                        rank: queued.rank.map(|rank| rank.rank),
-                        share: self.share_state(&queued),
-                    });
-                }
-                None => {
-                    queued_prefill += queued.times.unsplit_prefill;
-                    self.queue.push(queued);
-                }
-            }
+            decisions.push(RankedDecision {
+                decision,
+                rank: queued.rank.map(|rank| rank.rank),
+                share: self.share_state(&queued),
+            });
         }
+        self.queue = queue;
         decisions
     }
 
+    /// Whether any request of a part of the queue can be placed or is to be refused, as far as the
+    /// summary of that part tells. It may hold where no request can, but not the other way round.
+    fn may_decide(
+        &self,
+        range: SearchRange<QueueSummary>,
+        pass: &mut DecisionPass,
+        now: Instant,
+    ) -> bool {
+        let prompts = range.entries;
+        if pass.is_exhaustive
+            || range.ahead_of_first.is_zero()
+            || prompts.has_refusable()
+            || prompts.may_share_below(pass.failed_memory)
+        {
+            return true;
+        }
+        if prompts.may_split()
+            && self
+                .split_memory(pass, now)
+                .is_some_and(|memory| prompts.may_split_within(memory))
+        {
+            let (tokens, value) = prompts.split_tokens_and_value();
+            if value >= self.min_split_cost(tokens, pass, now) {
+                return true;
+            }
+        }
+        let load = pass
+            .load
+            .get_or_insert_with(|| self.engine_availability(now));
+        let (Some(first), Some(last)) = (load.busy_for.first(), load.busy_for.last()) else {
+            return true;
+        };
+        let wait = range.ahead_of_last.div_f64(load.long_prefill_capacity);
+        prompts.may_be_refused(now + *first + wait, *last + wait, now)
+    }
+
     fn share_state(&self, queued: &QueuedRequest) -> ShareState {
         match self.rules.shares {
             false => ShareState::NotCounted,
@@ -364,6 +437,7 @@
             unsplit_prefill: prefill_time(&self.spec, prompt_tokens, 1),
             typical_first_event: self.typical_first_event_time(prompt_tokens),
             single_pass: pass_time(&self.spec, 1, prompt_tokens),
+            min_first_event: self.min_first_event_time(prompt_tokens),
         }
     }
 
@@ -375,13 +449,10 @@
         now: Instant,
     ) -> Option<DispatchAnswer> {
         let request = &queued.request;
-        let accepting_engine_count = self.accepting_engine_count();
-        if accepting_engine_count == 0 {
+        if self.accepting_engine_count() == 0 {
             return Some(refuse(RefusalReason::NoTarget, MIN_RETRY_AFTER * 2));
         }
-        let needed_memory = request.prompt_tokens + request.max_output_tokens;
-        let total_memory = self.planned_memory() * accepting_engine_count.min(MAX_PARTS) as u64;
-        if needed_memory > total_memory {
+        if queued.needed_memory() > self.max_memory() {
             return Some(refuse(RefusalReason::TooLarge, MIN_RETRY_AFTER * 4));
         }
         let unsplit_prefill = queued.times.unsplit_prefill;
@@ -411,7 +482,7 @@
             pass.forget_engines();
             return Some(DispatchAnswer::Placed(placement));
         }
-        self.limit_refusal(queued, now)
+        self.limit_refusal(queued, pass.kept, now)
             .or_else(|| self.refusal(queued, queued_prefill, pass, now))
     }
 
@@ -424,9 +495,14 @@
     }
 
     /// Refuses a request that would miss its objective, or its caller, because the rate limits of all
-    /// engines are used up.
-    fn limit_refusal(&mut self, queued: &QueuedRequest, now: Instant) -> Option<DispatchAnswer> {
-        let wait = permit_wait(self.permits()?, self.queue.len(), now);
+    /// engines are used up; `ahead` requests wait ahead of it.
+    fn limit_refusal(
+        &mut self,
+        queued: &QueuedRequest,
+        ahead: usize,
+        now: Instant,
+    ) -> Option<DispatchAnswer> {
+        let wait = permit_wait(self.permits()?, ahead, now);
         let rate = total_rate(self.permits()?);
         let request = &queued.request;
         let first_event_at = now
@@ -494,6 +570,11 @@
         (self.spec.memory_tokens as f64 * PLANNED_MEMORY_SHARE) as u64
     }
 
+    /// Memory, in tokens, of the engines that a prompt may be split over.
+    fn max_memory(&self) -> u64 {
+        self.planned_memory() * self.accepting_engine_count().min(MAX_PARTS) as u64
+    }
+
     /// Time until the engines that `request` may be split over have the memory for it, if all jobs end
     /// as predicted.
     fn memory_wait(&self, request: &PlacementRequest, now: Instant) -> Duration {
@@ -709,9 +790,7 @@
 
     /// Records that a request ended or left the queue.
     pub fn end_job(&mut self, job: JobId) {
-        if self.queued_jobs.remove(&job) {
-            self.queue.retain(|queued| queued.request.job != job);
-        }
+        self.queue.remove_job(job);
         for target in self.job_index.remove_job(job) {
             if let Some(engine) = self.engines.get_mut(&target) {
                 engine.retain_jobs(|known| known.report.job != job);
@@ -782,14 +861,7 @@
 
     /// Drops the jobs and queued requests of a VM that died; its engines stay.
     pub fn drop_jobs_of(&mut self, serving_vm: &VmName) {
-        let queued_jobs = &mut self.queued_jobs;
-        self.queue.retain(|queued| {
-            let kept = queued.request.vm != *serving_vm;
-            if !kept {
-                queued_jobs.remove(&queued.request.job);
-            }
-            kept
-        });
+        self.queue.remove_vm(serving_vm);
         self.retain_jobs(|job| job.report.vm != *serving_vm);
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,5 +22,6 @@
 pub mod retry_share;
 pub mod run_claims;
 pub mod slow_readers;
+pub mod summary_tree;
 pub mod target_choice;
 pub mod target_paths;
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -42,3 +42,4 @@
 mod store_eras;
 mod target_paths;
 mod untrusted_input;
+mod waiting_prompts;
