Compute pass times only for engines whose pass has ended

Cause: each decision computed the time of a pass for every engine, though it is needed only where the predicted end of the current pass has come.

Change: other engines are left out; their state did not change before either.

--- a/src/policy/dispatch/ledger.rs
+++ b/src/policy/dispatch/ledger.rs
@@ -332,6 +332,11 @@
         self.pass + 1
     }
 
+    /// Whether the predicted end of the current pass has come.
+    pub(super) fn is_pass_due(&self, now: Instant) -> bool {
+        self.pass_ends_at.is_some_and(|ends_at| ends_at <= now)
+    }
+
     /// Advances the pass number and predicted end to the pass that runs at `now`. A pass with an
     /// overdue prefill counts as running until its first event, or [`OVERDUE_GRACE`] has passed.
     pub(super) fn advance_to_current_pass(&mut self, decode_pass: Duration, now: Instant) {
--- a/src/policy/dispatch/mod.rs
+++ b/src/policy/dispatch/mod.rs
@@ -782,7 +782,8 @@
 
     fn advance_all_to_current_pass(&mut self, now: Instant) {
         let spec = &self.spec;
-        for engine in self.engines.values_mut() {
+        let due = |engine: &&mut EngineLedger| engine.is_pass_due(now);
+        for engine in self.engines.values_mut().filter(due) {
             let decode_pass = decode_pass_time(spec, engine, 0);
             engine.advance_to_current_pass(decode_pass, now);
         }
