Tell prompts refused for overload one after the other when to return

Cause: all prompts refused for overload got the queue time as the time of return, returned together and raced with new arrivals. Callers that asked more often won.

Change: the dispatcher keeps promises by content digest (return_promises). A refused prompt is told when the engines are predicted to have capacity behind those refused before it, by rank and share state. In its window it is decided before new arrivals of its rank and share state and is not refused for its queue time again; early, it is refused at once with the time left. Only where ranks or shares count, and only for prompts that come with a digest, which none does yet.

--- a/src/policy/dispatch/mod.rs
+++ b/src/policy/dispatch/mod.rs
@@ -17,8 +17,12 @@
 use super::engine_model::{decode_time, pass_time, prefill_time};
 use super::engine_pace::EngineLoad;
 use super::permits::{PermitBucket, ReturnOrder, permit_wait, total_rate};
+use super::return_promises::{
+    CallerPrompt, RefusedPrompt, ReturnClass, ReturnCounts, ReturnPromise, ReturnPromises,
+    ReturnState,
+};
 use crate::fleet::routes::EngineSpec;
-use crate::ids::{TargetName, VmName};
+use crate::ids::{RequestDigest, TargetName, VmName};
 
 use choice::{MAX_PACKED_SHORT_PROMPTS, MAX_PARTS, PLANNED_MEMORY_SHARE};
 use ledger::{EngineJob, EngineLedger, JobTimes, prompt_value};
@@ -41,6 +45,8 @@
 const JOB_EXPIRY_MARGIN: Duration = Duration::from_secs(20);
 /// Greatest age of a VM's job report on arrival; it may lack the jobs added since.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(600);
+/// Longest time until a caller's deadline, so that sums of times stay valid.
+const MAX_CALLER_TIME: Duration = Duration::from_secs(3_600);
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Share of the objective that a prompt may wait in the queue if it will be late anyway.
 const LATE_WAIT_SHARE: f64 = 0.35;
@@ -56,6 +62,15 @@
     /// Earliest time at which engines have the memory for it, as predicted when it was queued.
     memory_at: Instant,
     times: RequestTimes,
+    /// By what the prompt is recognised when it returns, if returns count.
+    origin: Option<PromptOrigin>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct PromptOrigin {
+    digest: RequestDigest,
+    caller_deadline_at: Instant,
+    returned: ReturnState,
 }
 
 /// Times of a request that depend on the performance model only.
@@ -74,6 +89,11 @@
         self.queued_at + self.request.objective
     }
 
+    fn returns_as_told(&self) -> bool {
+        let returned = self.origin.map(|origin| origin.returned);
+        returned == Some(ReturnState::Kept)
+    }
+
     fn gives_up_at(&self) -> Instant {
         self.queued_at + self.request.give_up_after
     }
@@ -126,6 +146,7 @@
     return_order: ReturnOrder,
     rules: QueueRules,
     shares: AccountShares,
+    promises: ReturnPromises,
     /// The accounts over their share, if they changed since [`Self::take_share_change`].
     share_change: Option<BTreeSet<Account>>,
 }
@@ -146,6 +167,7 @@
             return_order: ReturnOrder::default(),
             rules: QueueRules::default(),
             shares: AccountShares::default(),
+            promises: ReturnPromises::default(),
             share_change: None,
         }
     }
@@ -161,9 +183,37 @@
         if !rules.shares {
             self.shares = AccountShares::default();
         }
+        if !rules.promises_returns() {
+            self.promises = ReturnPromises::default();
+        }
         self.rules = rules;
     }
 
+    /// Promises made since the last call, for the successor of the owner of placement.
+    pub fn take_new_promises(&mut self, now: Instant) -> Vec<ReturnPromise> {
+        self.promises.take_unannounced(now)
+    }
+
+    /// All promises whose callers are expected.
+    pub fn open_promises(&self, now: Instant) -> Vec<ReturnPromise> {
+        self.promises.open_promises(now)
+    }
+
+    /// Takes over promises that the owner of placement made.
+    pub fn import_promises(&mut self, promises: &[ReturnPromise], now: Instant) {
+        if self.rules.promises_returns() {
+            for promise in promises {
+                self.promises.import(promise, now);
+            }
+        }
+    }
+
+    /// Promises made, kept and missed since the last call.
+    pub fn take_return_counts(&mut self, now: Instant) -> ReturnCounts {
+        self.promises.expire(now);
+        self.promises.take_counts()
+    }
+
     /// The accounts over their share, if they changed since the last call.
     pub fn take_share_change(&mut self) -> Option<BTreeSet<Account>> {
         self.share_change.take()
@@ -263,6 +313,49 @@
         request: PlacementRequest,
         rank: Option<RequestRank>,
         now: Instant,
+    ) {
+        self.queue_request(request, rank, None, now);
+    }
+
+    /// Queues a request like [`Self::enqueue_ranked`], if returns count with its order among those
+    /// refused before.
+    ///
+    /// # Errors
+    ///
+    /// Does not queue a prompt that returns before its promised time, and returns the time left. The
+    /// promise stays as it is.
+    pub fn enqueue_returning(
+        &mut self,
+        request: PlacementRequest,
+        rank: Option<RequestRank>,
+        prompt: CallerPrompt,
+        now: Instant,
+    ) -> Result<(), Duration> {
+        if !self.rules.promises_returns() {
+            self.queue_request(request, rank, None, now);
+            return Ok(());
+        }
+        let (returned, time_left) =
+            self.promises
+                .record_arrival(prompt.digest, &request.team, request.job, now);
+        if returned == ReturnState::Early {
+            return Err(time_left);
+        }
+        let origin = PromptOrigin {
+            digest: prompt.digest,
+            caller_deadline_at: now + prompt.caller_time_left.min(MAX_CALLER_TIME),
+            returned,
+        };
+        self.queue_request(request, rank, Some(origin), now);
+        Ok(())
+    }
+
+    fn queue_request(
+        &mut self,
+        request: PlacementRequest,
+        rank: Option<RequestRank>,
+        origin: Option<PromptOrigin>,
+        now: Instant,
     ) {
         if self.rules.shares {
             let cost = self.engine_seconds(&request);
@@ -276,6 +369,7 @@
             rank: rank.filter(|_| self.rules.ranks),
             queued_at: now,
             memory_at: now + memory_wait.mul_f64(MIN_MEMORY_WAIT_SHARE),
+            origin,
         });
     }
 
@@ -283,7 +377,8 @@
     ///
     /// Order: short prompts first, then prompts that can still meet their objective, then those of
     /// accounts within their share, then by the time of the objective. If ranks count, the lateness and
-    /// the rank come first. A long prompt counts as late only once its objective has passed.
+    /// the rank come first. Prompts that return as told after a refusal come before new arrivals of the
+    /// same rank and share state. A long prompt counts as late only once its objective has passed.
     /// While all engines name rate limits, long prompts come first: of a limited number of requests
     /// they are worth most, and they are few.
     pub fn decide(&mut self, now: Instant) -> Vec<DispatchDecision> {
@@ -313,6 +408,7 @@
                 is_late: queued.objective_at() <= now + queued.times.typical_first_event,
                 rank: queued.rank.map(|rank| rank.rank),
                 is_over_share: self.share_state(queued) == ShareState::Over,
+                returns_as_told: queued.returns_as_told(),
                 is_after_by_length: short == all_limited,
                 objective_at: queued.objective_at(),
                 job: queued.request.job,
@@ -325,8 +421,9 @@
         for queued in queue {
             let answer = self.decide_one(&queued, queued_prefill, &mut pass, now);
             match answer {
-                Some(answer) => {
+                Some(mut answer) => {
                     self.queued_jobs.remove(&queued.request.job);
+                    let promised_in = self.settle_return(&queued, &mut answer, now);
                     let decision = DispatchDecision {
                         job: queued.request.job,
                         answer,
@@ -335,6 +432,8 @@
                         decision,
                         rank: queued.rank.map(|rank| rank.rank),
                         share: self.share_state(&queued),
+                        returned: queued.origin.map(|origin| origin.returned),
+                        promised_in,
                     });
                 }
                 None => {
@@ -354,6 +453,44 @@
         }
     }
 
+    /// Ends the promise to a prompt that is placed. To one that is refused for overload, sets when it may
+    /// return, and returns that time if it is promised.
+    fn settle_return(
+        &mut self,
+        queued: &QueuedRequest,
+        answer: &mut DispatchAnswer,
+        now: Instant,
+    ) -> Option<Duration> {
+        let origin = queued.origin?;
+        let DispatchAnswer::Refused {
+            reason: RefusalReason::Overload | RefusalReason::TooLate,
+            retry_after,
+        } = answer
+        else {
+            self.promises.end(origin.digest);
+            return None;
+        };
+        let request = &queued.request;
+        let refused = RefusedPrompt {
+            job: request.job,
+            digest: origin.digest,
+            account: request.team.clone(),
+            class: ReturnClass {
+                rank: queued.rank.map(|rank| rank.rank),
+                is_over_share: self.share_state(queued) == ShareState::Over,
+            },
+            engine_seconds: self.engine_seconds(request),
+            soonest: *retry_after,
+            first_event: self.min_first_event_time(request.prompt_tokens),
+            caller_deadline_at: origin.caller_deadline_at,
+        };
+        let accepting = self.engines.values().filter(|engine| engine.accepts_work);
+        let engines: f64 = accepting.map(|engine| 1.0 / engine.pace).sum();
+        let told = self.promises.promise(&refused, engines, now);
+        *retry_after = told.wait;
+        told.is_promised.then_some(told.wait)
+    }
+
     fn engine_seconds(&self, request: &PlacementRequest) -> f64 {
         engine_seconds(&self.spec, request.prompt_tokens, request.max_output_tokens)
     }
@@ -446,7 +583,8 @@
 
     /// Refuses a request whose first event would come after its caller gives up, because of the prompts
     /// ahead of it or for want of memory. Also refuses a long one that will be late and would queue for
-    /// over [`LATE_WAIT_SHARE`] of its objective, since it delays the requests behind it.
+    /// over [`LATE_WAIT_SHARE`] of its objective, since it delays the requests behind it. One that returns
+    /// as told waits: refused at once again, it would lose its place to any prompt that comes later.
     fn refusal(
         &self,
         queued: &QueuedRequest,
@@ -477,7 +615,7 @@
             let memory_wait = queued.memory_at.saturating_duration_since(now);
             return Some(refuse(RefusalReason::TooLate, memory_wait.max(retry_after)));
         }
-        if may_share || predicted_at <= queued.objective_at() {
+        if may_share || queued.returns_as_told() || predicted_at <= queued.objective_at() {
             return None;
         }
         let max_queue_time = queued.request.objective.mul_f64(LATE_WAIT_SHARE);
@@ -716,6 +854,7 @@
     pub fn end_job(&mut self, job: JobId) {
         if self.queued_jobs.remove(&job) {
             self.queue.retain(|queued| queued.request.job != job);
+            self.promises.withdraw(job);
         }
         for target in self.targets_by_job.remove(&job).unwrap_or_default() {
             if let Some(engine) = self.engines.get_mut(&target) {
@@ -778,11 +917,12 @@
 
     /// Drops the jobs and queued requests of a VM that died; its engines stay.
     pub fn drop_jobs_of(&mut self, serving_vm: &VmName) {
-        let queued_jobs = &mut self.queued_jobs;
+        let (queued_jobs, promises) = (&mut self.queued_jobs, &mut self.promises);
         self.queue.retain(|queued| {
             let kept = queued.request.vm != *serving_vm;
             if !kept {
                 queued_jobs.remove(&queued.request.job);
+                promises.withdraw(queued.request.job);
             }
             kept
         });
--- a/src/policy/dispatch/queue_order.rs
+++ b/src/policy/dispatch/queue_order.rs
@@ -53,6 +53,13 @@
     pub shares: bool,
 }
 
+impl QueueRules {
+    /// Whether prompts refused for overload are promised a time of return.
+    pub fn promises_returns(self) -> bool {
+        self.ranks || self.shares
+    }
+}
+
 /// Whether an account was over its share when a request of it was decided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ShareState {
@@ -85,6 +92,8 @@
     pub rank: Option<i64>,
     /// Whether its account is over its share.
     pub is_over_share: bool,
+    /// Whether it was refused for overload and returns at the time that it was told.
+    pub returns_as_told: bool,
     /// Whether its length puts it behind prompts of the other lengths.
     pub is_after_by_length: bool,
     /// Time of its objective.
@@ -95,20 +104,22 @@
 
 /// Place in the queue; lower ones are decided first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct QueueKey([i64; 4], Instant, JobId);
+pub struct QueueKey([i64; 5], Instant, JobId);
 
 impl QueuePosition {
     /// The place in a queue in which ranks count if `ranked`.
     ///
     /// With ranks, a less urgent short prompt comes after a more urgent long one; without, length comes
-    /// first.
+    /// first. Prompts that return as told come before new arrivals of the same rank and share state; one
+    /// that is late stays behind those that can be on time.
     pub fn key(&self, ranked: bool) -> QueueKey {
         let (late, over) = (i64::from(self.is_late), i64::from(self.is_over_share));
         let length = i64::from(self.is_after_by_length);
+        let is_new = i64::from(!self.returns_as_told);
         let classes = if ranked {
-            [late, self.rank.unwrap_or(i64::MIN), over, length]
+            [late, self.rank.unwrap_or(i64::MIN), over, is_new, length]
         } else {
-            [length, late, over, 0]
+            [length, late, over, is_new, 0]
         };
         QueueKey(classes, self.objective_at, self.job)
     }
--- a/src/policy/dispatch/request.rs
+++ b/src/policy/dispatch/request.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::super::return_promises::ReturnState;
 use super::queue_order::ShareState;
 
 use crate::ids::{DomainName, TargetName, TeamName, VmName};
@@ -122,6 +123,10 @@
     pub rank: Option<i64>,
     /// Whether its account was over its share.
     pub share: ShareState,
+    /// Whether it returned after a refusal; `None` if returns do not count.
+    pub returned: Option<ReturnState>,
+    /// Time after which it was promised precedence, if it was refused.
+    pub promised_in: Option<Duration>,
 }
 
 /// An engine of the dispatcher's service.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -20,6 +20,7 @@
 pub mod request_guard;
 pub mod retry;
 pub mod retry_share;
+pub mod return_promises;
 pub mod run_claims;
 pub mod slow_readers;
 pub mod target_choice;
--- a/tests/core/main.rs
+++ b/tests/core/main.rs
@@ -35,6 +35,7 @@
 mod rate_limits;
 mod read_pacing;
 mod request_guard;
+mod return_promises;
 mod routes;
 mod run_claims;
 mod slow_readers;
