Have callers of all VMs return in order, also after the loss of the owner

Cause: the owner of placement knows no prompt by its content, and what it told refused callers was lost with it. Retry-After was spread by chance, so that a caller could return before the time that it was told.

Change: where a service has ranks or the configuration several accounts, a VM sends the content digest and the caller's time left with a placement (PlaceReturning, index 14; PlacedReturning, index 8). The owner announces promises to the next coordinator at most every 100 ms (SharePromises, index 13). An owner of an earlier build answers 400 and gets PlaceRanked or Place. Promised times are sent without spread.

--- a/src/fleet/routes.rs
+++ b/src/fleet/routes.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::ids::TeamName;
+use crate::policy::dispatch::QueueRules;
 
 const MIN_EVENT_TIMEOUT: Duration = Duration::from_secs(2); // a caller waits at least this long; the multiples below can raise it
 const OBJECTIVES_PER_EVENT_TIMEOUT: u32 = 4;
@@ -204,6 +205,14 @@
         accounts.any(|account| Some(account) != first)
     }
 
+    /// Which properties of requests count at a service beside their length and objective.
+    pub fn queue_rules(&self, service: &str) -> QueueRules {
+        QueueRules {
+            ranks: self.ranks_of(service).len() > 1,
+            shares: self.has_several_accounts(),
+        }
+    }
+
     /// Finds the route of `host`, with or without a port, with the longest prefix of `path`.
     pub fn find_route(&self, host: &str, path: &str) -> Option<Rc<RouteRule>> {
         let host = host.to_ascii_lowercase();
--- a/src/node/carrying.rs
+++ b/src/node/carrying.rs
@@ -329,6 +329,7 @@
     NodeResponse {
         status: StatusCode::MISDIRECTED_REQUEST,
         retry_after: None,
+        keeps_retry_time: false,
         outcome: "no_path",
         reason: "this VM reaches no target".to_owned(),
     }
--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -34,6 +34,7 @@
 use crate::policy::dispatch::{
     DispatchAnswer, EnginePlacement, PlacementRequest, RefusalReason, RequestRank,
 };
+use crate::policy::return_promises::CallerPrompt;
 
 const FIRST_EVENT_MARGIN: Duration = Duration::from_millis(150); // time for the first event to reach the caller
 const MAX_EXTRA_ATTEMPTS: u32 = 6; // beyond the route's max_attempts, for engines that did not execute the request; a lost domain refuses several in a row
@@ -222,7 +223,7 @@
             objective: caller.objective_left(now),
             give_up_after: first_event_time_left(caller, now),
         };
-        let placed = place_in_time(node, caller, &mut placement_request, limits).await;
+        let placed = place_in_time(node, caller, &mut placement_request, runs == 0, limits).await;
         let Some(outcome) = placed else {
             let is_carried = caller.parsed_headers.carried_runs.is_some();
             return refuse(last_failure, runs, refuse_for_stop(node, is_carried));
@@ -230,6 +231,7 @@
         let waited = node.now().saturating_duration_since(now);
         node.metrics.placing_seconds.observe(waited.as_secs_f64());
         let share = outcome.share_name();
+        let returned = outcome.returned_name();
         let placement = match outcome.answer {
             DispatchAnswer::Placed(placement) => placement,
             DispatchAnswer::Refused {
@@ -245,10 +247,14 @@
                     decided_by = outcome.decided_by,
                     rank = outcome.rank,
                     share,
+                    returned,
+                    promised_ms = outcome.promised_in.map(|wait| wait.as_millis() as u64),
                     "placement refused"
                 );
-                let refusal =
-                    NodeResponse::not_run(reason.as_str(), "refused by placement", retry_after);
+                let refusal = NodeResponse {
+                    keeps_retry_time: outcome.promised_in.is_some(),
+                    ..NodeResponse::not_run(reason.as_str(), "refused by placement", retry_after)
+                };
                 return refuse(last_failure, runs, refusal);
             }
         };
@@ -277,6 +283,7 @@
             decided_by = outcome.decided_by,
             rank = outcome.rank,
             share,
+            returned,
             send = attempts,
             "placed"
         );
@@ -373,16 +380,19 @@
 }
 
 /// Has a prompt placed within `limits` as of a time, and asks again when this node begins to stop, which
-/// leaves less time. `None` if the node stops before it could serve the prompt.
+/// leaves less time. `None` if the node stops before it could serve the prompt. A refused caller may
+/// return if `is_unsent`: no attempt may have run its request.
 pub async fn place_in_time(
     node: &Rc<NodeState>,
     caller: &CallerRequest,
     request: &mut PlacementRequest,
+    is_unsent: bool,
     limits: impl Fn(Instant) -> PlacementLimits,
 ) -> Option<PlacementOutcome> {
     loop {
         let now = node.now();
         let rank = request_rank(node, caller);
+        let prompt = returning_prompt(node, caller, now).filter(|_| is_unsent);
         if lacks_time(node, caller, now) {
             return None;
         }
@@ -399,7 +409,7 @@
         };
         request.job = node.new_job_id();
         let outcome = tokio::select! {
-            outcome = place(node, request, rank) => outcome,
+            outcome = place(node, request, rank, prompt) => outcome,
             () = caller.stop.begins() => {
                 record_update(node, JobUpdate::Ended(request.job));
                 continue;
@@ -423,6 +433,20 @@
     RequestRank::among(caller.rank, catalog.table()?.ranks_of(&caller.service))
 }
 
+/// By what a caller's prompt is recognised when it returns, if returns count at its service.
+fn returning_prompt(
+    node: &NodeState,
+    caller: &CallerRequest,
+    now: Instant,
+) -> Option<CallerPrompt> {
+    let catalog = node.catalog.borrow();
+    let rules = catalog.table()?.queue_rules(&caller.service);
+    rules.promises_returns().then(|| CallerPrompt {
+        digest: caller.digest,
+        caller_time_left: caller.deadline_left(now),
+    })
+}
+
 fn helper_names(placement: &EnginePlacement) -> String {
     let names: Vec<&str> = placement
         .helpers
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -19,7 +19,10 @@
     serve_http,
 };
 use super::state::NodeState;
-use super::{engine_paces, feeds, listeners, paths, peer_calls, peers, placement, request_handler};
+use super::{
+    engine_paces, feeds, listeners, paths, peer_calls, peers, placement, request_handler,
+    return_promises,
+};
 use crate::clock::TimeSource;
 use crate::fleet::catalog::RecordDecoder;
 use crate::fleet::members::{MemberRecord, OwnState};
@@ -66,6 +69,7 @@
     actix_rt::spawn(placement::send_updates_loop(node.clone()));
     actix_rt::spawn(placement::report_jobs_loop(node.clone()));
     actix_rt::spawn(engine_paces::report_loop(node.clone()));
+    actix_rt::spawn(return_promises::share_loop(node.clone()));
     actix_rt::spawn(own_record_loop(node.clone()));
     actix_rt::spawn(paths::watch_paths(node.clone()));
     actix_rt::spawn(peer_calls::log_traffic(node.clone()));
--- a/src/node/messages.rs
+++ b/src/node/messages.rs
@@ -16,6 +16,7 @@
 use crate::policy::permits::PermitAnswer;
 use crate::policy::rate_limits::RateLimit;
 use crate::policy::request_guard::{RequestBan, RequestEvidence};
+use crate::policy::return_promises::{CallerPrompt, ReturnPromise, ReturnState};
 use crate::policy::run_claims::RunClaim;
 
 /// Bans and acquittals of what targets crash on.
@@ -101,6 +102,37 @@
     pub share: ShareState,
 }
 
+/// Asks for a placement at a service whose refused prompts are promised a time of return.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReturningPlacementRequest {
+    /// The request.
+    pub request: PlacementRequest,
+    /// Its urgency, if ranks count.
+    pub rank: Option<RequestRank>,
+    /// By what the prompt is recognised when its caller returns.
+    pub prompt: CallerPrompt,
+}
+
+/// The answer to a [`ReturningPlacementRequest`], or to a placement request of the deciding VM itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReturningAnswer {
+    /// The placement or its refusal.
+    pub ranked: RankedAnswer,
+    /// Whether the prompt returned after a refusal; `None` if returns do not count.
+    pub returned: Option<ReturnState>,
+    /// Time after which a refused prompt has precedence over new arrivals, if that is promised.
+    pub promised_in: Option<Duration>,
+}
+
+/// Promises of the owner of placement, which its successor takes over.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServicePromise {
+    /// Name of the service.
+    pub service: String,
+    /// The promise.
+    pub promise: ReturnPromise,
+}
+
 /// All requests of a VM that are placed at engines, from which a coordinator corrects its own
 /// records.
 #[derive(Debug, Serialize, Deserialize)]
@@ -211,11 +243,17 @@
     PlaceRanked(RankedPlacementRequest),
     /// Reports engines that look slow to the sender to the owner of placement and its successor.
     ReportPaces(PaceReport),
+    /// Tells the successor of the owner of placement when refused prompts may return. A VM of a build
+    /// without this call answers 400.
+    SharePromises(Vec<ServicePromise>),
+    /// Asks for a placement like [`Self::PlaceRanked`], for a service whose refused prompts are promised a
+    /// time of return. A VM of a build without this call answers 400.
+    PlaceReturning(ReturningPlacementRequest),
 }
 
 impl NodeCall {
     /// The values that [`Self::kind`] may return.
-    pub const KINDS: [&'static str; 13] = [
+    pub const KINDS: [&'static str; 15] = [
         "heartbeat",
         "place",
         "updates",
@@ -229,6 +267,8 @@
         "release_run",
         "place_ranked",
         "report_paces",
+        "share_promises",
+        "place_returning",
     ];
 
     /// Name of the kind of call, for metrics.
@@ -247,6 +287,8 @@
             Self::ReleaseRun(_) => "release_run",
             Self::PlaceRanked(_) => "place_ranked",
             Self::ReportPaces(_) => "report_paces",
+            Self::SharePromises(_) => "share_promises",
+            Self::PlaceReturning(_) => "place_returning",
         }
     }
 }
@@ -260,7 +302,7 @@
     Placed(DispatchAnswer),
     /// The call was applied, in reply to [`NodeCall::Updates`], [`NodeCall::ReportJobs`],
     /// [`NodeCall::AnnounceBans`], [`NodeCall::AnnounceLimits`], [`NodeCall::ShareEvidence`],
-    /// [`NodeCall::ReleaseRun`] and [`NodeCall::ReportPaces`].
+    /// [`NodeCall::ReleaseRun`], [`NodeCall::ReportPaces`] and [`NodeCall::SharePromises`].
     Acknowledged,
     /// The records, in reply to [`NodeCall::FetchRecords`].
     Records(PackedRecords),
@@ -272,4 +314,6 @@
     Claimed(bool),
     /// The placement or its refusal, in reply to [`NodeCall::PlaceRanked`].
     PlacedRanked(RankedAnswer),
+    /// The placement or its refusal, in reply to [`NodeCall::PlaceReturning`].
+    PlacedReturning(ReturningAnswer),
 }
--- a/src/node/metrics.rs
+++ b/src/node/metrics.rs
@@ -13,6 +13,7 @@
 use super::connection_budget::ConnectionMetrics;
 use super::messages::NodeCall;
 use crate::policy::dispatch::{DispatchAnswer, RankedDecision};
+use crate::policy::return_promises::ReturnCounts;
 
 const LATENCY_BUCKETS_S: [f64; 12] = [
     0.01, 0.03, 0.06, 0.1, 0.15, 0.3, 0.6, 1.2, 2.5, 5.0, 10.0, 20.0,
@@ -95,6 +96,13 @@
     }
 }
 
+/// Label of the counter of promised returns.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PromiseLabel {
+    /// What became of a promise: `made`, `kept`, `early` or `expired`.
+    pub event: &'static str,
+}
+
 /// The metrics of one node, updated where the events occur.
 #[derive(Debug)]
 pub struct NodeMetrics {
@@ -155,6 +163,8 @@
     pub placed_alone: Counter,
     /// Placements and refusals that this node decided, by rank and share state.
     pub placements: Family<PlacementLabels, Counter>,
+    /// Promises to refused callers, at the owner of placement, by what became of them.
+    pub return_promises: Family<PromiseLabel, Counter>,
     /// Requests that run at most once and were not sent, as their id had come before.
     pub repeats_refused: Counter,
     /// Claims of requests that no other VM confirmed.
@@ -213,6 +223,7 @@
             probes: Counter::default(),
             placed_alone: Counter::default(),
             placements: Family::default(),
+            return_promises: Family::default(),
             repeats_refused: Counter::default(),
             claims_unconfirmed: Counter::default(),
             log_lines_dropped: Gauge::default(),
@@ -375,6 +386,11 @@
             "Placements and refusals decided here by rank and share state",
             self.placements.clone(),
         );
+        registry.register(
+            "return_promises",
+            "Promised times of return by what became of them",
+            self.return_promises.clone(),
+        );
         self.register_read_ahead();
         self.register_connections();
         self.register_peer_traffic();
@@ -447,6 +463,20 @@
         self.placements.get_or_create(labels).inc();
     }
 
+    /// Counts promised times of return.
+    pub fn count_returns(&self, counts: &ReturnCounts) {
+        let events = [
+            ("made", counts.made),
+            ("kept", counts.kept),
+            ("early", counts.early),
+            ("expired", counts.expired),
+        ];
+        for (event, count) in events {
+            let label = PromiseLabel { event };
+            self.return_promises.get_or_create(&label).inc_by(count);
+        }
+    }
+
     /// Counts a call that another node accepted, and the bytes of its body.
     pub fn count_peer_call(&self, labels: &PeerTrafficLabels, sent_bytes: usize) {
         self.peer_calls.get_or_create(labels).inc();
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -25,6 +25,7 @@
 pub mod relay;
 pub mod request_framing;
 pub mod request_handler;
+pub mod return_promises;
 pub mod run_claims;
 pub mod service;
 pub mod state;
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -15,6 +15,7 @@
 use super::engine_paces::import_report;
 use super::messages::{
     HeartbeatMessage, HeartbeatReply, NodeCall, NodeReply, RankedPlacementRequest, RecordsRequest,
+    ReturningPlacementRequest,
 };
 use super::packed_records::{FetchedRecords, unpack_records};
 use super::peer_calls::call_node;
@@ -23,6 +24,7 @@
     apply_reply as apply_limits_reply, grant_permit, import_limits, limits_for_heartbeat,
     limits_for_reply,
 };
+use super::return_promises::import_promises;
 use super::state::NodeState;
 use crate::fleet::feed::LogPosition;
 use crate::fleet::members::{MemberRecord, RosterScope};
@@ -71,7 +73,10 @@
             NodeCall::Heartbeat(message) => {
                 NodeReply::Heartbeat(Box::new(answer_heartbeat(&node, message)))
             }
-            NodeCall::Place(_) | NodeCall::PlaceRanked(_) | NodeCall::TakePermit(_)
+            NodeCall::Place(_)
+            | NodeCall::PlaceRanked(_)
+            | NodeCall::PlaceReturning(_)
+            | NodeCall::TakePermit(_)
                 if node.paths.borrow().are_lost() || node.stop.has_begun() =>
             {
                 NodeReply::NoPath
@@ -79,8 +84,8 @@
             NodeCall::Place(request) => {
                 let stop = node.stop.subscribe();
                 tokio::select! {
-                    decided = place_locally(&node, request, None) => {
-                        NodeReply::Placed(decided.answer)
+                    decided = place_locally(&node, request, None, None) => {
+                        NodeReply::Placed(decided.ranked.answer)
                     }
                     () = stop.begins() => NodeReply::NoPath,
                 }
@@ -88,12 +93,29 @@
             NodeCall::PlaceRanked(RankedPlacementRequest { request, rank }) => {
                 let stop = node.stop.subscribe();
                 tokio::select! {
-                    decided = place_locally(&node, request, Some(rank)) => {
-                        NodeReply::PlacedRanked(decided)
+                    decided = place_locally(&node, request, Some(rank), None) => {
+                        NodeReply::PlacedRanked(decided.ranked)
                     }
                     () = stop.begins() => NodeReply::NoPath,
                 }
             }
+            NodeCall::PlaceReturning(ReturningPlacementRequest {
+                request,
+                rank,
+                prompt,
+            }) => {
+                let stop = node.stop.subscribe();
+                tokio::select! {
+                    decided = place_locally(&node, request, rank, Some(prompt)) => {
+                        NodeReply::PlacedReturning(decided)
+                    }
+                    () = stop.begins() => NodeReply::NoPath,
+                }
+            }
+            NodeCall::SharePromises(promises) => {
+                import_promises(&node, &promises);
+                NodeReply::Acknowledged
+            }
             NodeCall::Updates(report) => {
                 for update in &report.updates {
                     apply_update(&node, update, &report.vm);
--- a/src/node/placement.rs
+++ b/src/node/placement.rs
@@ -1,5 +1,6 @@
 //! Asks the owner of placement which engines take a request, or decides here if no owner answers.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -9,7 +10,8 @@
 
 use super::crash_bans::{apply_broken, apply_served};
 use super::messages::{
-    JobUpdate, JobsReport, NodeCall, NodeReply, RankedAnswer, RankedPlacementRequest, UpdatesReport,
+    JobUpdate, JobsReport, NodeCall, NodeReply, RankedAnswer, RankedPlacementRequest,
+    ReturningAnswer, ReturningPlacementRequest, UpdatesReport,
 };
 use super::metrics::PlacementLabels;
 use super::peer_calls::{PendingNodeReply, call_node};
@@ -21,6 +23,7 @@
 use crate::policy::dispatch::{
     DispatchAnswer, JobId, JobReport, PlacementRequest, RefusalReason, RequestRank, ShareState,
 };
+use crate::policy::return_promises::{CallerPrompt, ReturnState};
 use crate::wire::client::CallError;
 
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(100); // a round trip takes 2 ms, and a throttled VM pauses for up to 75 ms
@@ -74,9 +77,18 @@
     pub rank: Option<i64>,
     /// Whether its account was over its share; `None` if the VM that decided did not say.
     pub share: Option<ShareState>,
+    /// Whether the prompt returned after a refusal; `None` if returns do not count.
+    pub returned: Option<ReturnState>,
+    /// Time after which a refused prompt has precedence, if that is promised.
+    pub promised_in: Option<Duration>,
 }
 
 impl PlacementOutcome {
+    /// Name of the state of the prompt's return for the log.
+    pub fn returned_name(&self) -> Option<&'static str> {
+        self.returned.map(ReturnState::as_str)
+    }
+
     /// Name of the share state for the log.
     pub fn share_name(&self) -> &'static str {
         self.share.map_or("unknown", ShareState::as_str)
@@ -86,35 +98,75 @@
 /// Has a request placed, and waits until its dispatcher places or refuses it.
 ///
 /// An owner that does not answer is marked suspect, so that the next coordinator in rank becomes
-/// the owner; after [`MAX_OWNER_SEARCH`] without one, this VM decides.
+/// the owner; after [`MAX_OWNER_SEARCH`] without one, this VM decides. A refused `prompt` may be
+/// promised a time of return, by the owner only.
 pub async fn place(
     node: &Rc<NodeState>,
     request: &PlacementRequest,
     rank: Option<RequestRank>,
+    prompt: Option<CallerPrompt>,
 ) -> PlacementOutcome {
-    let ask = async |owner: &MemberRecord| request_from_owner(node, owner, request, rank).await;
-    let rank_number = rank.map(|rank| rank.rank);
-    let Some((decided_by, (answer, share))) = ask_owner(node, ask).await else {
-        let decided = place_locally(node, request.clone(), rank).await;
-        return PlacementOutcome {
-            answer: decided.answer,
-            decided_by: node.settings.vm.to_string(),
-            rank: rank_number,
-            share: Some(decided.share),
-        };
+    let ask =
+        async |owner: &MemberRecord| request_from_owner(node, owner, request, rank, prompt).await;
+    let outcome = |decided_by: &VmName, decided: OwnerAnswer| PlacementOutcome {
+        answer: decided.answer,
+        decided_by: decided_by.to_string(),
+        rank: rank.map(|rank| rank.rank),
+        share: decided.share,
+        returned: decided.returned,
+        promised_in: decided.promised_in,
+    };
+    let Some((decided_by, decided)) = ask_owner(node, ask).await else {
+        // The promises of a VM that decides alone would be known to no other VM.
+        let prompt = prompt.filter(|_| owns_placement(node));
+        let decided = place_locally(node, request.clone(), rank, prompt).await;
+        return outcome(&node.settings.vm, decided.into());
     };
-    if let DispatchAnswer::Placed(placement) = &answer {
+    if let DispatchAnswer::Placed(placement) = &decided.answer {
         let now = node.now();
         let mut dispatchers = node.dispatchers.borrow_mut();
         if let Some(dispatcher) = dispatchers.get_mut(&request.service) {
             dispatcher.record_placement(request, rank, placement, now);
         }
     }
-    PlacementOutcome {
-        answer,
-        decided_by: decided_by.to_string(),
-        rank: rank_number,
-        share,
+    outcome(&decided_by, decided)
+}
+
+/// What an owner of placement answers; owners of earlier builds say less.
+struct OwnerAnswer {
+    answer: DispatchAnswer,
+    share: Option<ShareState>,
+    returned: Option<ReturnState>,
+    promised_in: Option<Duration>,
+}
+
+impl From<ReturningAnswer> for OwnerAnswer {
+    fn from(decided: ReturningAnswer) -> Self {
+        Self {
+            returned: decided.returned,
+            promised_in: decided.promised_in,
+            ..decided.ranked.into()
+        }
+    }
+}
+
+impl From<RankedAnswer> for OwnerAnswer {
+    fn from(decided: RankedAnswer) -> Self {
+        Self {
+            share: Some(decided.share),
+            ..decided.answer.into()
+        }
+    }
+}
+
+impl From<DispatchAnswer> for OwnerAnswer {
+    fn from(answer: DispatchAnswer) -> Self {
+        Self {
+            answer,
+            share: None,
+            returned: None,
+            promised_in: None,
+        }
     }
 }
 
@@ -163,10 +215,11 @@
     owner: &MemberRecord,
     request: &PlacementRequest,
     rank: Option<RequestRank>,
-) -> Result<(DispatchAnswer, Option<ShareState>), CallError> {
-    let pending = match rank.filter(|_| !is_unranked(node, owner)) {
-        Some(rank) => send_ranked(node, owner, request, rank).await?,
-        None => send_unranked(node, owner, request).await?,
+    prompt: Option<CallerPrompt>,
+) -> Result<OwnerAnswer, CallError> {
+    let pending = match prompt.filter(|_| !is_noted(&node.unpromising_owner, owner)) {
+        Some(prompt) => send_returning(node, owner, request, rank, prompt).await?,
+        None => send_known(node, owner, request, rank).await?,
     };
     let owner_lost = async {
         let mut checks = interval(OWNER_CHECK_INTERVAL);
@@ -184,8 +237,9 @@
     };
     tokio::select! {
         reply = pending.read() => match reply? {
-            NodeReply::Placed(answer) => Ok((answer, None)),
-            NodeReply::PlacedRanked(decided) => Ok((decided.answer, Some(decided.share))),
+            NodeReply::Placed(answer) => Ok(answer.into()),
+            NodeReply::PlacedRanked(decided) => Ok(decided.into()),
+            NodeReply::PlacedReturning(decided) => Ok(decided.into()),
             _ => Err(CallError::Status(http::StatusCode::BAD_GATEWAY)),
         },
         // A lost, leaving or suspect owner is reported as a timeout, however long the call took.
@@ -193,6 +247,45 @@
     }
 }
 
+/// Sends a request with what its prompt is recognised by, or without if the owner runs a build that does
+/// not know returning prompts.
+async fn send_returning(
+    node: &Rc<NodeState>,
+    owner: &MemberRecord,
+    request: &PlacementRequest,
+    rank: Option<RequestRank>,
+    prompt: CallerPrompt,
+) -> Result<PendingNodeReply, CallError> {
+    let call = NodeCall::PlaceReturning(ReturningPlacementRequest {
+        request: request.clone(),
+        rank,
+        prompt,
+    });
+    match call_node(node, owner.peer_address, &call, ACCEPT_TIMEOUT).await {
+        Err(CallError::Status(http::StatusCode::BAD_REQUEST)) => {
+            if !is_noted(&node.unpromising_owner, owner) {
+                tracing::info!(owner = %owner.vm, "owner of placement does not know returning prompts");
+            }
+            note_owner(&node.unpromising_owner, owner);
+            send_known(node, owner, request, rank).await
+        }
+        sent => sent,
+    }
+}
+
+/// Sends a request with its rank if the owner knows ranks.
+async fn send_known(
+    node: &Rc<NodeState>,
+    owner: &MemberRecord,
+    request: &PlacementRequest,
+    rank: Option<RequestRank>,
+) -> Result<PendingNodeReply, CallError> {
+    match rank.filter(|_| !is_noted(&node.unranked_owner, owner)) {
+        Some(rank) => send_ranked(node, owner, request, rank).await,
+        None => send_unranked(node, owner, request).await,
+    }
+}
+
 async fn send_unranked(
     node: &Rc<NodeState>,
     owner: &MemberRecord,
@@ -215,19 +308,25 @@
     });
     match call_node(node, owner.peer_address, &call, ACCEPT_TIMEOUT).await {
         Err(CallError::Status(http::StatusCode::BAD_REQUEST)) => {
-            if !is_unranked(node, owner) {
+            if !is_noted(&node.unranked_owner, owner) {
                 tracing::info!(owner = %owner.vm, "owner of placement does not know ranks");
             }
-            *node.unranked_owner.borrow_mut() = Some((owner.vm.clone(), owner.incarnation));
+            note_owner(&node.unranked_owner, owner);
             send_unranked(node, owner, request).await
         }
         sent => sent,
     }
 }
 
-fn is_unranked(node: &NodeState, owner: &MemberRecord) -> bool {
-    let unranked = node.unranked_owner.borrow();
-    unranked
+type NotedOwner = RefCell<Option<(VmName, u64)>>;
+
+fn note_owner(noted: &NotedOwner, owner: &MemberRecord) {
+    *noted.borrow_mut() = Some((owner.vm.clone(), owner.incarnation));
+}
+
+fn is_noted(noted: &NotedOwner, owner: &MemberRecord) -> bool {
+    let noted = noted.borrow();
+    noted
         .as_ref()
         .is_some_and(|(vm, incarnation)| *vm == owner.vm && *incarnation == owner.incarnation)
 }
@@ -237,7 +336,8 @@
     node: &Rc<NodeState>,
     request: PlacementRequest,
     rank: Option<RequestRank>,
-) -> RankedAnswer {
+    prompt: Option<CallerPrompt>,
+) -> ReturningAnswer {
     let (job, now) = (request.job, node.now());
     let (sender, receiver) = oneshot::channel();
     let is_first = {
@@ -246,7 +346,16 @@
             return no_target();
         };
         let is_first = dispatcher.waiting_count() == 0;
-        dispatcher.enqueue_ranked(request, rank, now);
+        let queued = match prompt {
+            Some(prompt) => dispatcher.enqueue_returning(request, rank, prompt, now),
+            None => {
+                dispatcher.enqueue_ranked(request, rank, now);
+                Ok(())
+            }
+        };
+        if let Err(time_left) = queued {
+            return refuse_early(time_left);
+        }
         is_first
     };
     node.placement_waiters.borrow_mut().insert(job, sender);
@@ -266,13 +375,34 @@
 }
 
 /// The answer to requests for a service without engines.
-pub fn no_target() -> RankedAnswer {
-    RankedAnswer {
-        answer: DispatchAnswer::Refused {
-            reason: RefusalReason::NoTarget,
-            retry_after: NO_TARGET_RETRY_AFTER,
+pub fn no_target() -> ReturningAnswer {
+    let answer = DispatchAnswer::Refused {
+        reason: RefusalReason::NoTarget,
+        retry_after: NO_TARGET_RETRY_AFTER,
+    };
+    ReturningAnswer {
+        ranked: RankedAnswer {
+            answer,
+            share: ShareState::NotCounted,
+        },
+        returned: None,
+        promised_in: None,
+    }
+}
+
+/// The answer to a prompt that returns before the time that it was promised.
+fn refuse_early(time_left: Duration) -> ReturningAnswer {
+    let answer = DispatchAnswer::Refused {
+        reason: RefusalReason::Overload,
+        retry_after: time_left,
+    };
+    ReturningAnswer {
+        ranked: RankedAnswer {
+            answer,
+            share: ShareState::NotCounted,
         },
-        share: ShareState::NotCounted,
+        returned: Some(ReturnState::Early),
+        promised_in: Some(time_left),
     }
 }
 
@@ -366,9 +496,13 @@
         node.metrics.count_placement(&PlacementLabels::of(&ranked));
         let decision = ranked.decision;
         let waiter = node.placement_waiters.borrow_mut().remove(&decision.job);
-        let decided = RankedAnswer {
-            answer: decision.answer,
-            share: ranked.share,
+        let decided = ReturningAnswer {
+            ranked: RankedAnswer {
+                answer: decision.answer,
+                share: ranked.share,
+            },
+            returned: ranked.returned,
+            promised_in: ranked.promised_in,
         };
         let delivered = waiter.is_some_and(|waiter| waiter.send(decided).is_ok());
         if !delivered {
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -579,7 +579,7 @@
             give_up_after,
         };
         let placed = tokio::select! {
-            placed = place_in_time(&self.node, &self.caller, &mut self.placement_request, limits) => {
+            placed = place_in_time(&self.node, &self.caller, &mut self.placement_request, false, limits) => {
                 placed.map(|outcome| outcome.answer)
             }
             () = wait_until_due(&self.node, &self.caller) => None,
--- a/src/node/request_handler.rs
+++ b/src/node/request_handler.rs
@@ -26,6 +26,7 @@
 use crate::platform::callers::{CallerHeaders, decode_caller_headers, node_response_headers};
 
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
+const RETRY_AFTER_ROUNDING: f64 = 0.005; // so that rounding to hundredths tells no caller to return early
 const RETRY_AFTER_JITTER: std::ops::Range<f64> = 0.85..1.25; // spreads the retries of callers refused together
 const MAX_BODY_TIME: Duration = Duration::from_secs(60); // to receive a body, without a deadline of the caller
 const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1); // a body is held until its response is complete
@@ -291,6 +292,7 @@
     NodeResponse {
         status,
         retry_after: None,
+        keeps_retry_time: false,
         outcome,
         reason: reason.to_owned(),
     }
@@ -401,7 +403,11 @@
     *headers = node_response_headers(id);
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     if let Some(delay) = node_response.retry_after {
-        let seconds = delay.as_secs_f64() * rand::random_range(RETRY_AFTER_JITTER);
+        let seconds = if node_response.keeps_retry_time {
+            delay.as_secs_f64() + RETRY_AFTER_ROUNDING
+        } else {
+            delay.as_secs_f64() * rand::random_range(RETRY_AFTER_JITTER)
+        };
         if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.2}")) {
             headers.insert(header::RETRY_AFTER, value);
         }
--- a/src/node/run_claims.rs
+++ b/src/node/run_claims.rs
@@ -45,6 +45,7 @@
     NodeResponse {
         status: StatusCode::BAD_GATEWAY,
         retry_after: None,
+        keeps_retry_time: false,
         outcome: "repeated",
         reason: "a request with this id was accepted before and may have run; use a new id for a new request"
             .to_owned(),
--- a/src/node/service.rs
+++ b/src/node/service.rs
@@ -61,6 +61,8 @@
     pub status: StatusCode,
     /// When the caller may retry; set only if the request was not executed.
     pub retry_after: Option<Duration>,
+    /// Whether the caller is told just that time, which is its own, instead of one spread around it.
+    pub keeps_retry_time: bool,
     /// Name of the outcome in logs, metrics and the body.
     pub outcome: &'static str,
     /// Explanation for the log and the body.
@@ -73,6 +75,7 @@
         Self {
             status: StatusCode::SERVICE_UNAVAILABLE,
             retry_after: Some(retry),
+            keeps_retry_time: false,
             outcome,
             reason: reason.into(),
         }
@@ -89,6 +92,7 @@
         Self {
             status: StatusCode::BAD_GATEWAY,
             retry_after: None,
+            keeps_retry_time: false,
             outcome: "unknown",
             reason: reason.into(),
         }
@@ -99,6 +103,7 @@
         Self {
             status: StatusCode::GATEWAY_TIMEOUT,
             retry_after: None,
+            keeps_retry_time: false,
             outcome: "timed_out",
             reason: reason.into(),
         }
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -12,7 +12,7 @@
 use super::connection::{ConnectionPool, ExchangeError};
 use super::connection_budget::{ConnectionBudget, ConnectionLimits};
 use super::engine_paces::EnginePaces;
-use super::messages::{JobUpdate, RankedAnswer};
+use super::messages::{JobUpdate, ReturningAnswer};
 use super::metrics::NodeMetrics;
 use super::packed_records::RecordPacker;
 use super::placement::no_target;
@@ -29,7 +29,7 @@
 use crate::platform::records::TARGET_TOPIC;
 use crate::policy::cold_pacing::ColdPacing;
 use crate::policy::decision_schedule::DecisionSchedule;
-use crate::policy::dispatch::{EngineDispatcher, EngineTarget, JobId, QueueRules};
+use crate::policy::dispatch::{EngineDispatcher, EngineTarget, JobId};
 use crate::policy::part_guard::PartGuard;
 use crate::policy::paused_targets::PausedTargets;
 use crate::policy::permits::PermitLedger;
@@ -64,10 +64,13 @@
     /// One dispatcher for each service of model engines, by service name.
     pub dispatchers: RefCell<BTreeMap<String, EngineDispatcher>>,
     /// Local requests and peers' calls that wait for this node's decision on their job.
-    pub placement_waiters: RefCell<HashMap<JobId, oneshot::Sender<RankedAnswer>>>,
+    pub placement_waiters: RefCell<HashMap<JobId, oneshot::Sender<ReturningAnswer>>>,
     /// The last owner of placement that answered that it does not know ranked requests, with its
     /// incarnation.
     pub unranked_owner: RefCell<Option<(VmName, u64)>>,
+    /// The last owner of placement that answered that it does not know returning prompts, with its
+    /// incarnation.
+    pub unpromising_owner: RefCell<Option<(VmName, u64)>>,
     /// When the waiting jobs were last decided on, and whether another call is scheduled.
     pub decision_schedule: RefCell<DecisionSchedule>,
     /// Connections to other nodes, by peer address.
@@ -178,6 +181,7 @@
             dispatchers: RefCell::default(),
             placement_waiters: RefCell::default(),
             unranked_owner: RefCell::default(),
+            unpromising_owner: RefCell::default(),
             decision_schedule: RefCell::default(),
             peer_clients: RefCell::default(),
             connection_pool: RefCell::default(),
@@ -307,10 +311,7 @@
                 EngineDispatcher::new(spec.clone(), service.cold_requests_per_s)
             });
             dispatcher.set_engines(spec, service.cold_requests_per_s, &targets);
-            dispatcher.set_queue_rules(QueueRules {
-                ranks: table.ranks_of(&service.name).len() > 1,
-                shares: table.has_several_accounts(),
-            });
+            dispatcher.set_queue_rules(table.queue_rules(&service.name));
         }
     }
 
--- a/src/node/stopping.rs
+++ b/src/node/stopping.rs
@@ -129,6 +129,7 @@
         return NodeResponse {
             status: StatusCode::MISDIRECTED_REQUEST,
             retry_after: None,
+            keeps_retry_time: false,
             outcome: "stopping",
             reason: reason.to_owned(),
         };
--- a/tests/core/return_promises.rs
+++ b/tests/core/return_promises.rs
@@ -5,12 +5,18 @@
 use std::time::{Duration, Instant};
 
 use plantainnotch::ids::{RequestDigest, TeamName};
-use plantainnotch::policy::dispatch::{DispatchAnswer, JobId, QueueRules};
+use plantainnotch::node::messages::{
+    NodeCall, NodeReply, RankedAnswer, ReturningAnswer, ReturningPlacementRequest,
+};
+use plantainnotch::policy::dispatch::{
+    DispatchAnswer, JobId, QueueRules, RefusalReason, ShareState,
+};
 use plantainnotch::policy::engine_model::{decode_time, example_spec};
 use plantainnotch::policy::return_promises::{
     CallerPrompt, MAX_PROMISES, RETURN_WINDOW, RefusedPrompt, ReturnClass, ReturnPromises,
     ReturnState,
 };
+use plantainnotch::wire::codec::encode;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -354,3 +360,34 @@
     let (state, _) = successor.record_arrival(digest(1), &other_account, JobId(1), later);
     assert_eq!(state, ReturnState::New);
 }
+
+// Guards against variants that take the place of ones that earlier builds know.
+#[test]
+fn messages_of_returns_come_after_all_that_earlier_builds_know() {
+    let prompt = CallerPrompt {
+        digest: digest(1),
+        caller_time_left: SECOND,
+    };
+    let place = NodeCall::PlaceReturning(ReturningPlacementRequest {
+        request: short_prompt(1, &TeamName::new("account")),
+        rank: None,
+        prompt,
+    });
+    let calls = [NodeCall::SharePromises(Vec::new()), place];
+    let reply = NodeReply::PlacedReturning(ReturningAnswer {
+        ranked: RankedAnswer {
+            answer: DispatchAnswer::Refused {
+                reason: RefusalReason::Overload,
+                retry_after: SECOND,
+            },
+            share: ShareState::Within,
+        },
+        returned: Some(ReturnState::Kept),
+        promised_in: Some(SECOND),
+    });
+
+    let indices = calls.map(|call| encode(&call).expect("the call has an encoding")[0]);
+    let reply_bytes = encode(&reply).expect("the reply has an encoding");
+
+    assert_eq!((indices, reply_bytes[0]), ([13, 14], 8));
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -17,6 +17,7 @@
 mod ranks;
 mod rate_limits;
 mod records;
+mod return_promises;
 mod silent_targets;
 mod slow_readers;
 mod stops;
