--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -26,6 +26,7 @@
 pub mod request_framing;
 pub mod request_handler;
 pub mod reservations;
+pub mod return_promises;
 pub mod run_claims;
 pub mod service;
 pub mod state;
--- a/src/policy/dispatch/waiting_queue.rs
+++ b/src/policy/dispatch/waiting_queue.rs
@@ -269,26 +269,26 @@
         queued
     }
 
-    /// Removes the prompt of `job`, if it waits.
-    pub(super) fn remove_job(&mut self, job: JobId) {
+    /// Removes the prompt of `job`; returns whether it waited.
+    pub(super) fn remove_job(&mut self, job: JobId) -> bool {
         let slots = self.slots_by_job.range((job, EntrySlot::FIRST)..);
         let slots: Vec<EntrySlot> = slots
             .take_while(|(other, _)| *other == job)
             .map(|(_, slot)| *slot)
             .collect();
-        for slot in slots {
-            self.remove(slot);
+        for slot in &slots {
+            self.remove(*slot);
         }
+        !slots.is_empty()
     }
 
-    /// Removes the prompts that `vm` serves.
-    pub(super) fn remove_vm(&mut self, vm: &VmName) {
+    /// Removes the prompts that `vm` serves; returns their jobs.
+    pub(super) fn remove_vm(&mut self, vm: &VmName) -> Vec<JobId> {
         let prompts = self.prompts.entries();
         let of_vm = prompts.filter(|(_, queued)| queued.request.vm == *vm);
         let slots: Vec<EntrySlot> = of_vm.map(|(slot, _)| slot).collect();
-        for slot in slots {
-            self.remove(slot);
-        }
+        let removed = slots.into_iter().map(|slot| self.remove(slot).request.job);
+        removed.collect()
     }
 
     /// Replaces the times of all prompts, computed by `times` from the number of prompt tokens.
@@ -368,6 +368,7 @@
             is_late,
             rank: queued.rank.map(|rank| rank.rank),
             is_over_share: rules.shares && self.over_share.contains(&queued.request.team),
+            returns_as_told: queued.returns_as_told(),
             is_after_by_length: is_short == self.terms.is_long_first,
             objective_at: queued.objective_at(),
             job: queued.request.job,
