--- a/tests/hostile_callers/bodies.rs
+++ b/tests/hostile_callers/bodies.rs
@@ -9,35 +9,28 @@
 const SENDERS: usize = 24;
 
 /// Announces a body far over the limit and sends it.
-fn announced() -> Sending {
-    let head = format!(
-        "{}content-length: {ANNOUNCED_BYTES}\r\n\r\n",
-        open_head("POST", "/issue/7")
-    );
+fn announced(open: &str) -> Sending {
+    let head = format!("{open}content-length: {ANNOUNCED_BYTES}\r\n\r\n");
     Sending::fast(head, vec![b'p'; BLOCK_BYTES])
 }
 
 /// Sends a body in chunks without an end.
-fn chunked() -> Sending {
-    let head = format!(
-        "{}transfer-encoding: chunked\r\n\r\n",
-        open_head("POST", "/issue/7")
-    );
+fn chunked(open: &str) -> Sending {
+    let head = format!("{open}transfer-encoding: chunked\r\n\r\n");
     let chunk = format!("{BLOCK_BYTES:x}\r\n{}\r\n", "p".repeat(BLOCK_BYTES));
     Sending::fast(head, chunk)
 }
 
 /// Sends on past the length that it announced.
-fn past_length() -> Sending {
-    let head = format!("{}content-length: 6\r\n\r\n", open_head("POST", "/issue/7"));
+fn past_length(open: &str) -> Sending {
+    let head = format!("{open}content-length: 6\r\n\r\n");
     Sending::fast(head, vec![b'p'; BLOCK_BYTES])
 }
 
 /// Announces a body within the limit and sends it slowly.
-fn trickled() -> Sending {
+fn trickled(open: &str) -> Sending {
     let head = format!(
-        "{}content-length: 4000000\r\n\r\n{}",
-        open_head("POST", "/issue/7"),
+        "{open}content-length: 4000000\r\n\r\n{}",
         "p".repeat(BLOCK_BYTES)
     );
     let pause = Duration::from_millis(100);
@@ -59,24 +52,39 @@
 
 type HostileBedAddress = std::net::SocketAddr;
 
-/// Sends all kinds of bodies over the limit.
-pub fn send_bodies(crowd: &Crowd, callers: HostileBedAddress) {
+/// Sends bodies that are announced over the limit, to requests whose head begins with `open`.
+pub fn send_announced(crowd: &Crowd, callers: HostileBedAddress, open: &str) {
+    send_with_and_without_reading(crowd, &callers, &announced(open));
+}
+
+/// Sends all kinds of bodies over the limit, to requests whose head begins with `open`.
+pub fn send_bodies(crowd: &Crowd, callers: HostileBedAddress, open: &str) {
     let slowly = |sending: Sending| Sending {
         pause: Duration::from_millis(200),
         ..sending
     };
-    let sendings = [chunked(), slowly(chunked()), past_length(), trickled()];
+    let sendings = [
+        chunked(open),
+        slowly(chunked(open)),
+        past_length(open),
+        trickled(open),
+    ];
     for sending in sendings {
         send_with_and_without_reading(crowd, &callers, &sending);
     }
 }
 
+/// The head of a request to the node that takes a body.
+pub fn node_head() -> String {
+    open_head("POST", "/issue/7")
+}
+
 /// Guards against a process that holds or waits for the bytes of bodies that are announced over the limit.
 #[test]
 fn announced_bodies_over_the_limit_take_no_memory() {
     let hostile = HostileBed::start();
     let callers = hostile.callers();
-    hostile.withstand(|crowd| send_with_and_without_reading(crowd, &callers, &announced()));
+    hostile.withstand(|crowd| send_announced(crowd, callers, &node_head()));
 }
 
 /// Guards against a process that reads bodies ahead, beyond what its requests may take.
@@ -84,5 +92,5 @@
 fn bodies_that_pass_the_limit_unannounced_take_no_memory() {
     let hostile = HostileBed::start();
     let callers = hostile.callers();
-    hostile.withstand(|crowd| send_bodies(crowd, callers));
+    hostile.withstand(|crowd| send_bodies(crowd, callers, &node_head()));
 }
--- a/tests/hostile_callers/crowd.rs
+++ b/tests/hostile_callers/crowd.rs
@@ -1,5 +1,6 @@
 //! The node under test, and connections that send without regard to the responses.
 
+use std::cell::RefCell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -10,6 +11,7 @@
 use serde_json::json;
 
 use crate::support::bed::{TestBed, config, wait_until};
+use crate::support::node::{open_descriptors, peak_memory};
 
 /// `memory_mb` of the node's settings, and the bound of its peak memory.
 pub const MEMORY_MB: u64 = 48;
@@ -32,7 +34,7 @@
 
 impl HostileBed {
     pub fn start() -> Self {
-        let turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+        let turn = take_turn();
         let bed = TestBed::start_with(1, |node| {
             node.memory_mb = Some(MEMORY_MB);
             node.max_fds = MAX_FDS;
@@ -47,52 +49,71 @@
         self.bed.node_configs[0].callers
     }
 
-    /// Runs `attack` for [`ATTACK_TIME`], and checks what holds for any crowd: the process lives, its peak
-    /// memory and its open descriptors stay under the settings' limits, and one ordinary request is
-    /// answered afterwards.
-    pub fn withstand(mut self, attack: impl FnOnce(&Crowd)) {
-        let most_descriptors = AtomicUsize::new(0);
-        let crowd = Crowd::default();
-        let (sent, refused) = std::thread::scope(|scope| {
-            let (node, ended) = (&self.bed.nodes[0], &crowd.ended);
-            let sampler = scope.spawn(|| {
-                while !ended.load(Ordering::Relaxed) {
-                    most_descriptors.fetch_max(node.open_descriptors(), Ordering::Relaxed);
-                    std::thread::sleep(SAMPLE_INTERVAL);
-                }
-            });
-            attack(&crowd);
-            let totals = crowd.finish();
-            sampler.join().expect("the sampler ends");
-            totals
-        });
-
-        assert!(!self.bed.nodes[0].has_ended(), "the process has ended");
-        let peak = self.bed.nodes[0].peak_memory();
-        let descriptors = most_descriptors.load(Ordering::Relaxed);
-        println!(
-            "peak memory {peak}, descriptors {descriptors}, bytes sent {sent}, connections ended by the node {refused}"
-        );
+    /// Runs `attack` on the node; see [`withstand_crowd`].
+    pub fn withstand(self, attack: impl FnOnce(&Crowd)) {
+        let id = self.bed.nodes[0].id();
+        let bed = RefCell::new(self.bed);
+        let has_ended = || bed.borrow_mut().nodes[0].has_ended();
         let lookup_serves = || {
-            let response = self.bed.lookup(0, &format!("after-{:?}", Instant::now()));
+            let id = format!("after-{:?}", Instant::now());
+            let response = bed.borrow().lookup(0, &id);
             response.is_some_and(|response| response.status == 200)
         };
-        wait_until(
-            RECOVERY_TIMEOUT,
-            "an ordinary request is answered",
-            lookup_serves,
-        );
-        assert!(
-            peak < MEMORY_MB * 1_000_000,
-            "the node held {peak} bytes, {descriptors} descriptors"
-        );
-        assert!(
-            descriptors < MAX_FDS,
-            "the node had {descriptors} descriptors open"
-        );
+        withstand_crowd(id, has_ended, attack, lookup_serves);
     }
 }
 
+/// Waits until no other test of this program runs a crowd.
+pub fn take_turn() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Runs `attack` for [`ATTACK_TIME`] on the process `id`, and checks what holds for any crowd: the process
+/// lives, its peak memory and its open descriptors stay under the settings' limits, and one ordinary request
+/// is answered afterwards.
+pub fn withstand_crowd(
+    id: u32,
+    has_ended: impl FnOnce() -> bool,
+    attack: impl FnOnce(&Crowd),
+    is_answered: impl Fn() -> bool,
+) {
+    let most_descriptors = AtomicUsize::new(0);
+    let crowd = Crowd::default();
+    let (sent, refused) = std::thread::scope(|scope| {
+        let ended = &crowd.ended;
+        let sampler = scope.spawn(|| {
+            while !ended.load(Ordering::Relaxed) {
+                most_descriptors.fetch_max(open_descriptors(id), Ordering::Relaxed);
+                std::thread::sleep(SAMPLE_INTERVAL);
+            }
+        });
+        attack(&crowd);
+        let totals = crowd.finish();
+        sampler.join().expect("the sampler ends");
+        totals
+    });
+
+    assert!(!has_ended(), "the process has ended");
+    let peak = peak_memory(id);
+    let descriptors = most_descriptors.load(Ordering::Relaxed);
+    println!(
+        "peak memory {peak}, descriptors {descriptors}, bytes sent {sent}, connections ended by the process {refused}"
+    );
+    wait_until(
+        RECOVERY_TIMEOUT,
+        "an ordinary request is answered",
+        is_answered,
+    );
+    assert!(
+        peak < MEMORY_MB * 1_000_000,
+        "the process held {peak} bytes, {descriptors} descriptors"
+    );
+    assert!(
+        descriptors < MAX_FDS,
+        "the process had {descriptors} descriptors open"
+    );
+}
+
 /// Whether a sender takes what the node sends it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Reading {
--- a/tests/hostile_callers/heads.rs
+++ b/tests/hostile_callers/heads.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::bodies::node_head;
 use crate::crowd::{Crowd, HostileBed, Sending, open_head};
 
 const CONNECTIONS: usize = 600;
@@ -10,9 +11,8 @@
 const HEAD_BYTES: usize = 16_000; // close to `max_header_bytes` of the configuration
 
 /// Opens many connections; a half sends a head without its end, the other half a complete one with the
-/// start of a body.
-pub fn send_heads(crowd: &Crowd, callers: SocketAddr) {
-    let start = open_head("POST", "/issue/7");
+/// start of a body. All begin with `start`.
+pub fn send_heads(crowd: &Crowd, callers: SocketAddr, start: &str) {
     let filler = "x-filler: 0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\r\n";
     let count = (HEAD_BYTES - start.len()) / filler.len();
     let open = format!("{start}{}", filler.repeat(count));
@@ -26,12 +26,19 @@
     }
 }
 
+/// Sends heads that begin with `start` and do not end.
+pub fn send_endless_heads(crowd: &Crowd, callers: SocketAddr, start: String) {
+    let filler = "x-filler: 0123456789abcdef\r\n".repeat(1_000);
+    let sending = Sending::fast(start, filler);
+    crowd.send(OVERSIZED_SENDERS, callers, &sending);
+}
+
 /// Guards against a process that takes any number of connections and holds their heads.
 #[test]
 fn heads_at_the_limit_on_very_many_connections_stay_within_the_limits() {
     let hostile = HostileBed::start();
     let callers = hostile.callers();
-    hostile.withstand(|crowd| send_heads(crowd, callers));
+    hostile.withstand(|crowd| send_heads(crowd, callers, &node_head()));
 }
 
 /// Guards against a process that takes heads of any length.
@@ -39,7 +46,5 @@
 fn heads_without_an_end_take_no_memory() {
     let hostile = HostileBed::start();
     let callers = hostile.callers();
-    let filler = "x-filler: 0123456789abcdef\r\n".repeat(1_000);
-    let sending = Sending::fast(open_head("GET", "/lookup/7"), filler);
-    hostile.withstand(|crowd| crowd.send(OVERSIZED_SENDERS, callers, &sending));
+    hostile.withstand(|crowd| send_endless_heads(crowd, callers, open_head("GET", "/lookup/7")));
 }
--- a/tests/hostile_callers/pipelines.rs
+++ b/tests/hostile_callers/pipelines.rs
@@ -3,16 +3,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::bodies::send_bodies;
+use crate::bodies::{node_head, send_bodies};
 use crate::crowd::{Crowd, HostileBed, Sending, open_head, request};
 use crate::heads::send_heads;
 use crate::peers::{send_calls, send_garbage};
 use crate::support::target::TargetMode;
 
-const SENDERS: usize = 32;
+/// Connections that pipeline requests of one kind.
+pub const SENDERS: usize = 32;
 const REQUESTS_PER_WRITE: usize = 100;
 
-fn pipelined(request: &str) -> Sending {
+/// Sends `request` again and again.
+pub fn pipelined(request: &str) -> Sending {
     Sending::fast(Vec::new(), request.repeat(REQUESTS_PER_WRITE))
 }
 
@@ -108,13 +110,13 @@
     let peers = hostile.bed.node_configs[0].peers;
     hostile.bed.set_replicas(TargetMode::Healthy);
     hostile.withstand(|crowd| {
-        send_bodies(crowd, callers);
+        send_bodies(crowd, callers, &node_head());
         send_lookups(crowd, callers);
         send_streams(crowd, callers);
         send_refused(crowd, callers);
         send_to_other_listeners(crowd, &addresses);
         send_garbage(crowd, peers);
         send_calls(crowd, peers);
-        send_heads(crowd, callers);
+        send_heads(crowd, callers, &node_head());
     });
 }
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -25,9 +25,15 @@
 
 impl RunningProcess {
     fn start(program: &str, args: &[String]) -> Self {
+        Self::start_with(program, args, &[])
+    }
+
+    /// Starts a program with further variables of the environment.
+    fn start_with(program: &str, args: &[String], variables: &[(&str, String)]) -> Self {
         let child = Command::new(program)
             .args(args)
             .env("NOTCH_LOG", "error")
+            .envs(variables.iter().map(|(name, value)| (name, value)))
             .stdout(Stdio::null())
             .stderr(Stdio::null())
             .spawn()
@@ -35,6 +41,16 @@
         Self { child }
     }
 
+    #[allow(dead_code, reason = "for the tests of hostile callers")]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    #[allow(dead_code, reason = "for the tests of hostile callers")]
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         Command::new("kill").args(["-s", name, &pid]).status().ok();
@@ -179,6 +195,12 @@
     }
 
     pub fn start_entry(&mut self, index: usize) {
+        self.start_entry_with(index, &[]);
+    }
+
+    /// Starts an entry in place of the one that runs, with further variables of the environment.
+    pub fn start_entry_with(&mut self, index: usize, variables: &[(&str, String)]) {
+        self.entries[index] = None;
         let vm = &self.vms[index];
         let others: Vec<&str> = self.vms.iter().map(|vm| vm.peer.as_str()).collect();
         let args = format!(
@@ -188,7 +210,8 @@
             vm.peer,
             others.join(",")
         );
-        let process = RunningProcess::start(env!("CARGO_BIN_EXE_notch-entry"), &split_args(&args));
+        let program = env!("CARGO_BIN_EXE_notch-entry");
+        let process = RunningProcess::start_with(program, &split_args(&args), variables);
         self.entries[index] = Some(process);
     }
 
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -171,26 +171,13 @@
         std::fs::read_to_string(self.config.work_dir.join("node.log")).unwrap_or_default()
     }
 
-    /// Most memory that the process held so far, in bytes.
-    pub fn peak_memory(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
-            .expect("the process runs");
-        let line = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmHWM:"))
-            .expect("the kernel reports the peak");
-        let kib: u64 = line
-            .trim()
-            .trim_end_matches(" kB")
-            .parse()
-            .expect("a number of kB");
-        kib * 1024
+    pub fn id(&self) -> u32 {
+        self.child.id()
     }
 
-    /// Descriptors that the process has open.
-    pub fn open_descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))
-            .map_or(0, |entries| entries.count())
+    /// Most memory that the process held so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        peak_memory(self.id())
     }
 
     pub fn signal(&self, name: &str) {
@@ -235,6 +222,26 @@
     }
 }
 
+/// Most memory that the process `id` held so far, in bytes.
+pub fn peak_memory(id: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("the process runs");
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))
+        .expect("the kernel reports the peak");
+    let kib: u64 = line
+        .trim()
+        .trim_end_matches(" kB")
+        .parse()
+        .expect("a number of kB");
+    kib * 1024
+}
+
+/// Descriptors that the process `id` has open.
+pub fn open_descriptors(id: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, |entries| entries.count())
+}
+
 /// The program of a node: of the present build, or for each second node the one that `NOTCH_OTHER_NODE`
 /// names, so that a test runs an earlier build beside it.
 fn program(config: &NodeConfig) -> PathBuf {
