Bound what notch-entry holds for callers

Cause: notch-entry served callers with only the HTTP library's limits, with any number of connections, and read a body of up to the limit on each before the bearer key was checked.

Accepting and worker threads remain those of actix-server. Each worker has its own ConnectionBudget with an equal part of the limits, so that reads take no lock; the budget of bodies, the counters and the log interval are shared by all threads. Reading a body within a budget is one function for both processes. A body for a target is encoded without a copy of the prompt.

--- a/src/config.rs
+++ b/src/config.rs
@@ -55,6 +55,10 @@
     pub drain_time: Duration,
     /// Largest request body in bytes.
     pub body_limit: usize,
+    /// Memory of the process in bytes, of which parts bound what is held for callers.
+    pub memory_bytes: usize,
+    /// Connections of callers at a time.
+    pub max_connections: usize,
 }
 
 /// Text of one setting as given, unchecked.
@@ -176,6 +180,22 @@
     )
 }
 
+fn memory_setting() -> impl Parser<RawSetting> {
+    setting(
+        "memory-mb",
+        "NOTCH_MEMORY_MB",
+        "Memory that the process may use, in MB (default 160)",
+    )
+}
+
+fn max_connections_setting() -> impl Parser<RawSetting> {
+    setting(
+        "max-connections",
+        "NOTCH_MAX_CONNECTIONS",
+        "Connections of callers at a time (default 1000)",
+    )
+}
+
 /// Settings of `notch-steward` as given, unchecked.
 #[derive(Debug, Clone)]
 pub struct RawStewardSettings {
@@ -201,6 +221,8 @@
     workers: RawSetting,
     drain_time: RawSetting,
     body_limit: RawSetting,
+    memory: RawSetting,
+    max_connections: RawSetting,
 }
 
 /// The command line of `notch-steward`.
@@ -241,6 +263,8 @@
     let workers = workers_setting();
     let drain_time = drain_setting();
     let body_limit = body_limit_setting();
+    let memory = memory_setting();
+    let max_connections = max_connections_setting();
     construct!(RawEntrySettings {
         vm,
         domain,
@@ -248,7 +272,9 @@
         stewards,
         workers,
         drain_time,
-        body_limit
+        body_limit,
+        memory,
+        max_connections
     })
     .to_options()
     .descr("Entry: serves callers over HTTP")
@@ -382,6 +408,9 @@
             workers: check.number("workers", self.workers, 2, 1) as usize,
             drain_time: Duration::from_secs(check.number("drain-seconds", self.drain_time, 15, 0)),
             body_limit: check.number("body-limit-bytes", self.body_limit, 16 << 20, 1024) as usize,
+            memory_bytes: check.number("memory-mb", self.memory, 160, 16) as usize * 1_000_000,
+            max_connections: check.number("max-connections", self.max_connections, 1_000, 1)
+                as usize,
         };
         ErrorList::check(check.mistakes)?;
         Ok(settings)
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -117,20 +117,36 @@
     /// The body to send to a target. A non-empty `answer` is what earlier attempts have generated;
     /// the target continues it.
     pub fn target_body(&self, answer: &str) -> Vec<u8> {
-        let mut body = self.clone();
-        body.stream = true;
-        body.max_tokens = Some(self.max_output());
-        if !answer.is_empty() {
-            body.messages.push(ChatMessage {
-                role: "assistant".to_owned(),
-                content: answer.to_owned(),
-            });
-            body.continue_final_message = true;
-        }
+        let continuation = ChatMessage {
+            role: "assistant".to_owned(),
+            content: answer.to_owned(),
+        };
+        let continued = (!answer.is_empty()).then_some(&continuation);
+        let body = TargetBody {
+            model: &self.model,
+            messages: self.messages.iter().chain(continued).collect(),
+            max_tokens: self.max_output(),
+            stream: true,
+            continue_final_message: self.continue_final_message || continued.is_some(),
+            rest: &self.rest,
+        };
         serde_json::to_vec(&body).expect("a chat body holds only plain data")
     }
 }
 
+/// A [`ChatBody`] as a target receives it, without a copy of the prompt.
+#[derive(Serialize)]
+struct TargetBody<'a> {
+    model: &'a str,
+    messages: Vec<&'a ChatMessage>,
+    max_tokens: u64,
+    stream: bool,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    continue_final_message: bool,
+    #[serde(flatten)]
+    rest: &'a serde_json::Map<String, serde_json::Value>,
+}
+
 /// Estimated length of a prompt, in tokens, without an answer that is to be continued.
 pub fn prompt_tokens(body: &ChatBody) -> u64 {
     body.prompt_messages().iter().map(ChatMessage::tokens).sum()
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -11,6 +11,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::node::connection_budget::ConnectionMetrics;
+
 const FIRST_TOKEN_BUCKETS_S: [f64; 12] = [
     0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.2, 2.5, 5.0, 15.0, 60.0, 300.0,
 ];
@@ -51,6 +53,8 @@
     pub view_age_ms: Gauge,
     /// Attempts of chat requests after the first.
     pub retries: Counter,
+    /// Callers' connections, and the limits that they reached.
+    pub connections: ConnectionMetrics,
 }
 
 impl EntryMetrics {
@@ -66,6 +70,7 @@
         let view_offset = Gauge::default();
         let view_age_ms = Gauge::default();
         let retries = Counter::default();
+        let connections = ConnectionMetrics::default();
         registry.register(
             "first_token_seconds",
             "Time to first token by prompt length",
@@ -81,6 +86,21 @@
         registry.register("view_offset", "Offset of the view", view_offset.clone());
         registry.register("view_age_ms", "Age of the view", view_age_ms.clone());
         registry.register("retries", "Attempts after the first", retries.clone());
+        registry.register(
+            "caller_limits_reached",
+            "How often callers reached a limit",
+            connections.limits_reached.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            connections.open.clone(),
+        );
+        registry.register(
+            "caller_held_bytes",
+            "Bytes counted as held for these connections",
+            connections.held_bytes.clone(),
+        );
         Self {
             registry: Arc::new(registry),
             first_token,
@@ -90,6 +110,7 @@
             view_offset,
             view_age_ms,
             retries,
+            connections,
         }
     }
 
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -15,6 +15,7 @@
 use crate::chart::StateChart;
 use crate::ids::RequestId;
 use crate::ledger::grant::{GrantOutcome, GrantPart};
+use crate::node::body_budget::BudgetShare;
 use crate::target::control::cancel_stream;
 use crate::target::stream::{
     ChunkReader, GANG_MEMBERS_HEADER, GANG_SIZE_HEADER, PRIORITY_HEADER, REQUEST_HEADER,
@@ -94,6 +95,8 @@
     pub clients: TargetClients,
     /// The body as the caller sent it.
     pub body: ChatBody,
+    /// Memory taken for the body.
+    pub body_share: BudgetShare,
     /// The capacity to reserve at targets, for each attempt.
     pub spec: ReservationSpec,
     /// Channel to the HTTP response; it closes when the caller disconnects.
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -1,13 +1,20 @@
 //! The entry's HTTP server and its chat route.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_web::dev::Server;
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use actix_http::Request;
+use actix_service::{
+    IntoServiceFactory, Service, ServiceFactory, fn_factory, fn_service, map_config,
+};
+use actix_web::dev::{AppConfig, Server, ServiceResponse};
+use actix_web::{App, HttpRequest, HttpResponse, web};
 use bytes::Bytes;
 use futures_util::stream;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use super::chat::{ChatBody, prompt_tokens};
 use super::error::{ApiError, ErrorKind, Result, TIMEOUT_HEADER};
@@ -18,11 +25,26 @@
 use super::shared::{EntryShared, RequestContext};
 use crate::chart;
 use crate::ids::{ModelName, RequestId, TeamName};
+use crate::node::body_budget::{self, BodyError, BudgetShare};
+use crate::node::connection_budget::{
+    ConnectionBudget, ConnectionLimits, LimitCause, ListenerKind,
+};
+use crate::node::listeners::{
+    HttpTimeouts, admit_stream, caller_service, close_overdue_loop, listen, serve_stream,
+};
 use crate::target::stream::{REQUEST_HEADER, StreamChunk, encode_chunk};
 use crate::view::table::{KeyDigest, TeamRow};
 
 const RELAY_BUFFER_EVENTS: usize = 64;
-const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+const TIMEOUTS: HttpTimeouts = HttpTimeouts {
+    // A stopping entry waits for as long until an idle connection is closed.
+    keep_alive: Duration::from_secs(5),
+    request_head: Duration::from_secs(5),
+};
+/// To receive a body, if the caller names no timeout.
+const MAX_BODY_TIME: Duration = Duration::from_secs(60);
+/// A body is held until the response to its request is complete.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 const BLOCKING_PARSE_BYTES: usize = 256 << 10;
 const SHORT_PROMPT_TIMEOUT: Duration = Duration::from_secs(30);
 const LONG_PROMPT_TIMEOUT: Duration = Duration::from_secs(300);
@@ -37,39 +59,90 @@
 /// Fails when the address cannot be bound or a chart file is invalid.
 pub fn serve(shared: &Arc<EntryShared>) -> eyre::Result<Server> {
     chart::request_chart()?;
-    let listen = shared.settings.listen.clone();
-    let workers = shared.settings.workers;
-    let limit = shared.settings.body_limit;
-    let shared = web::Data::from(shared.clone());
-    let server = HttpServer::new(move || {
-        App::new()
-            .app_data(shared.clone())
-            .app_data(web::Data::new(TargetClients::new()))
-            .app_data(web::PayloadConfig::new(limit))
-            .route("/v1/entries", web::get().to(handlers::entries))
-            .route("/v1/chat/completions", web::post().to(chat))
-            .route("/v1/models", web::get().to(handlers::models))
-            .route(
-                "/v1/services/{service}/{path:.*}",
-                web::route().to(services::serve),
-            )
-            .route(
-                "/v1/requests/{request}/decisions",
-                web::get().to(handlers::decisions),
-            )
-            .route("/v1/status", web::get().to(handlers::status))
-            .route("/healthz", web::get().to(handlers::health))
-            .route("/readyz", web::get().to(handlers::ready))
-            .route("/metrics", web::get().to(handlers::metrics))
-            .default_service(web::to(handlers::not_found))
-    });
-    let bound_server = server
-        .workers(workers)
-        .client_request_timeout(REQUEST_HEAD_TIMEOUT)
+    let listener = listen(shared.settings.listen.parse()?)?.into_std()?;
+    let state = shared.clone();
+    let server = Server::build()
+        .workers(shared.settings.workers)
+        // Sockets that wait for a busy worker are open already.
+        .max_concurrent_connections(connection_limits(shared).caller_sockets())
         .disable_signals()
         .shutdown_timeout(LONG_PROMPT_TIMEOUT.as_secs())
-        .bind(listen)?;
-    Ok(bound_server.run())
+        .listen("callers", listener, move || {
+            let state = state.clone();
+            fn_factory(move || worker_service(state.clone()))
+        })?;
+    Ok(server.run())
+}
+
+/// The limits on the connections of one worker thread.
+fn connection_limits(shared: &EntryShared) -> ConnectionLimits {
+    let settings = &shared.settings;
+    ConnectionLimits::of_thread(
+        settings.max_connections,
+        settings.memory_bytes,
+        settings.workers,
+    )
+}
+
+/// Creates what one worker thread serves its connections with. Each worker has its part of the limits on
+/// connections, and all share those on bodies.
+async fn worker_service(
+    shared: Arc<EntryShared>,
+) -> std::result::Result<impl Service<TcpStream, Response = (), Error = ()>, ()> {
+    let limits = connection_limits(&shared);
+    let budget = ConnectionBudget::new(limits, shared.clock.clone(), shared.limit_reports.clone());
+    let connections = Rc::new(budget);
+    actix_rt::spawn(close_overdue_loop(connections.clone()));
+    let app = request_service(web::Data::from(shared.clone()));
+    let service = caller_service(TIMEOUTS, app).await.ok_or(())?;
+    let service = Rc::new(service);
+    Ok(fn_service(move |stream: TcpStream| {
+        // Fails only if the caller has left.
+        let peer = stream.peer_addr().ok();
+        let admitted = peer.and_then(|peer| {
+            let kind = ListenerKind::Callers;
+            Some((admit_stream(&connections, kind, stream, peer)?, peer))
+        });
+        let service = service.clone();
+        async move {
+            if let Some((stream, peer)) = admitted {
+                serve_stream(service, stream, peer).await;
+            }
+            Ok(())
+        }
+    }))
+}
+
+/// The routes of an entry.
+fn request_service(
+    shared: web::Data<EntryShared>,
+) -> impl ServiceFactory<
+    Request,
+    Config = (),
+    Response = ServiceResponse,
+    Error = actix_web::Error,
+    InitError = (),
+> {
+    let app = App::new()
+        .app_data(shared)
+        .app_data(web::Data::new(TargetClients::new()))
+        .route("/v1/entries", web::get().to(handlers::entries))
+        .route("/v1/chat/completions", web::post().to(chat))
+        .route("/v1/models", web::get().to(handlers::models))
+        .route(
+            "/v1/services/{service}/{path:.*}",
+            web::route().to(services::serve),
+        )
+        .route(
+            "/v1/requests/{request}/decisions",
+            web::get().to(handlers::decisions),
+        )
+        .route("/v1/status", web::get().to(handlers::status))
+        .route("/healthz", web::get().to(handlers::health))
+        .route("/readyz", web::get().to(handlers::ready))
+        .route("/metrics", web::get().to(handlers::metrics))
+        .default_service(web::to(handlers::not_found));
+    map_config(app.into_factory(), |()| AppConfig::default())
 }
 
 /// Finds the team of a caller by its bearer key.
@@ -151,31 +224,57 @@
     (base_timeout + decode_time).min(Duration::from_millis(MAX_TIMEOUT_MS))
 }
 
-/// Converts a body extractor's error; `limit` is the largest allowed body, in bytes.
-fn body_error(error: &actix_web::Error, limit: usize) -> ApiError {
-    let status = error.as_response_error().status_code();
-    if status == actix_web::http::StatusCode::PAYLOAD_TOO_LARGE {
-        return ApiError::not_run(
+/// Reads the body of a request whose caller is known, and takes memory for it until the share is dropped.
+///
+/// # Errors
+///
+/// Fails when the body is over the limit, takes too much memory or time, or cannot be read.
+pub(super) async fn read_body(
+    http: &HttpRequest,
+    payload: web::Payload,
+    shared: &EntryShared,
+) -> Result<(Bytes, BudgetShare)> {
+    let limit = shared.settings.body_limit;
+    let length = http.headers().get("content-length");
+    let length = length.and_then(|value| value.to_str().ok()?.parse().ok());
+    let payload = payload.into_inner();
+    let reading = body_budget::read_body(&shared.body_budget, limit, length.unwrap_or(0), payload);
+    let body_time = timeout_of(http, MAX_BODY_TIME)?;
+    let Ok(read) = timeout(body_time, reading).await else {
+        return Err(ApiError::not_run(
+            ErrorKind::DeadlineTooShort,
+            "the body did not arrive in the request's time; send it again",
+        )
+        .retry_after(MEMORY_RETRY_AFTER));
+    };
+    read.map_err(|error| match error {
+        BodyError::TooLarge => ApiError::not_run(
             ErrorKind::TooLarge,
             format!("the body is over {limit} bytes; shorten the prompt"),
-        );
-    }
-    ApiError::not_run(
-        ErrorKind::BadRequest,
-        format!("the body cannot be read: {error}; send it whole"),
-    )
+        ),
+        BodyError::NoMemory => {
+            let reports = &shared.limit_reports;
+            reports.report(LimitCause::BodyMemory, http.peer_addr(), shared.now());
+            let message = format!("{error}; retry later, or use another entry");
+            ApiError::not_run(ErrorKind::NoCapacity, message).retry_after(MEMORY_RETRY_AFTER)
+        }
+        BodyError::Unreadable(reason) => ApiError::not_run(
+            ErrorKind::BadRequest,
+            format!("the body cannot be read: {reason}; send it whole"),
+        ),
+    })
 }
 
 async fn chat(
     http: HttpRequest,
-    body: std::result::Result<Bytes, actix_web::Error>,
+    payload: web::Payload,
     shared: web::Data<EntryShared>,
     clients: web::Data<TargetClients>,
 ) -> Result<HttpResponse> {
     let shared = shared.into_inner();
-    let arrived = shared.now();
     let (team, row) = authenticate(&http, &shared)?;
-    let bytes = body.map_err(|error| body_error(&error, shared.settings.body_limit))?;
+    let (bytes, body_share) = read_body(&http, payload, &shared).await?;
+    let arrived = shared.now();
     let body = parse_body(bytes).await?;
     let prompt_tokens = prompt_tokens(&body);
     let context = RequestContext {
@@ -217,6 +316,7 @@
         context: context.clone(),
         clients: clients.get_ref().clone(),
         body,
+        body_share,
         spec,
         sender,
         chart: chart::request_chart()
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -12,7 +12,7 @@
 use super::error::{ApiError, ErrorKind, IDEMPOTENCY_HEADER, Result};
 use super::grants::{PoolGuard, ReservationSpec, reserve_targets, reserve_team};
 use super::relay::TargetClients;
-use super::server::{authenticate, timeout_of};
+use super::server::{authenticate, read_body, timeout_of};
 use super::shared::{EntryShared, RequestContext};
 use crate::ids::{ClaimId, ModelName, RequestId};
 use crate::ledger::grant::GrantOutcome;
@@ -70,12 +70,13 @@
 pub async fn serve(
     http: HttpRequest,
     path: web::Path<(String, String)>,
-    body: Bytes,
+    payload: web::Payload,
     shared: web::Data<EntryShared>,
     clients: web::Data<TargetClients>,
 ) -> Result<HttpResponse> {
     let shared = shared.into_inner();
     let (team, _) = authenticate(&http, &shared)?;
+    let (body, _body_share) = read_body(&http, payload, &shared).await?;
     let arrived = shared.now();
     let context = RequestContext {
         request: RequestId::random(),
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -13,12 +13,18 @@
 use crate::config::EntrySettings;
 use crate::ids::{RequestId, TargetName, TeamName};
 use crate::ledger::grant::PoolLoad;
+use crate::node::body_budget::{BodyBudget, BodyLimits};
+use crate::node::connection_budget::LimitReports;
+use crate::node::state::REQUEST_BODIES_SHARE;
 use crate::policy::retry::RetryBudget;
 use crate::view::View;
 use crate::view::freshness::MAX_VIEW_AGE;
 use crate::view::ownership::PoolKey;
 use crate::wire::PeerClient;
 
+/// Of a chat request's body: as received or parsed, and as encoded for a target in a buffer that doubles.
+const BODY_COPIES: usize = 3;
+
 /// What this entry has received from the steward that it follows: the view and the pool loads.
 #[derive(Debug, Default)]
 pub struct FollowedState {
@@ -59,6 +65,10 @@
     pub decisions: DecisionRing,
     /// Metrics for `GET /metrics`.
     pub metrics: EntryMetrics,
+    /// Limits that callers reached.
+    pub limit_reports: Arc<LimitReports>,
+    /// Memory that the bodies of requests share.
+    pub body_budget: Arc<BodyBudget>,
     /// Set to true when the entry starts to shut down.
     pub stopping: watch::Sender<bool>,
     clients: Mutex<BTreeMap<String, Arc<PeerClient>>>,
@@ -67,6 +77,12 @@
 impl EntryShared {
     /// State of an entry whose view is still empty and not fresh.
     pub fn new(settings: EntrySettings, clock: TimeSource) -> Self {
+        let metrics = EntryMetrics::new();
+        let bodies = BodyLimits {
+            body: settings.body_limit,
+            total: (settings.memory_bytes as f64 * REQUEST_BODIES_SHARE) as usize,
+            copies: BODY_COPIES,
+        };
         Self {
             settings,
             clock,
@@ -75,7 +91,9 @@
             held: Mutex::default(),
             budget: Mutex::default(),
             decisions: DecisionRing::default(),
-            metrics: EntryMetrics::new(),
+            limit_reports: Arc::new(LimitReports::new(metrics.connections.clone())),
+            body_budget: Arc::new(BodyBudget::new(bodies)),
+            metrics,
             stopping: watch::Sender::new(false),
             clients: Mutex::default(),
         }
--- a/src/node/body_budget.rs
+++ b/src/node/body_budget.rs
@@ -1,9 +1,15 @@
 //! Memory that the bodies of requests, or of responses, share.
 
-use std::cell::Cell;
-use std::rc::Rc;
+use std::fmt::Display;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
+use thiserror::Error;
+
+/// Result of reading a body.
+pub type Result<T> = std::result::Result<T, BodyError>;
 
 const SMALL_BODY_BYTES: usize = 16 * 1024; // up to which a body is read even if large ones take all memory
 
@@ -18,14 +24,17 @@
     pub body: usize,
     /// Of all bodies together, beyond the first 16 KiB of each.
     pub total: usize,
+    /// How often the bytes of a body are held at a time while it is served; each counts in the total.
+    pub copies: usize,
 }
 
-/// Memory that all bodies of one kind share.
+/// Memory that all bodies of one kind share, also between threads: a part for each thread would be too
+/// small for one large body.
 ///
 /// ```
-/// use std::rc::Rc;
+/// use std::sync::Arc;
 /// use plantainnotch::node::body_budget::{BodyBudget, BodyLimits, BudgetShare};
-/// let budget = Rc::new(BodyBudget::new(BodyLimits { body: 50_000, total: 60_000 }));
+/// let budget = Arc::new(BodyBudget::new(BodyLimits { body: 50_000, total: 60_000, copies: 1 }));
 /// let (mut first, mut second) = (BudgetShare::new(&budget), BudgetShare::new(&budget));
 /// assert!(first.grow_to(50_000));
 /// assert!(!second.grow_to(50_000));
@@ -35,7 +44,7 @@
 #[derive(Debug)]
 pub struct BodyBudget {
     limits: BodyLimits,
-    used_bytes: Cell<usize>,
+    used_bytes: AtomicUsize,
 }
 
 impl BodyBudget {
@@ -43,7 +52,7 @@
     pub fn new(limits: BodyLimits) -> Self {
         Self {
             limits,
-            used_bytes: Cell::new(0),
+            used_bytes: AtomicUsize::new(0),
         }
     }
 }
@@ -51,13 +60,13 @@
 /// The share of one body in a [`BodyBudget`], given back when dropped.
 #[derive(Debug)]
 pub struct BudgetShare {
-    budget: Rc<BodyBudget>,
+    budget: Arc<BodyBudget>,
     taken_bytes: usize,
 }
 
 impl BudgetShare {
     /// The share of a body without bytes yet.
-    pub fn new(budget: &Rc<BodyBudget>) -> Self {
+    pub fn new(budget: &Arc<BodyBudget>) -> Self {
         Self {
             budget: budget.clone(),
             taken_bytes: 0,
@@ -66,25 +75,88 @@
 
     /// Takes what a body of `body_bytes` needs, and returns whether it may grow to that size.
     pub fn grow_to(&mut self, body_bytes: usize) -> bool {
-        let BodyLimits { body, total } = self.budget.limits;
-        let needed = body_bytes
-            .saturating_sub(SMALL_BODY_BYTES)
+        let limits = self.budget.limits;
+        let counted_bytes = body_bytes.saturating_sub(SMALL_BODY_BYTES);
+        let needed = counted_bytes
+            .saturating_mul(limits.copies)
             .max(self.taken_bytes);
-        let used = self.budget.used_bytes.get() - self.taken_bytes + needed;
-        let fits = body_bytes <= body && (needed == self.taken_bytes || used <= total);
-        if fits {
-            self.budget.used_bytes.set(used);
+        let more_bytes = needed - self.taken_bytes;
+        if body_bytes > limits.body {
+            return false;
+        }
+        if more_bytes == 0 {
+            return true;
+        }
+        // The count guards no other data, so that its order with other accesses does not matter.
+        let order = Ordering::Relaxed;
+        let grown = self
+            .budget
+            .used_bytes
+            .fetch_update(order, order, |used_bytes| {
+                let used_bytes = used_bytes.checked_add(more_bytes)?;
+                (used_bytes <= limits.total).then_some(used_bytes)
+            });
+        if grown.is_ok() {
             self.taken_bytes = needed;
         }
-        fits
+        grown.is_ok()
     }
 }
 
 impl Drop for BudgetShare {
     fn drop(&mut self) {
-        let used = self.budget.used_bytes.get();
-        self.budget.used_bytes.set(used - self.taken_bytes);
+        self.budget
+            .used_bytes
+            .fetch_sub(self.taken_bytes, Ordering::Relaxed);
+    }
+}
+
+/// Why the body of a request was not read.
+#[derive(Debug, Error)]
+pub enum BodyError {
+    /// It is over the limit of one body.
+    #[error("the body is over the limit")]
+    TooLarge,
+    /// The bodies of other requests leave too little memory.
+    #[error("the bodies of other requests take all memory")]
+    NoMemory,
+    /// It ended early, or its framing is invalid.
+    #[error("{0}")]
+    Unreadable(String),
+}
+
+/// Reads a body from `payload`, and takes memory for it as it arrives. One whose announced length, 0 if there
+/// is none, is over `limit` or needs more than is left is not read at all.
+///
+/// # Errors
+///
+/// Fails when the body is over `limit` bytes, when memory runs short, or when it cannot be read.
+pub async fn read_body<E: Display>(
+    budget: &Arc<BodyBudget>,
+    limit: usize,
+    length: usize,
+    mut payload: impl Stream<Item = std::result::Result<Bytes, E>> + Unpin,
+) -> Result<(Bytes, BudgetShare)> {
+    if length > limit {
+        return Err(BodyError::TooLarge);
+    }
+    if !BudgetShare::new(budget).grow_to(length) {
+        return Err(BodyError::NoMemory);
+    }
+    let mut share = BudgetShare::new(budget);
+    let mut body = BodyBuffer::new(length);
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| BodyError::Unreadable(error.to_string()))?;
+        let read_bytes = body.body_bytes() + chunk.len();
+        if read_bytes > limit {
+            return Err(BodyError::TooLarge);
+        }
+        if !share.grow_to(read_bytes) {
+            return Err(BodyError::NoMemory);
+        }
+        body.push(&chunk);
     }
+    Ok((body.into_bytes(), share))
 }
 
 /// A body that is being read, which takes memory as its bytes arrive.
--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix_http::body::BodySize;
@@ -333,7 +333,7 @@
     /// # Errors
     ///
     /// Fails like [`Self::next_chunk`], and when the body is over 256 KiB or the budget is used up.
-    pub async fn read_body(&mut self, budget: &Rc<BodyBudget>) -> Result<Bytes> {
+    pub async fn read_body(&mut self, budget: &Arc<BodyBudget>) -> Result<Bytes> {
         let mut share = BudgetShare::new(budget);
         let mut body = BytesMut::new();
         while let Some(chunk) = self.next_chunk().await? {
--- a/src/node/connection_budget.rs
+++ b/src/node/connection_budget.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -65,6 +66,8 @@
     PeerConnections,
     /// A peer's call, or all that are not complete, over the bytes allowed for them.
     PeerCallBytes,
+    /// Bodies of requests that take more memory than their share.
+    BodyMemory,
 }
 
 impl LimitCause {
@@ -79,6 +82,7 @@
             Self::Pipelined => "pipelined",
             Self::PeerConnections => "peer_connections",
             Self::PeerCallBytes => "peer_call_bytes",
+            Self::BodyMemory => "body_memory",
         }
     }
 }
@@ -113,6 +117,21 @@
 }
 
 impl ConnectionLimits {
+    /// The bounds of one of `threads` that serve callers, of which each has an equal part.
+    pub fn of_thread(connections: usize, memory_bytes: usize, threads: usize) -> Self {
+        let bytes = (memory_bytes as f64 * MEMORY_SHARE) as usize / threads;
+        Self {
+            callers: (connections / threads).min(bytes / CONNECTION_BYTES).max(1),
+            others: 0,
+            bytes,
+        }
+    }
+
+    /// Sockets of callers' connections that may be open: those that are closed or refused take a moment.
+    pub fn caller_sockets(&self) -> usize {
+        with_closing(self.callers) + 1
+    }
+
     /// The bounds of a VM with these settings.
     pub fn new(settings: &NodeSettings) -> Self {
         let bytes = (settings.memory_bytes as f64 * MEMORY_SHARE) as usize;
@@ -129,40 +148,92 @@
     }
 }
 
+fn with_closing(connections: usize) -> usize {
+    connections + connections / CLOSING_SHARE
+}
+
 #[derive(Debug, Default)]
 struct LimitLog {
     logged_at: Option<Instant>,
     count: u64,
 }
 
-/// All connections of callers to one VM, and what is held for them.
+/// Counts and logs the limits that callers reach; shared by all threads of a process.
+#[derive(Debug)]
+pub struct LimitReports {
+    metrics: ConnectionMetrics,
+    logs: Mutex<BTreeMap<LimitCause, LimitLog>>,
+}
+
+impl LimitReports {
+    /// Reports to these metrics; nothing is logged yet.
+    pub fn new(metrics: ConnectionMetrics) -> Self {
+        Self {
+            metrics,
+            logs: Mutex::default(),
+        }
+    }
+
+    /// Counts that a caller reached a limit, and logs it at most every 10 s.
+    pub fn report(&self, cause: LimitCause, caller: Option<SocketAddr>, now: Instant) {
+        let limit = cause.name();
+        self.metrics
+            .limits_reached
+            .get_or_create(&LimitLabel { limit })
+            .inc();
+        let mut logs = self
+            .logs
+            .lock()
+            .expect("no thread panics while it holds the lock");
+        let log = logs.entry(cause).or_default();
+        log.count += 1;
+        let is_due = log
+            .logged_at
+            .is_none_or(|logged_at| now.saturating_duration_since(logged_at) >= LOG_INTERVAL);
+        if is_due {
+            tracing::warn!(
+                limit,
+                caller = caller.map(tracing::field::display),
+                count = log.count,
+                connections = self.metrics.open.get(),
+                held_bytes = self.metrics.held_bytes.get(),
+                "caller reached a limit"
+            );
+            log.count = 0;
+            log.logged_at = Some(now);
+        }
+    }
+}
+
+/// The connections of callers that one thread serves, and what is held for them.
+///
+/// A process with several threads has one for each, with an equal part of the limits, so that a read or a
+/// write takes no lock.
 #[derive(Debug)]
 pub struct ConnectionBudget {
     limits: ConnectionLimits,
     clock: TimeSource,
-    metrics: ConnectionMetrics,
+    reports: Arc<LimitReports>,
     header_bytes: Cell<usize>,
     used_bytes: Cell<usize>,
     next_id: Cell<u64>,
     /// Sockets that are open, by kind of listener, those of closed connections included.
     open_sockets: [Cell<usize>; 2],
     connections: RefCell<BTreeMap<u64, Rc<CallerConnection>>>,
-    logs: RefCell<BTreeMap<LimitCause, LimitLog>>,
 }
 
 impl ConnectionBudget {
     /// Creates a budget without connections.
-    pub fn new(limits: ConnectionLimits, clock: TimeSource, metrics: ConnectionMetrics) -> Self {
+    pub fn new(limits: ConnectionLimits, clock: TimeSource, reports: Arc<LimitReports>) -> Self {
         Self {
             limits,
             clock,
-            metrics,
+            reports,
             header_bytes: Cell::new(DEFAULT_HEADER_BYTES),
             used_bytes: Cell::new(0),
             next_id: Cell::new(0),
             open_sockets: Default::default(),
             connections: RefCell::default(),
-            logs: RefCell::default(),
         }
     }
 
@@ -190,7 +261,7 @@
             }
         }
         let open_sockets = &self.open_sockets[kind as usize];
-        if open_sockets.get() > limit + limit / CLOSING_SHARE {
+        if open_sockets.get() > with_closing(limit) {
             return None;
         }
         if self.used_bytes.get() + CONNECTION_BYTES > self.limits.bytes {
@@ -205,7 +276,7 @@
         connection.count_held();
         open_sockets.set(open_sockets.get() + 1);
         self.connections.borrow_mut().insert(id, connection.clone());
-        self.metrics.open.inc();
+        self.reports.metrics.open.inc();
         Some(connection)
     }
 
@@ -241,45 +312,23 @@
         true
     }
 
-    /// Counts that a connection reached a limit, and logs it at most every 10 s.
+    /// Reports that a connection reached a limit.
     pub fn report(&self, cause: LimitCause, peer: SocketAddr) {
-        let limit = cause.name();
-        self.metrics
-            .limits_reached
-            .get_or_create(&LimitLabel { limit })
-            .inc();
-        let now = self.clock.now();
-        let mut logs = self.logs.borrow_mut();
-        let log = logs.entry(cause).or_default();
-        log.count += 1;
-        let is_due = log
-            .logged_at
-            .is_none_or(|logged_at| now.saturating_duration_since(logged_at) >= LOG_INTERVAL);
-        if is_due {
-            tracing::warn!(
-                limit,
-                caller = %peer,
-                count = log.count,
-                connections = self.connections.borrow().len(),
-                held_bytes = self.used_bytes.get(),
-                "caller reached a limit"
-            );
-            log.count = 0;
-            log.logged_at = Some(now);
-        }
+        self.reports.report(cause, Some(peer), self.clock.now());
     }
 
     fn replace_held(&self, before: usize, after: usize) {
         let used = self.used_bytes.get() - before + after;
         self.used_bytes.set(used);
-        self.metrics.held_bytes.set(used as i64);
+        let held_bytes = &self.reports.metrics.held_bytes;
+        held_bytes.inc_by(after as i64 - before as i64);
     }
 
     fn remove(&self, id: u64) {
         let removed = self.connections.borrow_mut().remove(&id);
         if let Some(connection) = removed {
             self.replace_held(connection.held_bytes.take(), 0);
-            self.metrics.open.dec();
+            self.reports.metrics.open.dec();
         }
     }
 }
--- a/src/node/listeners.rs
+++ b/src/node/listeners.rs
@@ -1,4 +1,4 @@
-//! The HTTP server, and the handlers of the directory, readiness and metrics listeners.
+//! The HTTP server, also of `notch-entry`, and the handlers of the directory, readiness and metrics listeners.
 
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -7,10 +7,11 @@
 use std::time::Duration;
 
 use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::error::DispatchError;
 use actix_http::{HttpMessage, HttpService, Request, Response, StatusCode, header};
-use actix_service::{Service, ServiceFactory, fn_service};
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, apply_fn_factory, fn_service};
 use bytes::Bytes;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use super::caller_stream::{CallerStream, ReadWaker};
 use super::connection_budget::{CallerConnection, ConnectionBudget, ListenerKind};
@@ -48,10 +49,91 @@
     socket.listen(ACCEPT_QUEUE)
 }
 
+/// Timeouts of an HTTP server, beside those of the connections' budget.
+#[derive(Debug, Clone, Copy)]
+pub struct HttpTimeouts {
+    /// After which an idle connection is closed.
+    pub keep_alive: Duration,
+    /// For the first head of a connection.
+    pub request_head: Duration,
+}
+
+/// Creates the service of callers' streams, whose requests `handler` serves; `None` if `handler` cannot be
+/// created.
+///
+/// A caller that closes its connection, or its sending side, drops the request that is being served.
+pub async fn caller_service<F, S>(
+    timeouts: HttpTimeouts,
+    handler: F,
+) -> Option<impl Service<(CallerStream, Option<SocketAddr>), Response = (), Error = DispatchError>>
+where
+    F: IntoServiceFactory<S, Request>,
+    S: ServiceFactory<Request, Config = ()> + 'static,
+    S::Response: Into<Response<BoxBody>>,
+    S::Error: Into<Response<BoxBody>> + 'static,
+    S::InitError: std::fmt::Debug,
+{
+    let counted_handler = apply_fn_factory(handler, |request: Request, handler: &S::Service| {
+        let progress = request.conn_data::<ConnectionProgress>().cloned();
+        let exchange = progress.map(|progress| ExchangeGuard::begin(progress, &request));
+        let response = handler.call(request);
+        async move {
+            let response = response.await?.into();
+            Ok::<_, S::Error>(match exchange {
+                Some(exchange) => count_response(response, exchange),
+                None => response,
+            })
+        }
+    });
+    let service = HttpService::build()
+        .keep_alive(timeouts.keep_alive)
+        .client_request_timeout(timeouts.request_head)
+        .client_disconnect_timeout(Duration::from_secs(1))
+        .h1_allow_half_closed(false)
+        .on_connect_ext(|stream: &CallerStream, data| {
+            data.insert(ConnectionProgress::new(stream));
+        })
+        .h1(counted_handler);
+    service.new_service(()).await.ok()
+}
+
+/// Counts a connection that was accepted; `None` if `connections` does not admit it. It is then refused with
+/// 503 before anything of it is read.
+pub fn admit_stream(
+    connections: &Rc<ConnectionBudget>,
+    kind: ListenerKind,
+    stream: TcpStream,
+    peer: SocketAddr,
+) -> Option<CallerStream> {
+    let Some(connection) = connections.admit(kind, peer) else {
+        // Fails only if the caller has left.
+        stream.try_write(CONNECTION_REFUSAL).ok();
+        return None;
+    };
+    stream.set_nodelay(true).ok();
+    Some(CallerStream::new(stream, connection))
+}
+
+/// Serves a connection until it ends, with a [`caller_service`].
+pub async fn serve_stream<S>(service: Rc<S>, stream: CallerStream, peer: SocketAddr)
+where
+    S: Service<(CallerStream, Option<SocketAddr>), Response = (), Error = DispatchError>,
+{
+    let connection = stream.connection().clone();
+    tokio::select! {
+        served = service.call((stream, Some(peer))) => {
+            if let Err(error) = served {
+                tracing::debug!(%error, "connection ended early");
+            }
+        }
+        () = connection.closed() => {}
+    }
+    connection.release();
+}
+
 /// Accepts HTTP connections on `listener` until `close_signal` completes; open ones stay open.
 ///
-/// All connections share one thread, since a node has only a fraction of a core. Connections that
-/// `connections` does not admit are refused with 503 before anything of them is read.
+/// All connections share one thread, since a node has only a fraction of a core.
 pub async fn serve_http<H, F>(
     listener: TcpListener,
     kind: ListenerKind,
@@ -62,33 +144,19 @@
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response<BoxBody>> + 'static,
 {
-    let service = HttpService::build()
-        .keep_alive(KEEP_ALIVE_TIMEOUT)
-        .client_request_timeout(REQUEST_HEAD_TIMEOUT)
-        .client_disconnect_timeout(Duration::from_secs(1))
-        .h1_allow_half_closed(false)
-        .on_connect_ext(|stream: &CallerStream, data| {
-            data.insert(ConnectionProgress::new(stream));
-        })
-        .h1(fn_service(move |request: Request| {
-            let progress = request.conn_data::<ConnectionProgress>().cloned();
-            let exchange = progress.map(|progress| ExchangeGuard::begin(progress, &request));
-            let response = handler(request);
-            async move {
-                let response = response.await;
-                Ok::<_, Response<BoxBody>>(match exchange {
-                    Some(exchange) => count_response(response, exchange),
-                    None => response,
-                })
-            }
-        }));
-    let service = match service.new_service(()).await {
-        Ok(service) => Rc::new(service),
-        Err(()) => {
-            tracing::error!("HTTP service could not be built; report this as a fault");
-            return;
-        }
+    let handler = fn_service(move |request: Request| {
+        let response = handler(request);
+        async move { Ok::<_, Response<BoxBody>>(response.await) }
+    });
+    let timeouts = HttpTimeouts {
+        keep_alive: KEEP_ALIVE_TIMEOUT,
+        request_head: REQUEST_HEAD_TIMEOUT,
+    };
+    let Some(service) = caller_service(timeouts, handler).await else {
+        tracing::error!("HTTP service could not be built; report this as a fault");
+        return;
     };
+    let service = Rc::new(service);
     tokio::pin!(close_signal);
     loop {
         let accepted = tokio::select! {
@@ -97,25 +165,9 @@
         };
         match accepted {
             Ok((stream, peer)) => {
-                let Some(connection) = connections.admit(kind, peer) else {
-                    // Fails only if the caller has left.
-                    stream.try_write(CONNECTION_REFUSAL).ok();
-                    continue;
-                };
-                stream.set_nodelay(true).ok();
-                let service = service.clone();
-                actix_rt::spawn(async move {
-                    let stream = CallerStream::new(stream, connection.clone());
-                    tokio::select! {
-                        served = service.call((stream, Some(peer))) => {
-                            if let Err(error) = served {
-                                tracing::debug!(%error, "connection ended early");
-                            }
-                        }
-                        () = connection.closed() => {}
-                    }
-                    connection.release();
-                });
+                if let Some(stream) = admit_stream(&connections, kind, stream, peer) {
+                    actix_rt::spawn(serve_stream(service.clone(), stream, peer));
+                }
             }
             Err(error) => {
                 tracing::warn!(%error, "connection not accepted; raise the limit of open files");
--- a/src/node/request_handler.rs
+++ b/src/node/request_handler.rs
@@ -8,11 +8,10 @@
 use actix_http::header::{self, HeaderValue};
 use actix_http::{HttpMessage, Request, Response, StatusCode, Version};
 use bytes::Bytes;
-use futures_util::StreamExt;
 use tokio::time::sleep;
 
 use super::attempt::CallerRequest;
-use super::body_budget::{BodyBuffer, BudgetShare};
+use super::body_budget::{BodyError, BudgetShare, read_body};
 use super::run_claims::ClaimGuard;
 use super::service::{NodeResponse, ServedResponse};
 use super::state::NodeState;
@@ -161,7 +160,7 @@
         ));
     };
     let body = tokio::select! {
-        body = read_body(node, request, table.limits.body_bytes) => body,
+        body = read_request_body(node, request, table.limits.body_bytes) => body,
         () = wait_until_all_due(node) => Err(refuse_for_stop(node, is_carried)),
         () = sleep(parsed_headers.deadline.unwrap_or(MAX_BODY_TIME)) => Err(reject(
             StatusCode::REQUEST_TIMEOUT,
@@ -345,9 +344,7 @@
         .unwrap_or_default()
 }
 
-/// Reads a request's body, and takes memory for it as it arrives. One that is known to need more than
-/// is left is not read at all.
-async fn read_body(
+async fn read_request_body(
     node: &NodeState,
     request: &mut Request,
     limit: usize,
@@ -357,41 +354,20 @@
         .get(header::CONTENT_LENGTH)
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .unwrap_or(0);
-    let too_large = || {
-        let status = StatusCode::PAYLOAD_TOO_LARGE;
-        reject(status, "body_too_large", "shorten the body")
-    };
-    let no_memory = || {
-        let reason = "the bodies of other requests take all memory";
-        NodeResponse::not_run("memory", reason, MEMORY_RETRY_AFTER)
-    };
-    if length > limit {
-        return Err(too_large());
-    }
-    if !BudgetShare::new(&node.request_budget).grow_to(length) {
-        return Err(no_memory());
-    }
-    let mut payload = request.take_payload();
-    let mut share = BudgetShare::new(&node.request_budget);
-    let mut body = BodyBuffer::new(length);
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|error| {
-            reject(
-                StatusCode::BAD_REQUEST,
-                "unreadable_body",
-                &error.to_string(),
-            )
-        })?;
-        let read_bytes = body.body_bytes() + chunk.len();
-        if read_bytes > limit {
-            return Err(too_large());
+    let payload = request.take_payload();
+    let read = read_body(&node.request_budget, limit, length, payload).await;
+    read.map_err(|error| match error {
+        BodyError::TooLarge => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            reject(status, "body_too_large", "shorten the body")
         }
-        if !share.grow_to(read_bytes) {
-            return Err(no_memory());
+        BodyError::NoMemory => {
+            NodeResponse::not_run("memory", error.to_string(), MEMORY_RETRY_AFTER)
         }
-        body.push(&chunk);
-    }
-    Ok((body.into_bytes(), share))
+        BodyError::Unreadable(reason) => {
+            reject(StatusCode::BAD_REQUEST, "unreadable_body", &reason)
+        }
+    })
 }
 
 fn encode_node_response(id: &str, node_response: &NodeResponse) -> Response<BoxBody> {
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -4,13 +4,14 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tokio::sync::{Notify, oneshot, watch};
 
 use super::body_budget::{BodyBudget, BodyLimits};
 use super::connection::{ConnectionPool, ExchangeError};
-use super::connection_budget::{ConnectionBudget, ConnectionLimits};
+use super::connection_budget::{ConnectionBudget, ConnectionLimits, LimitReports};
 use super::engine_paces::EnginePaces;
 use super::messages::{JobUpdate, RankedAnswer};
 use super::metrics::NodeMetrics;
@@ -46,8 +47,10 @@
 const RESPONSE_BODIES: BodyLimits = BodyLimits {
     body: 256 * 1024,
     total: 24 * 1024 * 1024,
+    copies: 1,
 };
-const REQUEST_BODIES_SHARE: f64 = 0.4; // of the VM's memory; the rest is for the process, responses and the sockets' buffers
+/// Of the process's memory that the bodies of callers' requests take; the rest is for the process, responses and the sockets' buffers.
+pub const REQUEST_BODIES_SHARE: f64 = 0.4;
 
 /// What a node's tasks share; cells suffice, since the tasks run on one thread.
 pub struct NodeState {
@@ -75,9 +78,9 @@
     /// Idle connections to targets.
     pub connection_pool: RefCell<ConnectionPool>,
     /// Memory for responses that are read in full.
-    pub body_budget: Rc<BodyBudget>,
+    pub body_budget: Arc<BodyBudget>,
     /// Memory for the bodies of callers' requests, each until its response is complete.
-    pub request_budget: Rc<BodyBudget>,
+    pub request_budget: Arc<BodyBudget>,
     /// Streams under way, and memory for what is read of them ahead of their callers.
     pub stream_buffers: StreamBuffers,
     /// Connections of callers, and what is held for them.
@@ -158,15 +161,14 @@
     ) -> Self {
         let started_at = clock.now();
         let metrics = NodeMetrics::new();
-        let connections = ConnectionBudget::new(
-            ConnectionLimits::new(&settings),
-            clock.clone(),
-            metrics.connections.clone(),
-        );
+        let reports = LimitReports::new(metrics.connections.clone());
+        let limits = ConnectionLimits::new(&settings);
+        let connections = ConnectionBudget::new(limits, clock.clone(), Arc::new(reports));
         let request_bodies = BodyLimits {
             // The configuration limits each.
             body: usize::MAX,
             total: (settings.memory_bytes as f64 * REQUEST_BODIES_SHARE) as usize,
+            copies: 1,
         };
         let read_ahead = ReadAheadLimits::of_memory(settings.memory_bytes);
         Self {
@@ -181,8 +183,8 @@
             decision_schedule: RefCell::default(),
             peer_clients: RefCell::default(),
             connection_pool: RefCell::default(),
-            body_budget: Rc::new(BodyBudget::new(RESPONSE_BODIES)),
-            request_budget: Rc::new(BodyBudget::new(request_bodies)),
+            body_budget: Arc::new(BodyBudget::new(RESPONSE_BODIES)),
+            request_budget: Arc::new(BodyBudget::new(request_bodies)),
             stream_buffers: StreamBuffers::new(read_ahead),
             connections: Rc::new(connections),
             target_health: RefCell::default(),
