Count the values of a chat body before it is parsed

Cause: a parsed JSON value takes many times its text. Four callers that send bodies of 4 MiB, within the limit, with many small values in a field that the entry does not read took an entry to 155 MB (bound 48); found while writing the fuzzer's inputs.

Change: values are counted before the body is parsed. A body with more than 50,000 is refused with 400; each counts 300 bytes in the memory of bodies. The 300 bytes are an estimate from the sizes of the structures.

--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -147,6 +147,28 @@
     rest: &'a serde_json::Map<String, serde_json::Value>,
 }
 
+/// Number of values in a JSON text, and a few more: each begins with a bracket or follows a comma.
+///
+/// ```
+/// use plantainnotch::entry::chat::value_count;
+/// assert_eq!(value_count(br#"{"a":[1,2,3],"b":",,\",["}"#), 5);
+/// ```
+pub fn value_count(json: &[u8]) -> usize {
+    let mut count = 0;
+    let mut is_in_string = false;
+    let mut is_escaped = false;
+    for byte in json {
+        match byte {
+            _ if is_escaped => is_escaped = false,
+            b'\\' if is_in_string => is_escaped = true,
+            b'"' => is_in_string = !is_in_string,
+            b',' | b'{' | b'[' if !is_in_string => count += 1,
+            _ => {}
+        }
+    }
+    count
+}
+
 /// Estimated length of a prompt, in tokens, without an answer that is to be continued.
 pub fn prompt_tokens(body: &ChatBody) -> u64 {
     body.prompt_messages().iter().map(ChatMessage::tokens).sum()
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use super::chat::{ChatBody, prompt_tokens};
+use super::chat::{ChatBody, prompt_tokens, value_count};
 use super::error::{ApiError, ErrorKind, Result, TIMEOUT_HEADER};
 use super::grants::{ReservationSpec, reserve_team};
 use super::handlers;
@@ -43,6 +43,11 @@
 };
 /// To receive a body, if the caller names no timeout.
 const MAX_BODY_TIME: Duration = Duration::from_secs(60);
+/// Of a chat body; those of long chats with tools have a few thousand.
+const MAX_VALUES: usize = 50_000;
+/// Of a parsed value, beside its text, by `BODY_COPIES`: while a body is parsed, a field that the entry does not
+/// read is held twice, as entries of maps and vectors that double, of which each takes about 150 bytes.
+const VALUE_BYTES: usize = 100;
 /// A body is held until the response to its request is complete.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 const BLOCKING_PARSE_BYTES: usize = 256 << 10;
@@ -199,17 +204,36 @@
 }
 
 /// Parses a body; a large one on the blocking thread pool, so that it does not stall the worker.
-async fn parse_body(bytes: Bytes) -> Result<ChatBody> {
-    if bytes.len() < BLOCKING_PARSE_BYTES {
-        return ChatBody::parse(&bytes);
-    }
-    let parsed = web::block(move || ChatBody::parse(&bytes)).await;
-    parsed.unwrap_or_else(|_| {
-        Err(ApiError::not_run(
-            ErrorKind::NoCapacity,
-            "this entry is stopping; use another entry of GET /v1/entries",
-        ))
-    })
+async fn parse_body(
+    bytes: Bytes,
+    mut share: BudgetShare,
+    memory_error: impl FnOnce() -> ApiError,
+) -> Result<(ChatBody, BudgetShare)> {
+    let is_small = bytes.len() < BLOCKING_PARSE_BYTES;
+    let parse = move || {
+        let values = value_count(&bytes);
+        if values > MAX_VALUES {
+            return Err(ApiError::not_run(
+                ErrorKind::BadRequest,
+                format!("the body holds more than {MAX_VALUES} JSON values; send fewer"),
+            ));
+        }
+        if !share.grow_to(bytes.len() + values * VALUE_BYTES) {
+            return Ok(None);
+        }
+        Ok(Some((ChatBody::parse(&bytes)?, share)))
+    };
+    let parsed = if is_small {
+        parse()
+    } else {
+        web::block(parse).await.unwrap_or_else(|_| {
+            Err(ApiError::not_run(
+                ErrorKind::NoCapacity,
+                "this entry is stopping; use another entry of GET /v1/entries",
+            ))
+        })
+    };
+    parsed?.ok_or_else(memory_error)
 }
 
 /// The timeout of a request that sets none, by the length of its prompt and answer.
@@ -224,6 +248,17 @@
     (base_timeout + decode_time).min(Duration::from_millis(MAX_TIMEOUT_MS))
 }
 
+/// Reports a body that takes too much memory, and refuses its request.
+fn body_memory_error(http: &HttpRequest, shared: &EntryShared) -> ApiError {
+    let reports = &shared.limit_reports;
+    reports.report(LimitCause::BodyMemory, http.peer_addr(), shared.now());
+    ApiError::not_run(
+        ErrorKind::NoCapacity,
+        "the bodies of other requests take all memory; retry later, or use another entry",
+    )
+    .retry_after(MEMORY_RETRY_AFTER)
+}
+
 /// Reads the body of a request whose caller is known, and takes memory for it until the share is dropped.
 ///
 /// # Errors
@@ -252,12 +287,7 @@
             ErrorKind::TooLarge,
             format!("the body is over {limit} bytes; shorten the prompt"),
         ),
-        BodyError::NoMemory => {
-            let reports = &shared.limit_reports;
-            reports.report(LimitCause::BodyMemory, http.peer_addr(), shared.now());
-            let message = format!("{error}; retry later, or use another entry");
-            ApiError::not_run(ErrorKind::NoCapacity, message).retry_after(MEMORY_RETRY_AFTER)
-        }
+        BodyError::NoMemory => body_memory_error(http, shared),
         BodyError::Unreadable(reason) => ApiError::not_run(
             ErrorKind::BadRequest,
             format!("the body cannot be read: {reason}; send it whole"),
@@ -275,7 +305,8 @@
     let (team, row) = authenticate(&http, &shared)?;
     let (bytes, body_share) = read_body(&http, payload, &shared).await?;
     let arrived = shared.now();
-    let body = parse_body(bytes).await?;
+    let memory_error = || body_memory_error(&http, &shared);
+    let (body, body_share) = parse_body(bytes, body_share, memory_error).await?;
     let prompt_tokens = prompt_tokens(&body);
     let context = RequestContext {
         request: RequestId::random(),
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -79,7 +79,8 @@
     pub fn new(settings: EntrySettings, clock: TimeSource) -> Self {
         let metrics = EntryMetrics::new();
         let bodies = BodyLimits {
-            body: settings.body_limit,
+            // The settings limit each.
+            body: usize::MAX,
             total: (settings.memory_bytes as f64 * REQUEST_BODIES_SHARE) as usize,
             copies: BODY_COPIES,
         };
--- a/tests/hostile_callers/entries.rs
+++ b/tests/hostile_callers/entries.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use crate::bodies::{send_announced, send_bodies};
-use crate::crowd::{Crowd, MAX_FDS, MEMORY_MB, take_turn, withstand_crowd};
+use crate::crowd::{Crowd, MAX_FDS, MEMORY_MB, Sending, take_turn, withstand_crowd};
 use crate::fleet::{TestFleet, http_request};
 use crate::heads::{send_endless_heads, send_heads};
 use crate::pipelines::{SENDERS, pipelined};
@@ -15,17 +15,17 @@
 const MAX_BODY_BYTES: usize = 4_194_304;
 /// Of the descriptors, as by default: 1,000 of 4,100.
 const MAX_CONNECTIONS: usize = MAX_FDS / 4;
-const AUTHORIZATION: &str = "authorization: Bearer kigali-key\r\n";
-const CHAT_PATH: &str = "/v1/chat/completions";
+pub const AUTHORIZATION: &str = "authorization: Bearer kigali-key\r\n";
+pub const CHAT_PATH: &str = "/v1/chat/completions";
 
 /// A fleet whose first entry has lowered limits.
-struct EntryBed {
+pub struct EntryBed {
     fleet: TestFleet,
     _turn: MutexGuard<'static, ()>,
 }
 
 impl EntryBed {
-    fn start() -> Self {
+    pub fn start() -> Self {
         let turn = take_turn();
         let mut fleet = actix::System::new().block_on(TestFleet::start());
         let variables = [
@@ -43,12 +43,12 @@
         Self { fleet, _turn: turn }
     }
 
-    fn callers(&self) -> SocketAddr {
+    pub fn callers(&self) -> SocketAddr {
         let entry = &self.fleet.vms[0].entry;
         entry.parse().expect("an IP and port")
     }
 
-    fn withstand(mut self, attack: impl FnOnce(&Crowd)) {
+    pub fn withstand(mut self, attack: impl FnOnce(&Crowd)) {
         let entry = self.fleet.entries[0].as_mut().expect("it runs");
         let (id, address) = (entry.id(), self.fleet.vms[0].entry.clone());
         let is_answered = || is_chat_served(&address);
@@ -61,7 +61,7 @@
     response.is_some_and(|(status, _)| status == 200)
 }
 
-fn chat(stream: bool) -> String {
+pub fn chat(stream: bool) -> String {
     let messages = json!([{ "role": "user", "content": "stitch row label" }]);
     json!({ "model": "appraisal", "max_tokens": 40, "stream": stream, "messages": messages })
         .to_string()
@@ -166,6 +166,21 @@
     entry.withstand(|crowd| send_refused(crowd, callers));
 }
 
+/// Guards against an entry that parses bodies within the limit into many times their length.
+#[test]
+fn an_entry_takes_no_memory_for_bodies_of_many_small_values() {
+    let entry = EntryBed::start();
+    let callers = entry.callers();
+    let ones = ",1".repeat(MAX_BODY_BYTES / 2 - 200);
+    let body = chat(false).replacen('{', &format!("{{\"x\":[1{ones}],"), 1);
+    let request = format!(
+        "{}content-length: {}\r\n\r\n{body}",
+        chat_head(),
+        body.len()
+    );
+    entry.withstand(|crowd| crowd.send(4, callers, &Sending::fast(Vec::new(), request)));
+}
+
 /// Guards against bounds that hold for one kind of caller only and not for all of them together.
 #[test]
 fn an_entry_withstands_all_kinds_of_callers_together() {
