Add notch-fake fuzz, which sends seeded bytes to a listener

Cause: the tests of hostile callers send a few fixed kinds of bytes.

The command prints what it sent by kind, and fails if an ordinary request is not answered with 200 within 15 s afterwards. The tests of hostile callers run it for 5 s against a node and an entry with 48 MB and 300 descriptors, or for NOTCH_FUZZ_SECONDS.

--- a/src/bin/notch-fake.rs
+++ b/src/bin/notch-fake.rs
@@ -1,7 +1,7 @@
-//! Fake platform, fake targets, and the load generator.
+//! Fake platform, fake targets, the load generator and the fuzzer.
 
 use bpaf::{OptionParser, Parser, construct};
-use plantainnotch::cmd::{fake_decisions, fake_load, fake_platform, fake_target};
+use plantainnotch::cmd::{fake_decisions, fake_fuzz, fake_load, fake_platform, fake_target};
 
 #[derive(Debug, Clone)]
 enum FakeCommand {
@@ -9,6 +9,7 @@
     Target(fake_target::TargetOptions),
     Load(fake_load::LoadOptions),
     Decisions(fake_decisions::DecisionsOptions),
+    Fuzz(fake_fuzz::FuzzOptions),
 }
 
 fn options() -> OptionParser<FakeCommand> {
@@ -32,7 +33,12 @@
         .to_options()
         .descr("Measures placement decisions per second")
         .command("decisions");
-    construct!([platform, target, load, decisions])
+    let fuzz = fake_fuzz::options()
+        .map(FakeCommand::Fuzz)
+        .to_options()
+        .descr("Sends seeded bytes, valid and not, to a listener, and checks that it still serves")
+        .command("fuzz");
+    construct!([platform, target, load, decisions, fuzz])
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
 }
@@ -42,6 +48,7 @@
         FakeCommand::Platform(options) => fake_platform::run(options),
         FakeCommand::Target(options) => fake_target::run(options),
         FakeCommand::Load(options) => fake_load::run(&options),
+        FakeCommand::Fuzz(options) => fake_fuzz::run(options),
         FakeCommand::Decisions(options) => {
             fake_decisions::run(&options);
             Ok(())
--- a/tests/hostile_callers/main.rs
+++ b/tests/hostile_callers/main.rs
@@ -16,6 +16,7 @@
 mod bodies;
 mod crowd;
 mod entries;
+mod fuzz;
 mod heads;
 mod peers;
 mod pipelines;
