Promise no time of return to prompts that a stopping VM refuses

Callers that followed the Retry-After of a stopping VM to another one were refused there. Cause: the owner of placement recorded a promise for the prompt, at the time when it predicts room, but the stopping VM tells its caller to go to another VM at once. The return counted as early. Change: a VM that stops asks for placements without the digest of the prompt.

--- a/src/node/generation.rs
+++ b/src/node/generation.rs
@@ -317,7 +317,6 @@
     loop {
         let now = node.now();
         let rank = request_rank(node, caller);
-        let prompt = returning_prompt(node, caller, now).filter(|_| is_unsent);
         if lacks_time(node, caller, now) {
             return None;
         }
@@ -332,6 +331,9 @@
             Some(left) if is_other_vm_ready(node) => left.min(give_up_after),
             _ => give_up_after,
         };
+        // A caller that is refused for a stop is told to go to another VM at once.
+        let may_promise = is_unsent && time_before_stop.is_none();
+        let prompt = returning_prompt(node, caller, now).filter(|_| may_promise);
         request.job = node.new_job_id();
         let outcome = tokio::select! {
             outcome = place(node, request, rank, prompt) => outcome,
