Take no answer without a length for complete if the upload met a reset

What callers saw: a target answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer, on plain routes, streams and resumed streams.

Cause: the system reports the reset of a connection once, to the first call that meets it. When that was the write of the request, the error was only noted as "not fully sent"; the reads then returned the bytes that had arrived and an orderly end, which is where a body without a length ends.

Change: the connection remembers that its write failed. A body without a length or chunks that ends on such a connection is truncated; bodies with either do not depend on how the connection ends.

Evidence: the new test holds the node for 20 ms while the part and the reset arrive.

--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -118,6 +118,9 @@
     body_bytes: usize,
     until_close: bool,
     request_fully_sent: bool,
+    /// Whether writing the request failed. The system reports the reset of a connection once only: if
+    /// the write takes it, the reads end as if the target had closed the connection in order.
+    write_failed: bool,
     idle_limit: Option<Duration>,
     idle_since: Instant,
 }
@@ -161,6 +164,7 @@
             body_bytes: 0,
             until_close: false,
             request_fully_sent: true,
+            write_failed: false,
             idle_limit: None,
             idle_since: now,
         })
@@ -217,6 +221,7 @@
         self.state = ResponseState::Head;
         self.until_close = false;
         self.request_fully_sent = false;
+        self.write_failed = false;
         self.idle_limit = None;
         let head = self.send_and_read_head(&out, rest, &mut codec).await?;
         self.idle_limit = idle_limit(&head, codec.keep_alive());
@@ -261,6 +266,7 @@
                     writing = false;
                     // The response may be in the socket's buffer although the write failed.
                     self.request_fully_sent = written.is_ok();
+                    self.write_failed = written.is_err();
                 }
                 count = reader.read_buf(&mut self.received) => {
                     let count = count?;
@@ -349,9 +355,13 @@
         Ok(body.freeze())
     }
 
-    /// Reads the next bytes of a body that ends when the connection closes; a reset is an error.
+    /// Reads the next bytes of a body that ends when the connection closes; a reset is an error, also
+    /// if it only showed as a failed write.
     async fn next_unframed(&mut self) -> Result<Option<Bytes>> {
         if self.received.is_empty() && self.stream.read_buf(&mut self.received).await? == 0 {
+            if self.write_failed {
+                return Err(ExchangeError::Truncated);
+            }
             self.state = ResponseState::Done;
             return Ok(None);
         }
--- /dev/null
+++ b/tests/platform/broken_answers.rs
@@ -0,0 +1,144 @@
+//! Answers of targets that are cut off by a reset: none reaches a caller as a complete one.
+
+use std::cell::RefCell;
+use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::support::bed::{TestBed, config, wait_until};
+use crate::support::caller::send;
+use crate::support::http::{ReceivedRequest, encode_response};
+use crate::support::raw_server::{AnswerEnd, RawAnswer, start_raw_server};
+
+const PATHS: [&str; 4] = ["/lookup/7", "/issue/7", "/single/a", "/resumable/a"];
+const LONG_BODY_BYTES: usize = 6 << 20; // more than the sockets' buffers hold
+const UPLOADS: usize = 8; // to each path; the write sees about half of the resets first
+const RESUMED_UPLOADS: usize = 4; // engines are passed over for a time after each
+const UPLOADS_LIMIT: Duration = Duration::from_secs(60);
+const RECORDS_READ_TIME: Duration = Duration::from_millis(800); // records of targets are read in batches
+const SUSPENDED_TIME: Duration = Duration::from_millis(20); // an answer and a reset arrive in less
+
+/// The head of an answer to `request`, with these lines about its framing, and its next event.
+fn event_answer(request: &ReceivedRequest, framing: &str) -> (String, String) {
+    let id = request
+        .header("x-plantainnotch-request-id")
+        .unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 200 X\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-replica-seal: seal-{id}\r\ncontent-type: text/event-stream\r\n{framing}\r\n"
+    );
+    let last: u64 = request
+        .header("last-event-id")
+        .and_then(|last| last.parse().ok())
+        .unwrap_or(0);
+    (head, format!("id: {}\ndata: x\n\n", last + 1))
+}
+
+/// An answer without a length that a reset cuts off after an event.
+fn cut_off_answer(request: &ReceivedRequest) -> RawAnswer {
+    let (head, event) = event_answer(request, "");
+    RawAnswer {
+        bytes: format!("{head}{event}").into_bytes(),
+        end: AnswerEnd::Reset,
+    }
+}
+
+/// A stream that ends before its last chunk, so that it is resumed.
+fn broken_off_stream(request: &ReceivedRequest) -> RawAnswer {
+    let (head, event) = event_answer(request, "transfer-encoding: chunked\r\n");
+    RawAnswer {
+        bytes: format!("{head}{:x}\r\n{event}\r\n", event.len()).into_bytes(),
+        end: AnswerEnd::Close,
+    }
+}
+
+/// Suspends a process for a moment, so that it sees at once all that arrives meanwhile.
+fn suspend(process: u32) {
+    let signal = move |name: &str| {
+        let id = process.to_string();
+        Command::new("kill").args(["-s", name, &id]).status().ok();
+    };
+    signal("STOP");
+    thread::spawn(move || {
+        thread::sleep(SUSPENDED_TIME);
+        signal("CONT");
+    });
+}
+
+/// Puts a server that answers requests with `answer` in the place of all targets.
+fn replace_targets(
+    bed: &TestBed,
+    answer: impl Fn(&ReceivedRequest) -> RawAnswer + Send + Sync + 'static,
+) {
+    let address = start_raw_server(&bed.runtime, move |request| {
+        if request.path.starts_with("/api/") {
+            return RawAnswer {
+                bytes: encode_response(200, &[], br#"{"waiting":0,"running":0,"pace":1}"#),
+                end: AnswerEnd::Keep,
+            };
+        }
+        answer(request)
+    });
+    for target in bed.engines.iter().chain(&bed.replicas) {
+        let record = target.record(address, "ready").to_string();
+        bed.store
+            .put("keyed.servers", &target.id, record.as_bytes());
+    }
+    thread::sleep(RECORDS_READ_TIME);
+}
+
+/// Sends long requests to `path`, whose answers are broken off first if `resumed`, until targets have cut
+/// off enough of them; returns how many responses callers take for complete successes.
+fn complete_answers_to_uploads(path: &str, resumed: bool) -> usize {
+    let bed = TestBed::start(1);
+    let mut table = config(2);
+    table["limits"]["max_body_bytes"] = json!(LONG_BODY_BYTES);
+    bed.put_config_everywhere(&table);
+    let node = bed.nodes[0].id();
+    let uploads = if resumed { RESUMED_UPLOADS } else { UPLOADS };
+    let cut_off = Arc::new(AtomicUsize::new(0));
+    let counted = cut_off.clone();
+    replace_targets(&bed, move |request| {
+        if resumed && request.header("last-event-id").is_none() {
+            return broken_off_stream(request);
+        }
+        counted.fetch_add(1, Ordering::Relaxed);
+        suspend(node);
+        cut_off_answer(request)
+    });
+    let responses = RefCell::new(Vec::new());
+    wait_until(UPLOADS_LIMIT, &format!("{path}: the uploads"), || {
+        let id = format!("upload-{}", responses.borrow().len());
+        let mut request = bed.stream(&id, path);
+        // Each body differs, so that they do not count as one request that crashes its targets.
+        request.body = id.repeat(LONG_BODY_BYTES / id.len()).into_bytes();
+        request.deadline = Duration::from_secs(3);
+        let response = send(bed.node_configs[0].callers, &request);
+        responses.borrow_mut().push(response);
+        cut_off.load(Ordering::Relaxed) >= uploads
+    });
+    let answered = responses.into_inner().into_iter().flatten();
+    answered
+        .filter(|response| response.complete && (200..300).contains(&response.status))
+        .count()
+}
+
+// Guards against a write that takes the connection's error, so that a reset looks like the end of an
+// answer without a length.
+#[test]
+fn an_answer_that_a_reset_cuts_off_during_the_upload_is_not_complete() {
+    let complete: Vec<(&str, usize)> = PATHS
+        .into_iter()
+        .map(|path| (path, complete_answers_to_uploads(path, false)))
+        .chain([("resumed", complete_answers_to_uploads("/resumable/a", true))])
+        .filter(|(_, count)| *count > 0)
+        .collect();
+
+    assert!(
+        complete.is_empty(),
+        "complete answers by path: {complete:?}"
+    );
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod support;
 
 mod answers;
+mod broken_answers;
 mod caller_limits;
 mod changes;
 mod cold_targets;
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -167,11 +167,12 @@
     matches!(read, Ok(0) | Err(_))
 }
 
-async fn read_request(
+/// Reads the head of a request; returns it without its body, and the length of that.
+pub async fn read_request_head(
     stream: &mut TcpStream,
     connection: u64,
     buffer: &mut Vec<u8>,
-) -> Option<ReceivedRequest> {
+) -> Option<(ReceivedRequest, usize)> {
     let head_end = loop {
         if let Some(end) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
             break end + 4;
@@ -181,6 +182,7 @@
         }
     };
     let head = String::from_utf8_lossy(&buffer[..head_end]).into_owned();
+    buffer.drain(..head_end);
     let mut lines = head.split("\r\n");
     let mut first = lines.next()?.split(' ');
     let (method, path) = (first.next()?.to_owned(), first.next()?.to_owned());
@@ -192,18 +194,28 @@
         .get("content-length")
         .and_then(|value| value.parse().ok())
         .unwrap_or(0);
-    while buffer.len() < head_end + length {
-        if stream.read_buf(buffer).await.ok()? == 0 {
-            return None;
-        }
-    }
-    let body = buffer[head_end..head_end + length].to_vec();
-    buffer.drain(..head_end + length);
-    Some(ReceivedRequest {
+    let request = ReceivedRequest {
         connection,
         method,
         path,
         headers,
-        body,
-    })
+        body: Vec::new(),
+    };
+    Some((request, length))
+}
+
+/// Reads a request with its body.
+pub async fn read_request(
+    stream: &mut TcpStream,
+    connection: u64,
+    buffer: &mut Vec<u8>,
+) -> Option<ReceivedRequest> {
+    let (mut request, length) = read_request_head(stream, connection, buffer).await?;
+    while buffer.len() < length {
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+    request.body = buffer.drain(..length).collect();
+    Some(request)
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod http;
 pub mod node;
 pub mod proxy;
+pub mod raw_server;
 pub mod store;
 pub mod target;
 
