Take no answer whose status is over 599

What callers saw: a target's answer with a status such as 600 or 999 reached them as an answer.

Cause: the codec takes any status from 100 to 999 that has three digits. RFC 9110 knows only 100 to 599, and callers judge by the first digit whether a request failed or may be sent again.

Change: a head with another status is malformed, as bytes that are no HTTP are: a request that may run again goes to another target, any other gets 502.

--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,7 @@
 const INITIAL_BUFFER_BYTES: usize = 16 * 1024;
 const MAX_HEAD_BYTES: usize = 32 * 1024; // of one response, interim heads included
 const MAX_INTERIM_HEADS: usize = 8; // of one response; each takes as much time to decode as a final one
+const STATUS_CODES: RangeInclusive<u16> = 100..=599; // RFC 9110, section 15; the codec takes any up to 999
 const MAX_FRAMING_BYTES: usize = 16 * 1024; // of a chunked body, beyond as much as its content
 const MAX_COPIED_BODY_BYTES: usize = 16 * 1024; // of a request, up to which head and body are sent in one write
 
@@ -416,6 +418,10 @@
                 }
                 *codec = ClientCodec::default();
             }
+            Some(head) if !STATUS_CODES.contains(&head.status.as_u16()) => {
+                let status = head.status.as_u16();
+                return Err(ExchangeError::Malformed(format!("status {status}")));
+            }
             other => return Ok(other),
         }
     }
--- /dev/null
+++ b/tests/broken_answers/main.rs
@@ -0,0 +1,150 @@
+//! Clients of HTTP servers, which must take no answer that is broken in its head, or that ends early.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use actix_http::header::HeaderMap;
+use actix_http::{Method, Uri};
+use bytes::Bytes;
+use plantainnotch::node::connection::{open_connection, target_request_head};
+
+use crate::support::BackgroundRuntime;
+use crate::support::broken_heads::BROKEN_STATUS_LINES;
+use crate::support::raw_server::{AnswerEnd, RawAnswer, start_raw_server};
+
+const OK: &str = "HTTP/1.1 200 X\r\n";
+
+/// How an answer's body is framed, and where it ends.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum BodyEnd {
+    Whole,
+    WholeChunked,
+    /// Neither a length nor chunks; the connection closes in order.
+    WholeUnframed,
+    /// A length that the closed connection does not reach.
+    CutLength,
+    /// Chunks of which the last is missing.
+    CutChunks,
+    /// Neither a length nor chunks; the connection is reset.
+    ResetUnframed,
+}
+
+const WHOLE: [BodyEnd; 3] = [
+    BodyEnd::Whole,
+    BodyEnd::WholeChunked,
+    BodyEnd::WholeUnframed,
+];
+const CUT: [BodyEnd; 3] = [
+    BodyEnd::CutLength,
+    BodyEnd::CutChunks,
+    BodyEnd::ResetUnframed,
+];
+
+/// Encodes an answer whose head begins with `start`. A cut one has all of `body`, so that only the
+/// framing shows that it ends early.
+fn answer(start: &str, body: &[u8], end: BodyEnd) -> RawAnswer {
+    let length = body.len();
+    let framing = match end {
+        BodyEnd::Whole => format!("content-length: {length}\r\n"),
+        BodyEnd::CutLength => format!("content-length: {}\r\n", length + 1),
+        BodyEnd::WholeChunked | BodyEnd::CutChunks => "transfer-encoding: chunked\r\n".to_owned(),
+        BodyEnd::WholeUnframed | BodyEnd::ResetUnframed => String::new(),
+    };
+    let mut bytes =
+        format!("{start}store-era: 1\r\ncontent-type: application/json\r\n{framing}\r\n")
+            .into_bytes();
+    match end {
+        BodyEnd::WholeChunked | BodyEnd::CutChunks => {
+            bytes.extend_from_slice(format!("{length:x}\r\n").as_bytes());
+            bytes.extend_from_slice(body);
+            bytes.extend_from_slice(b"\r\n");
+            if end == BodyEnd::WholeChunked {
+                bytes.extend_from_slice(b"0\r\n\r\n");
+            }
+        }
+        _ => bytes.extend_from_slice(body),
+    }
+    let end = match end {
+        BodyEnd::Whole | BodyEnd::WholeChunked => AnswerEnd::Keep,
+        BodyEnd::WholeUnframed | BodyEnd::CutLength | BodyEnd::CutChunks => AnswerEnd::Close,
+        BodyEnd::ResetUnframed => AnswerEnd::Reset,
+    };
+    RawAnswer { bytes, end }
+}
+
+/// Starts a server that sends one answer to every request, and returns whether `call` takes it.
+fn takes(answer: &RawAnswer, call: &impl AsyncFn(SocketAddr) -> bool) -> bool {
+    let runtime = BackgroundRuntime::start();
+    let sent = answer.clone();
+    let address = start_raw_server(&runtime, move |_| sent.clone());
+    actix::System::new().block_on(call(address))
+}
+
+/// Checks that `call` takes sound answers with `body` and none with a broken head.
+fn check_heads(name: &str, body: &[u8], call: impl AsyncFn(SocketAddr) -> bool) {
+    let sound = answer(OK, body, BodyEnd::Whole);
+    let interim = answer(
+        "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 X\r\n",
+        body,
+        BodyEnd::Whole,
+    );
+    let broken: Vec<&str> = BROKEN_STATUS_LINES
+        .into_iter()
+        .filter(|start| takes(&answer(start, body, BodyEnd::Whole), &call))
+        .collect();
+
+    assert!(takes(&sound, &call), "{name}: sound answer");
+    assert!(broken.is_empty(), "{name} takes {broken:?}");
+    assert!(
+        takes(&interim, &call),
+        "{name}: sound answer after an interim one"
+    );
+}
+
+/// Checks that `call` takes answers that are whole, and none that ends early.
+fn check_bodies(name: &str, body: &[u8], call: impl AsyncFn(SocketAddr) -> bool) {
+    let is_taken = |end: &BodyEnd| takes(&answer(OK, body, *end), &call);
+
+    let refused: Vec<BodyEnd> = WHOLE.into_iter().filter(|end| !is_taken(end)).collect();
+    let taken: Vec<BodyEnd> = CUT.into_iter().filter(is_taken).collect();
+
+    assert!(
+        refused.is_empty() && taken.is_empty(),
+        "{name} refuses {refused:?} and takes {taken:?}"
+    );
+}
+
+async fn reads_target(address: SocketAddr) -> bool {
+    let now = Instant::now();
+    let mut connection = open_connection(address, None, now)
+        .await
+        .expect("it listens");
+    let headers = HeaderMap::new();
+    let head = target_request_head(Method::GET, Uri::from_static("/"), headers);
+    if connection
+        .exchange(None, head, &Bytes::new())
+        .await
+        .is_err()
+    {
+        return false;
+    }
+    loop {
+        match connection.next_chunk().await {
+            Ok(Some(_)) => {}
+            end => return end.is_ok(),
+        }
+    }
+}
+
+#[test]
+fn connections_to_targets_take_no_broken_head() {
+    check_heads("target", b"body", reads_target);
+}
+
+#[test]
+fn connections_to_targets_take_no_answer_that_ends_early() {
+    check_bodies("target", b"body", reads_target);
+}
--- a/tests/platform/answers.rs
+++ b/tests/platform/answers.rs
@@ -295,7 +295,7 @@
 
 /// Sends requests until a target ran one, which it does not while all are suspended; returns the
 /// responses to all of them.
-fn send_until_one_runs(bed: &TestBed, path: &str, label: &str) -> Vec<Option<CallerResponse>> {
+pub fn send_until_one_runs(bed: &TestBed, path: &str, label: &str) -> Vec<Option<CallerResponse>> {
     let responses = RefCell::new(Vec::new());
     wait_until(Duration::from_secs(6), &format!("{label} ran"), || {
         let id = format!("{label}-{}", responses.borrow().len());
--- a/tests/platform/broken_answers.rs
+++ b/tests/platform/broken_answers.rs
@@ -1,20 +1,26 @@
-//! Answers of targets that are cut off by a reset: none reaches a caller as a complete one.
+//! Answers of targets that are broken in their head or cut off by a reset: none reaches a caller as an
+//! answer, or as a complete one.
 
 use std::cell::RefCell;
 use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 
+use super::answers::send_until_one_runs;
 use crate::support::bed::{TestBed, config, wait_until};
 use crate::support::caller::send;
 use crate::support::http::{ReceivedRequest, encode_response};
 use crate::support::raw_server::{AnswerEnd, RawAnswer, start_raw_server};
+use crate::support::target::{ResumeAnswer, TargetMode};
 
 const PATHS: [&str; 4] = ["/lookup/7", "/issue/7", "/single/a", "/resumable/a"];
+/// Of `BROKEN_STATUS_LINES`, all of which are read by the same code.
+const STATUS_SAMPLE: [&str; 2] = ["HTTP/1.1 000 X\r\n", "HTTP/1.1 600 X\r\n"];
+const RESUMED_LIMIT: Duration = Duration::from_secs(6);
 const LONG_BODY_BYTES: usize = 6 << 20; // more than the sockets' buffers hold
 const UPLOADS: usize = 8; // to each path; the write sees about half of the resets first
 const RESUMED_UPLOADS: usize = 4; // engines are passed over for a time after each
@@ -142,3 +148,59 @@
         "complete answers by path: {complete:?}"
     );
 }
+
+/// Sends requests to all kinds of routes until targets have run one whose answer's head begins with
+/// `start`, and checks that no caller gets an answer.
+fn check_head_start(bed: &TestBed, label: &str, start: &'static str) {
+    for path in PATHS {
+        let label = format!("{label}{}", path.replace('/', "-"));
+        let mode = TargetMode::HeadStart(start);
+        bed.set_replicas(mode);
+        bed.set_engines(mode);
+
+        let responses = send_until_one_runs(bed, path, &label);
+
+        for response in responses {
+            let status = response.as_ref().map_or(0, |response| response.status);
+            let is_failure = [0, 502, 503, 504].contains(&status);
+            assert!(is_failure, "{label} {start:?}: {response:?}");
+        }
+        bed.set_replicas(TargetMode::Healthy);
+        bed.set_engines(TargetMode::Healthy);
+        send_until_one_runs(bed, path, &format!("{label}-healthy"));
+    }
+}
+
+/// Has engines break off a stream and continue it with a head that begins with `start`, and checks that
+/// the caller gets no part of that.
+fn check_resumed_head_start(bed: &TestBed, label: &str, start: &'static str) {
+    let mode = TargetMode::BreaksThenAnswers(ResumeAnswer::HeadStart(start));
+    bed.set_engines(mode);
+    wait_until(RESUMED_LIMIT, &format!("{label}: resumed"), || {
+        let id = format!("{label}-{:?}", Instant::now());
+        let mut request = bed.stream(&id, "/resumable/a");
+        request.body = id.clone().into_bytes();
+
+        let response = send(bed.node_configs[0].callers, &request);
+
+        let resumed = bed.runs(&id).iter().any(|run| run.last_event.is_some());
+        if let Some(response) = response.filter(|response| response.status == 200) {
+            assert!(!response.complete, "{label} {start:?}: {response:?}");
+            let events = response.event_ids();
+            assert!(
+                events.iter().all(|id| *id < 4),
+                "{label} {start:?}: {events:?}"
+            );
+        }
+        resumed
+    });
+}
+
+#[test]
+fn answers_without_a_status_reach_no_caller() {
+    let bed = TestBed::start(1);
+    for (number, start) in STATUS_SAMPLE.into_iter().enumerate() {
+        check_head_start(&bed, &format!("status-{number}"), start);
+        check_resumed_head_start(&bed, &format!("resumed-{number}"), start);
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test program uses only some of the items")]
 
 pub mod bed;
+pub mod broken_heads;
 pub mod caller;
 pub mod http;
 pub mod node;
--- a/tests/support/target.rs
+++ b/tests/support/target.rs
@@ -56,6 +56,8 @@
     Endless(EndlessPart, FloodPace),
     /// Resets the connection when a stream stays unread for this long.
     CutsUnread(Duration),
+    /// Sends complete responses whose head begins with these lines in place of the status line.
+    HeadStart(&'static str),
 }
 
 /// A response, with id and seal, that is no continuation of a stream.
@@ -75,6 +77,8 @@
     ErrorEvent,
     /// The head of an error, in a stream.
     HeadOfError,
+    /// The rest of the stream, whose head begins with these lines in place of the status line.
+    HeadStart(&'static str),
 }
 
 impl ResumeAnswer {
@@ -109,6 +113,11 @@
                 events,
                 "HTTP/1.1 500 X\r\ncontent-length: 5\r\n\r\nerror",
             ),
+            Self::HeadStart(_) => (
+                200,
+                events,
+                "id: 4\ndata: x\n\nid: 5\ndata: x\n\nid: 6\ndata: x\n\nid: 7\ndata: x\n\nid: 8\ndata: x\n\n",
+            ),
         };
         if self == Self::HeadOnly {
             let head = format!(
@@ -121,10 +130,21 @@
             ("x-plantainnotch-replica-seal", seal),
             ("content-type", content_type),
         ];
-        encode_response(status, &headers, body.as_bytes())
+        let response = encode_response(status, &headers, body.as_bytes());
+        match self {
+            Self::HeadStart(start) => with_head_start(&response, start),
+            _ => response,
+        }
     }
 }
 
+/// Replaces the status line of a response.
+fn with_head_start(response: &[u8], start: &str) -> Vec<u8> {
+    let status_line = response.windows(2).position(|window| window == b"\r\n");
+    let rest = status_line.map_or(response, |end| &response[end + 2..]);
+    [start.as_bytes(), rest].concat()
+}
+
 /// The part of a response that never ends.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum EndlessPart {
@@ -696,6 +716,9 @@
                 ResponseStep::Wait(Duration::from_millis(20)),
                 ResponseStep::Reset,
             ],
+            TargetMode::HeadStart(start) => {
+                vec![ResponseStep::Write(with_head_start(&whole, start))]
+            }
             TargetMode::Fails => vec![ResponseStep::Write(encode_response(
                 500, &headers, b"failed",
             ))],
@@ -772,6 +795,13 @@
             "HTTP/1.1 200 X\r\nx-plantainnotch-request-id: {id}\r\nx-plantainnotch-replica-seal: {seal}\r\ncontent-type: text/event-stream\r\n{}{limit_header}{framing}\r\n",
             self.leaving_header()
         );
+        let head = match mode {
+            TargetMode::HeadStart(start) => {
+                let bytes = with_head_start(head.as_bytes(), start);
+                String::from_utf8(bytes).expect("both parts are text")
+            }
+            _ => head,
+        };
         if mode == TargetMode::UnframedEmpty {
             steps
                 .send(ResponseStep::Write(head.into_bytes()))
