Take no answer whose head has a blank before the colon of a field

What callers saw: a target's answer with a line such as `x-note : a` or `content-length : 3` reached them as an answer, the first passed on as `x-note: a`, the second with a body of that length.

Cause: the codec parses heads of responses leniently: it strips blanks and tabs between the name and the colon, also in interim heads. RFC 9112, section 5.1, allows none, and readers differ on what such a line means.

Change: a connection parses each head with httparse's strict defaults before the codec gets it, and takes a malformed one for no HTTP.

Blanks elsewhere, control bytes and empty names were refused before already: those tests are kept, nothing changed for them.

--- a/src/node/connection.rs
+++ b/src/node/connection.rs
@@ -28,6 +28,7 @@
 const MAX_REQUESTS_PER_CONNECTION: usize = 4_096; // whose ids it remembers
 const INITIAL_BUFFER_BYTES: usize = 16 * 1024;
 const MAX_HEAD_BYTES: usize = 32 * 1024; // of one response, interim heads included
+const MAX_FIELDS: usize = 96; // of one head, like the codec
 const MAX_INTERIM_HEADS: usize = 8; // of one response; each takes as much time to decode as a final one
 const STATUS_CODES: RangeInclusive<u16> = 100..=599; // RFC 9110, section 15; the codec takes any up to 999
 const MAX_FRAMING_BYTES: usize = 16 * 1024; // of a chunked body, beyond as much as its content
@@ -400,6 +401,17 @@
         || head.headers.contains_key("transfer-encoding")
 }
 
+/// Whether `received` begins with a complete head; fails if that is malformed. The codec itself strips
+/// blanks before the colon of a field, and so takes `content-length : 5` for a length.
+fn has_whole_head(received: &[u8]) -> Result<bool> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let parsed = httparse::Response::new(&mut fields).parse(received);
+    match parsed {
+        Ok(status) => Ok(status.is_complete()),
+        Err(error) => Err(ExchangeError::Malformed(error.to_string())),
+    }
+}
+
 /// Decodes the final head, after interim (1xx) ones, which are counted in `interim_heads`.
 fn decode_final_head(
     codec: &mut ClientCodec,
@@ -407,6 +419,9 @@
     interim_heads: &mut usize,
 ) -> Result<Option<ResponseHead>> {
     loop {
+        if !has_whole_head(received)? {
+            return Ok(None);
+        }
         let head = codec
             .decode(received)
             .map_err(|error| ExchangeError::Malformed(error.to_string()))?;
--- a/tests/broken_answers/main.rs
+++ b/tests/broken_answers/main.rs
@@ -12,7 +12,7 @@
 use plantainnotch::node::connection::{open_connection, target_request_head};
 
 use crate::support::BackgroundRuntime;
-use crate::support::broken_heads::BROKEN_STATUS_LINES;
+use crate::support::broken_heads::{BROKEN_NAMES, BROKEN_STATUS_LINES};
 use crate::support::raw_server::{AnswerEnd, RawAnswer, start_raw_server};
 
 const OK: &str = "HTTP/1.1 200 X\r\n";
@@ -93,6 +93,7 @@
     );
     let broken: Vec<&str> = BROKEN_STATUS_LINES
         .into_iter()
+        .chain(BROKEN_NAMES)
         .filter(|start| takes(&answer(start, body, BodyEnd::Whole), &call))
         .collect();
 
--- a/tests/platform/broken_answers.rs
+++ b/tests/platform/broken_answers.rs
@@ -20,6 +20,13 @@
 const PATHS: [&str; 4] = ["/lookup/7", "/issue/7", "/single/a", "/resumable/a"];
 /// Of `BROKEN_STATUS_LINES`, all of which are read by the same code.
 const STATUS_SAMPLE: [&str; 2] = ["HTTP/1.1 000 X\r\n", "HTTP/1.1 600 X\r\n"];
+/// Of `BROKEN_NAMES`.
+const NAME_SAMPLE: [&str; 4] = [
+    "HTTP/1.1 200 X\r\nx note: a\r\n",
+    "HTTP/1.1 200 X\r\nx-note : a\r\n",
+    "HTTP/1.1 200 X\r\nx\u{1}note: a\r\n",
+    "HTTP/1.1 103 X\r\nx-note : a\r\n\r\nHTTP/1.1 200 X\r\n",
+];
 const RESUMED_LIMIT: Duration = Duration::from_secs(6);
 const LONG_BODY_BYTES: usize = 6 << 20; // more than the sockets' buffers hold
 const UPLOADS: usize = 8; // to each path; the write sees about half of the resets first
@@ -204,3 +211,12 @@
         check_resumed_head_start(&bed, &format!("resumed-{number}"), start);
     }
 }
+
+#[test]
+fn answers_with_a_broken_field_name_reach_no_caller() {
+    let bed = TestBed::start(1);
+    for (number, start) in NAME_SAMPLE.into_iter().enumerate() {
+        check_head_start(&bed, &format!("name-{number}"), start);
+        check_resumed_head_start(&bed, &format!("resumed-{number}"), start);
+    }
+}
