--- a/src/node/connection.rs
+++ b/src/http_client/connection.rs
@@ -1,5 +1,4 @@
-//! HTTP/1.1 connections to targets: one request at a time, pooled only if no unread bytes can
-//! be left.
+//! HTTP/1.1 connections: one request at a time, pooled only if no unread bytes can be left.
 
 use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
@@ -19,7 +18,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::body_budget::{BodyBudget, BudgetShare};
+use crate::node::body_budget::{BodyBudget, BudgetShare};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300); // domains are a few ms apart; a dead host never answers
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(4); // for targets that send no keep-alive limit
@@ -34,16 +33,16 @@
 const MAX_FRAMING_BYTES: usize = 16 * 1024; // of a chunked body, beyond as much as its content
 const MAX_COPIED_BODY_BYTES: usize = 16 * 1024; // of a request, up to which head and body are sent in one write
 
-/// Result of an exchange with a target.
+/// Result of an exchange.
 pub type Result<T> = std::result::Result<T, ExchangeError>;
 
-/// Why an exchange with a target failed.
+/// Why an exchange failed.
 #[derive(Debug, Error)]
 pub enum ExchangeError {
     /// The connection was not established, so nothing was sent.
-    #[error("cannot connect to {address}: {reason}; the target is passed over for a moment")]
+    #[error("cannot connect to {address}: {reason}; check that the process there runs")]
     Connect {
-        /// The target's address.
+        /// Address of the server.
         address: SocketAddr,
         /// The operating system's error.
         reason: String,
@@ -107,7 +106,7 @@
 }
 
 /// A connection with at most one request in flight.
-pub struct TargetConnection {
+pub struct HttpConnection {
     address: SocketAddr,
     stream: TcpStream,
     received: BytesMut,
@@ -128,14 +127,24 @@
     idle_since: Instant,
 }
 
-impl std::fmt::Debug for TargetConnection {
+impl std::fmt::Debug for HttpConnection {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "TargetConnection({})", self.address)
+        write!(f, "HttpConnection({})", self.address)
     }
 }
 
-impl TargetConnection {
-    async fn connect(address: SocketAddr, source: Option<IpAddr>, now: Instant) -> Result<Self> {
+impl HttpConnection {
+    /// Opens a connection, from the address `source` if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address refuses the connection or it is not established within `time_limit`.
+    pub async fn connect(
+        address: SocketAddr,
+        source: Option<IpAddr>,
+        time_limit: Duration,
+        now: Instant,
+    ) -> Result<Self> {
         let failed = |error: std::io::Error| ExchangeError::Connect {
             address,
             reason: error.to_string(),
@@ -152,7 +161,7 @@
             socket.bind(SocketAddr::new(source, 0))?;
             socket.connect(address).await
         };
-        let stream = timeout(CONNECT_TIMEOUT, connect)
+        let stream = timeout(time_limit, connect)
             .await
             .map_err(|_| failed(std::io::ErrorKind::TimedOut.into()))?
             .map_err(failed)?;
@@ -358,6 +367,20 @@
         Ok(body.freeze())
     }
 
+    /// Reads the response's body to its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::next_chunk`], and when the body is over `max_bytes`.
+    pub async fn read_to_end(&mut self, max_bytes: usize) -> Result<Bytes> {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = self.next_chunk().await? {
+            check_size("body", body.len() + chunk.len(), max_bytes)?;
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    }
+
     /// Reads the next bytes of a body that ends when the connection closes; a reset is an error, also
     /// if it only showed as a failed write.
     async fn next_unframed(&mut self) -> Result<Option<Bytes>> {
@@ -469,7 +492,7 @@
 /// Idle connections by target address, newest last.
 #[derive(Debug, Default)]
 pub struct ConnectionPool {
-    idle: HashMap<SocketAddr, Vec<TargetConnection>>,
+    idle: HashMap<SocketAddr, Vec<HttpConnection>>,
 }
 
 impl ConnectionPool {
@@ -481,11 +504,11 @@
         request_id: Option<&str>,
         max_idle: Duration,
         now: Instant,
-    ) -> Option<TargetConnection> {
+    ) -> Option<HttpConnection> {
         let idle_connections = self.idle.get_mut(&address)?;
         let id = request_id.map(|id| xxh3_64(id.as_bytes()));
         let is_unused =
-            |connection: &TargetConnection| id.is_none_or(|id| !connection.sent_ids.contains(&id));
+            |connection: &HttpConnection| id.is_none_or(|id| !connection.sent_ids.contains(&id));
         while let Some(index) = idle_connections.iter().rposition(is_unused) {
             let connection = idle_connections.remove(index);
             let idle_for = now.saturating_duration_since(connection.idle_since);
@@ -498,7 +521,7 @@
     }
 
     /// Returns a connection after its response was read; one that cannot be reused is closed.
-    pub fn put(&mut self, mut connection: TargetConnection, now: Instant) {
+    pub fn put(&mut self, mut connection: HttpConnection, now: Instant) {
         if !connection.is_reusable() {
             return;
         }
@@ -537,8 +560,8 @@
     address: SocketAddr,
     source: Option<IpAddr>,
     now: Instant,
-) -> Result<TargetConnection> {
-    TargetConnection::connect(address, source, now).await
+) -> Result<HttpConnection> {
+    HttpConnection::connect(address, source, CONNECT_TIMEOUT, now).await
 }
 
 /// Builds a request's head; `headers` are complete, as made by `encode_target_headers`.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod fake;
 pub mod fleet;
 pub mod hex;
+pub mod http_client;
 pub mod ids;
 pub mod ledger;
 pub mod logging;
--- a/src/node/attempt.rs
+++ b/src/node/attempt.rs
@@ -11,12 +11,14 @@
 use tokio::time::sleep;
 
 use super::body_budget::BudgetShare;
-use super::connection::{ExchangeError, TargetConnection, open_connection, target_request_head};
 use super::rate_limits::observe_limit;
 use super::state::NodeState;
 use super::stopping::StopWatch;
 use crate::fleet::catalog::TargetRecord;
 use crate::fleet::routes::RouteRule;
+use crate::http_client::connection::{
+    ExchangeError, HttpConnection, open_connection, target_request_head,
+};
 use crate::ids::{RequestDigest, TargetName, TeamName};
 use crate::platform::callers::{
     CallerHeaders, SplitHelper, TargetHeaders, TargetResponseHeaders, decode_response_headers,
@@ -154,7 +156,7 @@
     /// The values of the headers that this node acts on.
     pub parsed_headers: TargetResponseHeaders,
     /// The connection from which the body is read next.
-    pub connection: TargetConnection,
+    pub connection: HttpConnection,
 }
 
 /// Counts a request as in flight at a target until dropped; new requests avoid busy targets.
@@ -256,7 +258,7 @@
     caller: &CallerRequest,
     plan: &AttemptPlan<'_>,
     now: Instant,
-) -> Result<(TargetConnection, bool), ExchangeError> {
+) -> Result<(HttpConnection, bool), ExchangeError> {
     let address = plan.target.address;
     let id = Some(caller.parsed_headers.id.as_str());
     let pooled = node
@@ -291,7 +293,7 @@
     caller: &CallerRequest,
     plan: &AttemptPlan<'_>,
     head: ResponseHead,
-    connection: TargetConnection,
+    connection: HttpConnection,
     sent_at: Instant,
 ) -> AttemptOutcome {
     let parsed_headers = decode_response_headers(&head.headers);
@@ -379,7 +381,7 @@
 }
 
 /// Discards the rest of a response so that its connection can be reused.
-async fn drain_body(node: &Rc<NodeState>, mut connection: TargetConnection) {
+async fn drain_body(node: &Rc<NodeState>, mut connection: HttpConnection) {
     let read = async {
         while let Ok(Some(_)) = connection.next_chunk().await {}
         connection
--- a/src/node/carrying.rs
+++ b/src/node/carrying.rs
@@ -11,12 +11,14 @@
 use tokio::time::timeout;
 
 use super::attempt::CallerRequest;
-use super::connection::{ExchangeError, TargetConnection, open_connection, target_request_head};
 use super::generation::{new_placement_request, stream_response};
 use super::relay::{EventBuffer, StreamRelay, StreamSource, TargetStream};
 use super::service::{NodeResponse, ServedResponse};
 use super::state::NodeState;
 use crate::fleet::members::MemberRecord;
+use crate::http_client::connection::{
+    ExchangeError, HttpConnection, open_connection, target_request_head,
+};
 use crate::ids::VmName;
 use crate::platform::callers::{
     CarrierHeaders, decode_response_headers, encode_carrier_headers, forwarded_headers,
@@ -62,7 +64,7 @@
     /// Status and headers.
     pub head: ResponseHead,
     /// The connection from which the body is read next.
-    pub connection: TargetConnection,
+    pub connection: HttpConnection,
     /// The VM that carries the request.
     pub vm: VmName,
     /// Counts the request as carried.
@@ -258,7 +260,7 @@
     node: &NodeState,
     caller: &CallerRequest,
     carrier: &MemberRecord,
-) -> std::result::Result<TargetConnection, ExchangeError> {
+) -> std::result::Result<HttpConnection, ExchangeError> {
     let max_idle = if caller.route.rerun_policy.allows_rerun() {
         CARRIER_MAX_IDLE
     } else {
--- a/src/node/crash_bans.rs
+++ b/src/node/crash_bans.rs
@@ -7,7 +7,6 @@
 
 use tokio::time::sleep;
 
-use super::connection::open_connection;
 use super::messages::{JobUpdate, KnownBans, NodeCall};
 use super::peer_calls::{tell, tell_all};
 use super::placement::{owns_placement, record_update};
@@ -15,6 +14,7 @@
 use super::state::NodeState;
 use crate::fleet::catalog::TargetRecord;
 use crate::fleet::members::MemberRecord;
+use crate::http_client::connection::open_connection;
 use crate::ids::{PartName, RequestDigest, TargetName};
 use crate::policy::part_guard::PartBan;
 use crate::policy::request_guard::{GuardFindings, RequestBan, RequestEvidence};
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -5,7 +5,6 @@
 pub mod body_budget;
 pub mod caller_stream;
 pub mod carrying;
-pub mod connection;
 pub mod connection_budget;
 pub mod crash_bans;
 pub mod engine_paces;
--- a/src/node/paths.rs
+++ b/src/node/paths.rs
@@ -10,10 +10,10 @@
 use rand::seq::SliceRandom;
 use tokio::time::{sleep, timeout};
 
-use super::connection::{Result, open_connection, target_request_head};
 use super::placement::record_update;
 use super::state::NodeState;
 use crate::fleet::catalog::TargetRecord;
+use crate::http_client::connection::{Result, open_connection, target_request_head};
 use crate::ids::TargetName;
 use crate::platform::orders::REPORT_PATH;
 use crate::policy::target_paths::probe_order;
--- a/src/node/relay.rs
+++ b/src/node/relay.rs
@@ -12,7 +12,6 @@
 
 use super::attempt::{AttemptOutcome, CallerRequest, TargetInFlightGuard};
 use super::carrying::{self, CarriedGuard, lose_paths, may_move};
-use super::connection::TargetConnection;
 use super::crash_bans::{report_broken, report_served};
 use super::engine_paces::record_gap;
 use super::generation::{PlacementLimits, place_in_time, send_placed};
@@ -22,6 +21,7 @@
 use super::state::NodeState;
 use super::stopping::wait_until_due;
 use crate::fleet::routes::RerunPolicy;
+use crate::http_client::connection::HttpConnection;
 use crate::ids::{TargetName, VmName};
 use crate::policy::dispatch::{DispatchAnswer, PlacementRequest};
 use crate::policy::engine_pace::GapWindow;
@@ -134,7 +134,7 @@
 /// A stream's connection and where it comes from.
 pub struct TargetStream {
     /// The connection from which events are read.
-    pub connection: TargetConnection,
+    pub connection: HttpConnection,
     /// What sends the events.
     pub source: StreamSource,
 }
--- a/src/node/reservations.rs
+++ b/src/node/reservations.rs
@@ -10,11 +10,11 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
-use super::connection::open_connection;
 use super::paths::answers_report;
 use super::rate_limits::observe_limit;
 use super::state::NodeState;
 use crate::fleet::catalog::TargetRecord;
+use crate::http_client::connection::open_connection;
 use crate::platform::callers::decode_response_headers;
 use crate::platform::orders::{ORDER_PATH, encode_memory_release, encode_memory_reserve};
 
--- a/src/node/state.rs
+++ b/src/node/state.rs
@@ -10,7 +10,6 @@
 use tokio::sync::{Notify, oneshot, watch};
 
 use super::body_budget::{BodyBudget, BodyLimits};
-use super::connection::{ConnectionPool, ExchangeError};
 use super::connection_budget::{ConnectionBudget, ConnectionLimits, LimitReports};
 use super::engine_paces::EnginePaces;
 use super::messages::{JobUpdate, ReturningAnswer};
@@ -26,6 +25,7 @@
 use crate::fleet::members::{MemberRecord, MemberTable};
 use crate::fleet::settings::NodeSettings;
 use crate::fleet::store_outage::{LAPSE_GRACE, StoreOutage};
+use crate::http_client::connection::{ConnectionPool, ExchangeError};
 use crate::ids::{TargetName, VmName};
 use crate::platform::records::TARGET_TOPIC;
 use crate::policy::cold_pacing::ColdPacing;
--- a/tests/broken_answers/main.rs
+++ b/tests/broken_answers/main.rs
@@ -9,7 +9,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Method, Uri};
 use bytes::Bytes;
-use plantainnotch::node::connection::{open_connection, target_request_head};
+use plantainnotch::http_client::connection::{open_connection, target_request_head};
 
 use crate::support::BackgroundRuntime;
 use crate::support::broken_heads::{BROKEN_NAMES, BROKEN_STATUS_LINES};
