Read the store's responses strictly and to their end

What was seen: the client of the store took a page whose connection closed before the announced length or the last chunk for complete, took a page without a length for empty, took heads with a blank before the colon of a field, and took an interim head for the final one. A cut read of the log would have counted as all there is up to its last whole record.

Cause: awc ends a body in order when its connection closes, whatever the framing says, reads none without a length, and parses heads leniently.

Change: the store's client uses http_client, with the same time limits.

Evidence: the tests send broken heads (34 forms) and cut bodies (3 forms) to each call.

--- a/src/http_client/client.rs
+++ b/src/http_client/client.rs
@@ -255,9 +255,14 @@
     /// Fails like [`Self::next_chunk`], and when the body is over `max_bytes`.
     pub async fn read_body(mut self, max_bytes: usize) -> Result<Bytes> {
         let body = self.connection.read_to_end(max_bytes).await?;
-        self.client.release(self.connection);
+        self.release();
         Ok(body)
     }
+
+    /// Lets another request reuse the connection, if the body was read to its end.
+    pub fn release(self) {
+        self.client.release(self.connection);
+    }
 }
 
 /// Returns the first address of a URL's host, and the host as a header's value.
--- a/src/node/lifecycle.rs
+++ b/src/node/lifecycle.rs
@@ -58,7 +58,7 @@
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
     let node = Rc::new(initial_state(settings, clock)?);
-    let store = StoreClient::new(&node.settings.store);
+    let store = StoreClient::new(&node.settings.store, node.clock.clone());
     actix_rt::spawn(feeds::follow_operators(node.clone(), store.clone()));
     actix_rt::spawn(feeds::follow_targets(node.clone(), store.clone()));
     listen(&node, metrics).await?;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,15 +2,17 @@
 
 use std::time::Duration;
 
+use actix_http::Method;
 use actix_http::header::HeaderValue;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use futures_util::StreamExt;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use thiserror::Error;
 
+use crate::clock::TimeSource;
 use crate::fleet::feed::{KeyedItem, LogPosition, TopicSnapshot};
+use crate::http_client::client::{ClientOptions, HttpClient, HttpRequest};
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500); // responses take a few ms, 60 times as long on slow days
 const BODY_TIMEOUT: Duration = Duration::from_secs(5); // a page of 1 MiB takes half a second on the smallest link
@@ -98,20 +100,19 @@
 #[derive(Clone)]
 pub struct StoreClient {
     base: String,
-    http: awc::Client,
+    http: HttpClient,
 }
 
 impl StoreClient {
     /// Creates a client of the store at `address`, given as `IP:PORT`.
-    pub fn new(address: &str) -> Self {
-        let connector = awc::Connector::new().timeout(CALL_TIMEOUT);
+    pub fn new(address: &str, clock: TimeSource) -> Self {
+        let options = ClientOptions {
+            connect_timeout: CALL_TIMEOUT,
+            ..ClientOptions::default()
+        };
         Self {
             base: format!("http://{address}/api"),
-            http: awc::Client::builder()
-                .connector(connector)
-                .timeout(CALL_TIMEOUT)
-                .disable_redirects()
-                .finish(),
+            http: HttpClient::new(options, clock),
         }
     }
 
@@ -199,9 +200,9 @@
     /// may have been written.
     pub async fn append_item(&self, topic: &str, key: &str, value: &[u8]) -> Result<()> {
         let url = format!("{}/log-append?topic={topic}&part=0", self.base);
-        let body = encode_item(key, value);
-        let response = self.http.post(url).send_body(body).await;
-        let response = response.map_err(|error| no_response("log-append", &error))?;
+        let request = HttpRequest::new(Method::POST, url).body(encode_item(key, value));
+        let sent = within("log-append", CALL_TIMEOUT, self.http.send(request)).await?;
+        let response = sent.map_err(|error| no_response("log-append", &error))?;
         check_status("log-append", response.status().as_u16())
     }
 
@@ -213,20 +214,24 @@
         answer_time: Duration,
     ) -> Result<StoreResponse> {
         let head_timeout = wait + answer_time;
-        let request = self.http.get(url).timeout(head_timeout).send();
-        let response = within(call, head_timeout, request).await?;
+        let request = HttpRequest::new(Method::GET, url);
+        let response = within(call, head_timeout, self.http.send(request)).await?;
         let mut response = response.map_err(|error| no_response(call, &error))?;
         check_status(call, response.status().as_u16())?;
-        let era = decode_era(call, response.headers().get(ERA_HEADER))?;
+        let era = decode_era(call, response.header(ERA_HEADER))?;
         let read_body = async {
             let mut body = Vec::new();
-            while let Some(chunk) = within(call, answer_time, response.next()).await? {
-                let chunk = chunk.map_err(|error| no_response(call, &error))?;
+            loop {
+                let chunk = within(call, answer_time, response.next_chunk()).await?;
+                let Some(chunk) = chunk.map_err(|error| no_response(call, &error))? else {
+                    break;
+                };
                 if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
                     return Err(no_response(call, &"the response is too large"));
                 }
                 body.extend_from_slice(&chunk);
             }
+            response.release();
             Ok(body)
         };
         let body = within(call, BODY_TIMEOUT, read_body).await??;
@@ -323,8 +328,7 @@
         })
 }
 
-/// Waits for a part of an exchange with the store. The HTTP client's own timeout covers the head
-/// of a response only.
+/// Waits for a part of an exchange with the store.
 async fn within<T>(
     call: &'static str,
     time_limit: Duration,
--- a/tests/broken_answers/main.rs
+++ b/tests/broken_answers/main.rs
@@ -4,18 +4,23 @@
 mod support;
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix_http::header::HeaderMap;
 use actix_http::{Method, Uri};
 use bytes::Bytes;
+use plantainnotch::clock::TimeSource;
+use plantainnotch::fleet::feed::LogPosition;
 use plantainnotch::http_client::connection::{open_connection, target_request_head};
+use plantainnotch::platform::store::StoreClient;
 
 use crate::support::BackgroundRuntime;
 use crate::support::broken_heads::{BROKEN_NAMES, BROKEN_STATUS_LINES};
 use crate::support::raw_server::{AnswerEnd, RawAnswer, start_raw_server};
 
 const OK: &str = "HTTP/1.1 200 X\r\n";
+const NEWEST_PAGE: &[u8] = br#"{"items":[],"has_more":false,"end":9}"#;
+const RECORDS: &[u8] = &[0; 16]; // the header of a read without records
 
 /// How an answer's body is framed, and where it ends.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -140,6 +145,23 @@
     }
 }
 
+async fn reads_newest(address: SocketAddr) -> bool {
+    let store = StoreClient::new(&address.to_string(), TimeSource::system());
+    store.read_newest("keyed.op", 0).await.is_ok()
+}
+
+async fn reads_after(address: SocketAddr) -> bool {
+    let store = StoreClient::new(&address.to_string(), TimeSource::system());
+    let (position, wait) = (LogPosition::after(1, 6), Duration::ZERO);
+    let read = store.read_after("keyed.op", position, wait, Duration::from_secs(2));
+    read.await.is_ok()
+}
+
+async fn appends_item(address: SocketAddr) -> bool {
+    let store = StoreClient::new(&address.to_string(), TimeSource::system());
+    store.append_item("keyed.status", "k", b"v").await.is_ok()
+}
+
 #[test]
 fn connections_to_targets_take_no_broken_head() {
     check_heads("target", b"body", reads_target);
@@ -149,3 +171,16 @@
 fn connections_to_targets_take_no_answer_that_ends_early() {
     check_bodies("target", b"body", reads_target);
 }
+
+#[test]
+fn the_store_client_takes_no_broken_head() {
+    check_heads("newest", NEWEST_PAGE, reads_newest);
+    check_heads("after", RECORDS, reads_after);
+    check_heads("append", b"{}", appends_item);
+}
+
+#[test]
+fn the_store_client_takes_no_answer_that_ends_early() {
+    check_bodies("newest", NEWEST_PAGE, reads_newest);
+    check_bodies("after", RECORDS, reads_after);
+}
