Read the log's responses strictly and to their end

What was seen: the client of the log, with which stewards and notchctl build their view, took a page whose connection closed before the announced length or the last chunk for complete, refused a whole page without a length, and took heads with a blank before the colon of a field.

Cause: awc, as in the client of the store.

Change: the client of the log uses http_client.

--- a/src/cmd/ctl/fleet.rs
+++ b/src/cmd/ctl/fleet.rs
@@ -4,6 +4,7 @@
 
 use eyre::{Result, WrapErr};
 
+use crate::clock::TimeSource;
 use crate::ids::{Offset, VmName};
 use crate::logstore::log::{LogClient, LogRead};
 use crate::view::View;
@@ -45,7 +46,7 @@
     /// A client of the platform with this URL.
     pub fn new(platform: &str) -> Self {
         Self {
-            log: LogClient::new(platform),
+            log: LogClient::new(platform, TimeSource::system()),
             http: awc::Client::builder().timeout(PAGE_TIMEOUT).finish(),
         }
     }
--- a/src/http_client/client.rs
+++ b/src/http_client/client.rs
@@ -48,11 +48,16 @@
             Self::Unsendable { .. } | Self::Exchange(ExchangeError::Connect { .. })
         )
     }
+
+    /// Whether an established connection was lost.
+    pub fn is_lost_connection(&self) -> bool {
+        matches!(self, Self::Exchange(error) if error.is_lost_connection())
+    }
 }
 
 /// A request to a URL.
 #[derive(Debug)]
-pub struct HttpRequest {
+pub struct ClientRequest {
     method: Method,
     url: String,
     headers: HeaderMap,
@@ -60,13 +65,13 @@
     invalid_header: Option<&'static str>,
 }
 
-impl HttpRequest {
+impl ClientRequest {
     /// A request without a body to a URL with the scheme `http`.
     ///
     /// ```
-    /// use plantainnotch::http_client::client::HttpRequest;
+    /// use plantainnotch::http_client::client::ClientRequest;
     /// use actix_http::Method;
-    /// let request = HttpRequest::new(Method::GET, "http://127.0.0.1:7000/v1/vms");
+    /// let request = ClientRequest::new(Method::GET, "http://127.0.0.1:7000/v1/vms");
     /// assert!(format!("{request:?}").contains("/v1/vms"));
     /// ```
     pub fn new(method: Method, url: impl Into<String>) -> Self {
@@ -145,7 +150,7 @@
     /// # Errors
     ///
     /// Fails when the request cannot be sent, the connection fails or the response is malformed.
-    pub async fn send(&self, request: HttpRequest) -> Result<HttpResponse> {
+    pub async fn send(&self, request: ClientRequest) -> Result<ClientResponse> {
         let unsendable = |reason: String| ClientError::Unsendable {
             url: request.url.clone(),
             reason,
@@ -165,7 +170,7 @@
         head.uri = uri;
         let mut connection = self.connect(address).await?;
         let head = connection.exchange(None, head, &request.body).await?;
-        Ok(HttpResponse {
+        Ok(ClientResponse {
             head,
             connection,
             client: self.clone(),
@@ -179,7 +184,7 @@
     /// Fails like [`Self::send`], and when the response is not complete in time or too long.
     pub async fn fetch(
         &self,
-        request: HttpRequest,
+        request: ClientRequest,
         time_limit: Duration,
         max_bytes: usize,
     ) -> Result<(StatusCode, Bytes)> {
@@ -222,13 +227,13 @@
 /// The head of a response, and the connection from which its body is read. Dropping it closes the
 /// connection.
 #[derive(Debug)]
-pub struct HttpResponse {
+pub struct ClientResponse {
     head: ResponseHead,
     connection: HttpConnection,
     client: HttpClient,
 }
 
-impl HttpResponse {
+impl ClientResponse {
     /// The response's status.
     pub fn status(&self) -> StatusCode {
         self.head.status
--- a/src/logstore/log.rs
+++ b/src/logstore/log.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
+use actix_http::Method;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::clock::TimeSource;
+use crate::http_client::client::{ClientOptions, ClientRequest, HttpClient};
 use crate::ids::Offset;
 use crate::view::record::{LogEntry, LogRecord};
 
@@ -112,15 +115,15 @@
 #[derive(Clone)]
 pub struct LogClient {
     url: String,
-    http: awc::Client,
+    http: HttpClient,
 }
 
 impl LogClient {
     /// Creates a client; `platform` is a URL without path.
-    pub fn new(platform: &str) -> Self {
+    pub fn new(platform: &str, clock: TimeSource) -> Self {
         Self {
             url: format!("{}/v1/log/records", platform.trim_end_matches('/')),
-            http: awc::Client::builder().timeout(READ_TIMEOUT).finish(),
+            http: HttpClient::new(ClientOptions::default(), clock),
         }
     }
 
@@ -136,10 +139,10 @@
         let body = AppendBody {
             records: texts.collect(),
         };
-        let request = self.http.post(&self.url).timeout(APPEND_TIMEOUT);
-        let response = request.send_json(&body).await;
-        let response = response.map_err(|error| self.no_response(&error))?;
-        self.check_status(response.status().as_u16())
+        let request = ClientRequest::new(Method::POST, &self.url).json(&body);
+        let fetched = self.http.fetch(request, APPEND_TIMEOUT, MAX_RESPONSE_BYTES);
+        let (status, _) = fetched.await.map_err(|error| self.no_response(&error))?;
+        self.check_status(status.as_u16())
     }
 
     /// Reads up to [`READ_BATCH`] records after an offset.
@@ -149,18 +152,15 @@
     /// Fails without a successful response that can be decoded.
     pub async fn read(&self, after: Offset) -> Result<LogRead> {
         let url = format!("{}?from={}&limit={READ_BATCH}", self.url, after.next());
-        let response = self.http.get(url).send().await;
-        let mut response = response.map_err(|error| self.no_response(&error))?;
-        self.check_status(response.status().as_u16())?;
+        let request = ClientRequest::new(Method::GET, url);
+        let fetched = self.http.fetch(request, READ_TIMEOUT, MAX_RESPONSE_BYTES);
+        let (status, body) = fetched.await.map_err(|error| self.no_response(&error))?;
+        self.check_status(status.as_u16())?;
         let body: ReadResponse =
-            response
-                .json()
-                .limit(MAX_RESPONSE_BYTES)
-                .await
-                .map_err(|error| LogError::Unreadable {
-                    url: self.url.clone(),
-                    reason: error.to_string(),
-                })?;
+            serde_json::from_slice(&body).map_err(|error| LogError::Unreadable {
+                url: self.url.clone(),
+                reason: error.to_string(),
+            })?;
         Ok(LogRead {
             head: Offset(body.head),
             end: Offset(body.end),
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -12,7 +12,7 @@
 
 use crate::clock::TimeSource;
 use crate::fleet::feed::{KeyedItem, LogPosition, TopicSnapshot};
-use crate::http_client::client::{ClientOptions, HttpClient, HttpRequest};
+use crate::http_client::client::{ClientOptions, ClientRequest, HttpClient};
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500); // responses take a few ms, 60 times as long on slow days
 const BODY_TIMEOUT: Duration = Duration::from_secs(5); // a page of 1 MiB takes half a second on the smallest link
@@ -200,7 +200,7 @@
     /// may have been written.
     pub async fn append_item(&self, topic: &str, key: &str, value: &[u8]) -> Result<()> {
         let url = format!("{}/log-append?topic={topic}&part=0", self.base);
-        let request = HttpRequest::new(Method::POST, url).body(encode_item(key, value));
+        let request = ClientRequest::new(Method::POST, url).body(encode_item(key, value));
         let sent = within("log-append", CALL_TIMEOUT, self.http.send(request)).await?;
         let response = sent.map_err(|error| no_response("log-append", &error))?;
         check_status("log-append", response.status().as_u16())
@@ -214,7 +214,7 @@
         answer_time: Duration,
     ) -> Result<StoreResponse> {
         let head_timeout = wait + answer_time;
-        let request = HttpRequest::new(Method::GET, url);
+        let request = ClientRequest::new(Method::GET, url);
         let response = within(call, head_timeout, self.http.send(request)).await?;
         let mut response = response.map_err(|error| no_response(call, &error))?;
         check_status(call, response.status().as_u16())?;
--- a/src/steward/actor.rs
+++ b/src/steward/actor.rs
@@ -91,7 +91,7 @@
     ) -> crate::chart::Result<Self> {
         let core = StewardCore::new(settings.vm.clone(), settings.policy)?;
         Ok(Self {
-            log: LogClient::new(&settings.platform),
+            log: LogClient::new(&settings.platform, clock.clone()),
             http: awc::Client::default(),
             core,
             settings,
--- a/tests/broken_answers/main.rs
+++ b/tests/broken_answers/main.rs
@@ -12,6 +12,8 @@
 use plantainnotch::clock::TimeSource;
 use plantainnotch::fleet::feed::LogPosition;
 use plantainnotch::http_client::connection::{open_connection, target_request_head};
+use plantainnotch::ids::Offset;
+use plantainnotch::logstore::log::LogClient;
 use plantainnotch::platform::store::StoreClient;
 
 use crate::support::BackgroundRuntime;
@@ -21,6 +23,7 @@
 const OK: &str = "HTTP/1.1 200 X\r\n";
 const NEWEST_PAGE: &[u8] = br#"{"items":[],"has_more":false,"end":9}"#;
 const RECORDS: &[u8] = &[0; 16]; // the header of a read without records
+const LOG_PAGE: &[u8] = br#"{"head":1,"end":0,"records":[]}"#;
 
 /// How an answer's body is framed, and where it ends.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -162,6 +165,16 @@
     store.append_item("keyed.status", "k", b"v").await.is_ok()
 }
 
+async fn reads_log(address: SocketAddr) -> bool {
+    let log = LogClient::new(&format!("http://{address}"), TimeSource::system());
+    log.read(Offset(0)).await.is_ok()
+}
+
+async fn appends_to_log(address: SocketAddr) -> bool {
+    let log = LogClient::new(&format!("http://{address}"), TimeSource::system());
+    log.append(&[]).await.is_ok()
+}
+
 #[test]
 fn connections_to_targets_take_no_broken_head() {
     check_heads("target", b"body", reads_target);
@@ -184,3 +197,14 @@
     check_bodies("newest", NEWEST_PAGE, reads_newest);
     check_bodies("after", RECORDS, reads_after);
 }
+
+#[test]
+fn the_client_of_the_log_takes_no_broken_head() {
+    check_heads("log", LOG_PAGE, reads_log);
+    check_heads("append", b"{}", appends_to_log);
+}
+
+#[test]
+fn the_client_of_the_log_takes_no_answer_that_ends_early() {
+    check_bodies("log", LOG_PAGE, reads_log);
+}
