Take no broken or cut status page in notchctl

What was seen: notchctl took status pages whose head had a blank before the colon of a field or a status over 599, and pages that the closed connection cut off, so that `--wait` could take a change for in force, or a dead process for alive, by a page that is no answer.

Cause: awc, as in the client of the store.

Change: the pages are fetched with http_client.

Evidence: the test sends broken heads (34 forms) and cut bodies (3 forms).

--- a/src/cmd/ctl/fleet.rs
+++ b/src/cmd/ctl/fleet.rs
@@ -2,21 +2,24 @@
 
 use std::time::Duration;
 
+use actix_http::Method;
 use eyre::{Result, WrapErr};
 
 use crate::clock::TimeSource;
+use crate::http_client::client::{ClientOptions, ClientRequest, HttpClient};
 use crate::ids::{Offset, VmName};
 use crate::logstore::log::{LogClient, LogRead};
 use crate::view::View;
 use crate::view::checkpoint;
 
 const PAGE_TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_PAGE_BYTES: usize = 16 << 20;
 
 /// Reads and appends records, and fetches the members' pages as JSON.
 pub struct FleetClient {
     /// Client of the log at the platform.
     pub log: LogClient,
-    http: awc::Client,
+    http: HttpClient,
 }
 
 /// Status pages of one VM's processes; each has the offset up to which it has folded the log.
@@ -47,7 +50,7 @@
     pub fn new(platform: &str) -> Self {
         Self {
             log: LogClient::new(platform, TimeSource::system()),
-            http: awc::Client::builder().timeout(PAGE_TIMEOUT).finish(),
+            http: HttpClient::new(ClientOptions::default(), TimeSource::system()),
         }
     }
 
@@ -67,8 +70,10 @@
     /// an unreadable body.
     pub async fn fetch_page(&self, address: &str, path: &str) -> Option<serde_json::Value> {
         let url = format!("http://{address}{path}");
-        let mut response = self.http.get(url).send().await.ok()?;
-        response.json().limit(16 << 20).await.ok()
+        let request = ClientRequest::new(Method::GET, url);
+        let fetched = self.http.fetch(request, PAGE_TIMEOUT, MAX_PAGE_BYTES);
+        let (_, body) = fetched.await.ok()?;
+        serde_json::from_slice(&body).ok()
     }
 
     /// Fetches the status pages of all members.
--- a/tests/broken_answers/main.rs
+++ b/tests/broken_answers/main.rs
@@ -10,6 +10,7 @@
 use actix_http::{Method, Uri};
 use bytes::Bytes;
 use plantainnotch::clock::TimeSource;
+use plantainnotch::cmd::ctl::fleet::FleetClient;
 use plantainnotch::fleet::feed::LogPosition;
 use plantainnotch::http_client::connection::{open_connection, target_request_head};
 use plantainnotch::ids::Offset;
@@ -24,6 +25,7 @@
 const NEWEST_PAGE: &[u8] = br#"{"items":[],"has_more":false,"end":9}"#;
 const RECORDS: &[u8] = &[0; 16]; // the header of a read without records
 const LOG_PAGE: &[u8] = br#"{"head":1,"end":0,"records":[]}"#;
+const STATUS_PAGE: &[u8] = br#"{"offset":7,"fresh":true}"#;
 
 /// How an answer's body is framed, and where it ends.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -175,6 +177,12 @@
     log.append(&[]).await.is_ok()
 }
 
+async fn reads_status_page(address: SocketAddr) -> bool {
+    let fleet = FleetClient::new(&format!("http://{address}"));
+    let page = fleet.fetch_page(&address.to_string(), "/v1/status").await;
+    page.is_some()
+}
+
 #[test]
 fn connections_to_targets_take_no_broken_head() {
     check_heads("target", b"body", reads_target);
@@ -208,3 +216,9 @@
 fn the_client_of_the_log_takes_no_answer_that_ends_early() {
     check_bodies("log", LOG_PAGE, reads_log);
 }
+
+#[test]
+fn notchctl_takes_no_status_page_with_a_broken_head_or_that_ends_early() {
+    check_heads("page", STATUS_PAGE, reads_status_page);
+    check_bodies("page", STATUS_PAGE, reads_status_page);
+}
