Take no broken or cut answer of targets in entries and stewards

What callers saw: notch-entry passed on a service's answer that the closed connection cut off before its length or its last chunk as a complete 200, and recorded it as the outcome of a call that runs once; one without a length as an empty 200; and answers with a status over 599 or a blank before the colon of a field as they were. A chat answer with such a head was taken too. Stewards took such lists of VMs and of streams, and such confirmations of cancelled streams and orders.

Cause: awc, as in the client of the store.

Change: entries and stewards use http_client for services, chat streams, control calls and the list of VMs. An answer that is refused counts like a lost connection: a call that may run again is retried within the budget, one that runs once gets 502 with its outcome unknown, a chat is resumed or continued elsewhere.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use futures_util::StreamExt;
+use actix_http::Method;
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, timeout};
 
@@ -13,6 +13,8 @@
 use super::grants::{PoolGuard, ReservationSpec, reserve_targets};
 use super::shared::RequestContext;
 use crate::chart::StateChart;
+use crate::clock::TimeSource;
+use crate::http_client::client::{ClientOptions, ClientRequest, ClientResponse, HttpClient};
 use crate::ids::RequestId;
 use crate::ledger::grant::{GrantOutcome, GrantPart};
 use crate::node::body_budget::BudgetShare;
@@ -21,6 +23,9 @@
     ChunkReader, GANG_MEMBERS_HEADER, GANG_SIZE_HEADER, PRIORITY_HEADER, REQUEST_HEADER,
 };
 
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const MAX_IDLE: Duration = Duration::from_secs(30);
+const MAX_CONTROL_BYTES: usize = 64 * 1024; // of a response to a control call, whose body is not used
 const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 const GANG_RESERVE_TIMEOUT: Duration = Duration::from_secs(2);
 const FIRST_CHUNK_TIMEOUT: Duration = Duration::from_secs(5);
@@ -32,41 +37,28 @@
 #[derive(Clone)]
 pub struct TargetClients {
     /// Reuses connections.
-    pub pooled: awc::Client,
+    pub pooled: HttpClient,
     /// Opens a connection for each call, because a pooled one may be dead without notice.
-    pub unpooled: awc::Client,
+    pub unpooled: HttpClient,
 }
 
 impl TargetClients {
     /// Clients that limit only connecting; callers set a timeout for each request themselves.
-    pub fn new() -> Self {
-        let pooled_connector = awc::Connector::new()
-            .timeout(Duration::from_secs(1))
-            .limit(0)
-            .conn_keep_alive(Duration::from_secs(30));
-        let unpooled_connector = awc::Connector::new()
-            .timeout(Duration::from_secs(1))
-            .limit(0)
-            .conn_keep_alive(Duration::ZERO);
+    pub fn new(clock: &TimeSource) -> Self {
+        let client = |max_idle| {
+            let options = ClientOptions {
+                connect_timeout: CONNECT_TIMEOUT,
+                max_idle,
+            };
+            HttpClient::new(options, clock.clone())
+        };
         Self {
-            pooled: awc::Client::builder()
-                .connector(pooled_connector)
-                .disable_timeout()
-                .finish(),
-            unpooled: awc::Client::builder()
-                .connector(unpooled_connector)
-                .disable_timeout()
-                .finish(),
+            pooled: client(MAX_IDLE),
+            unpooled: client(Duration::ZERO),
         }
     }
 }
 
-impl Default for TargetClients {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 /// Events from the relay to the HTTP response of the caller.
 #[derive(Debug)]
 pub enum RelayEvent {
@@ -268,17 +260,13 @@
                 "http://{}/v1/streams/{}?tokens={}",
                 part.address, stream, part.memory_tokens
             );
-            let response = self
-                .clients
-                .pooled
-                .put(url)
-                .timeout(GANG_RESERVE_TIMEOUT)
-                .send()
-                .await;
-            match response {
-                Ok(response) if response.status().is_success() => {}
-                Ok(response) => {
-                    return Err(format!("{} answered {}", part.target, response.status()));
+            let request = ClientRequest::new(Method::PUT, url);
+            let pooled = &self.clients.pooled;
+            let fetched = pooled.fetch(request, GANG_RESERVE_TIMEOUT, MAX_CONTROL_BYTES);
+            match fetched.await {
+                Ok((status, _)) if status.is_success() => {}
+                Ok((status, _)) => {
+                    return Err(format!("{} answered {status}", part.target));
                 }
                 Err(error) => return Err(format!("{}: {error}", part.target)),
             }
@@ -327,17 +315,14 @@
             .collect();
         let body = self.body.target_body(&progress.text);
         progress.sent = true;
-        let response_future = self
-            .clients
-            .pooled
-            .post(url)
-            .insert_header((REQUEST_HEADER, progress.stream.to_string()))
-            .insert_header((PRIORITY_HEADER, guard.priority.to_string()))
-            .insert_header((GANG_SIZE_HEADER, guard.parts.len().to_string()))
-            .insert_header((GANG_MEMBERS_HEADER, members.join(",")))
-            .content_type("application/json")
-            .send_body(body);
-        match timeout(RESPONSE_HEAD_TIMEOUT, response_future).await {
+        let request = ClientRequest::new(Method::POST, url)
+            .header(REQUEST_HEADER, &progress.stream.to_string())
+            .header(PRIORITY_HEADER, &guard.priority.to_string())
+            .header(GANG_SIZE_HEADER, &guard.parts.len().to_string())
+            .header(GANG_MEMBERS_HEADER, &members.join(","))
+            .header("content-type", "application/json")
+            .body(body);
+        match timeout(RESPONSE_HEAD_TIMEOUT, self.clients.pooled.send(request)).await {
             Ok(Ok(response)) if response.status().is_success() => Ok(TargetResponse::new(response)),
             Ok(Ok(response)) => {
                 let reason = format!("{} answered {}", leader.target, response.status());
@@ -363,7 +348,8 @@
             progress.stream,
             progress.assembler.last_seq()
         );
-        match timeout(RESPONSE_HEAD_TIMEOUT, self.clients.unpooled.get(url).send()).await {
+        let request = ClientRequest::new(Method::GET, url);
+        match timeout(RESPONSE_HEAD_TIMEOUT, self.clients.unpooled.send(request)).await {
             Ok(Ok(response)) if response.status().is_success() => Ok(TargetResponse::new(response)),
             Ok(Ok(response)) => Err(format!("resume answered {}", response.status())),
             Ok(Err(error)) => Err(format!("resume: {error}")),
@@ -383,10 +369,10 @@
                 None => FIRST_CHUNK_TIMEOUT,
                 Some(_) => NEXT_CHUNK_TIMEOUT,
             };
-            let bytes = match timeout(silence_limit, response.body.next()).await {
-                Ok(Some(Ok(bytes))) => bytes,
-                Ok(Some(Err(error))) => return Err(format!("stream failed: {error}")),
-                Ok(None) => return Err("stream ended before its last chunk".into()),
+            let bytes = match timeout(silence_limit, response.body.next_chunk()).await {
+                Ok(Ok(Some(bytes))) => bytes,
+                Ok(Err(error)) => return Err(format!("stream failed: {error}")),
+                Ok(Ok(None)) => return Err("stream ended before its last chunk".into()),
                 Err(_) => return Err("no chunk arrived in time".into()),
             };
             let chunks = response
@@ -429,27 +415,16 @@
     }
 }
 
-/// A target's response body and the parser of its chunks.
+/// A target's response and the parser of its chunks.
 struct TargetResponse {
-    body: std::pin::Pin<
-        Box<
-            dyn futures_util::Stream<
-                    Item = std::result::Result<bytes::Bytes, awc::error::PayloadError>,
-                >,
-        >,
-    >,
+    body: ClientResponse,
     reader: ChunkReader,
 }
 
 impl TargetResponse {
-    fn new<S>(response: awc::ClientResponse<S>) -> Self
-    where
-        S: futures_util::Stream<Item = std::result::Result<bytes::Bytes, awc::error::PayloadError>>
-            + Unpin
-            + 'static,
-    {
+    fn new(response: ClientResponse) -> Self {
         Self {
-            body: Box::pin(response),
+            body: response,
             reader: ChunkReader::default(),
         }
     }
@@ -515,13 +490,13 @@
 
 /// Cancels a stream at its targets when dropped.
 struct CancelGuard {
-    client: awc::Client,
+    client: HttpClient,
     stream: RequestId,
     addresses: Vec<String>,
 }
 
 impl CancelGuard {
-    fn new(client: awc::Client, stream: RequestId, parts: &[GrantPart]) -> Self {
+    fn new(client: HttpClient, stream: RequestId, parts: &[GrantPart]) -> Self {
         Self {
             client,
             stream,
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -128,9 +128,10 @@
     Error = actix_web::Error,
     InitError = (),
 > {
+    let clients = TargetClients::new(&shared.clock);
     let app = App::new()
         .app_data(shared)
-        .app_data(web::Data::new(TargetClients::new()))
+        .app_data(web::Data::new(clients))
         .route("/v1/entries", web::get().to(handlers::entries))
         .route("/v1/chat/completions", web::post().to(chat))
         .route("/v1/models", web::get().to(handlers::models))
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -5,7 +5,6 @@
 use actix_web::http::{Method, StatusCode};
 use actix_web::{HttpRequest, HttpResponse, web};
 use bytes::Bytes;
-use tokio::time::timeout;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::claims::{ClaimAnswer, claim_or_await_outcome, record_outcome, release_claim};
@@ -14,6 +13,7 @@
 use super::relay::TargetClients;
 use super::server::{authenticate, read_body, timeout_of};
 use super::shared::{EntryShared, RequestContext};
+use crate::http_client::client::{ClientError, ClientRequest};
 use crate::ids::{ClaimId, ModelName, RequestId};
 use crate::ledger::grant::GrantOutcome;
 use crate::target::stream::REQUEST_HEADER;
@@ -337,24 +337,19 @@
         return SendOutcome::NotSent("no target was granted".into());
     };
     let url = format!("http://{}/{}", part.address, call.path);
-    let mut request = clients
-        .unpooled
-        .request(call.method.clone(), url)
-        .insert_header((REQUEST_HEADER, context.request.to_string()));
+    let mut request = ClientRequest::new(call.method.clone(), url)
+        .header(REQUEST_HEADER, &context.request.to_string())
+        .body(call.body.clone());
     if let Some(content_type) = &call.content_type {
-        request = request.content_type(content_type.as_str());
+        request = request.header("content-type", content_type);
     }
     if let Some(key) = key {
-        request = request.insert_header((IDEMPOTENCY_HEADER, key.key.as_str()));
+        request = request.header(IDEMPOTENCY_HEADER, &key.key);
     }
-    let response_future = async {
-        let mut response = request.send_body(call.body.clone()).await?;
-        let status = response.status();
-        let body = response.body().limit(MAX_RESPONSE_BYTES).await;
-        Ok::<_, awc::error::SendRequestError>((status, body))
-    };
-    match timeout(context.time_left(), response_future).await {
-        Ok(Ok((status, Ok(body)))) => {
+    let unpooled = &clients.unpooled;
+    let fetched = unpooled.fetch(request, context.time_left(), MAX_RESPONSE_BYTES);
+    match fetched.await {
+        Ok((status, body)) => {
             pool_guard.outcome = GrantOutcome::Completed {
                 output_tokens: 0,
                 max_output_tokens: 0,
@@ -362,22 +357,21 @@
             };
             SendOutcome::Answered(ServiceResponse { status, body })
         }
-        Ok(Ok((_, Err(error)))) => {
-            pool_guard.outcome = GrantOutcome::Failed;
-            SendOutcome::NoAnswer(error.to_string())
-        }
-        Ok(Err(awc::error::SendRequestError::Connect(error))) => {
+        Err(error) if error.is_not_sent() => {
             pool_guard.outcome = GrantOutcome::Disconnected;
             SendOutcome::NotSent(error.to_string())
         }
-        Ok(Err(error)) => {
-            pool_guard.outcome = GrantOutcome::Disconnected;
-            SendOutcome::NoAnswer(error.to_string())
-        }
-        Err(_) => {
+        Err(ClientError::Timeout(_)) => {
             pool_guard.outcome = GrantOutcome::Failed;
             SendOutcome::NoAnswer("no answer by the deadline".into())
         }
+        Err(error) => {
+            pool_guard.outcome = match error.is_lost_connection() {
+                true => GrantOutcome::Disconnected,
+                false => GrantOutcome::Failed,
+            };
+            SendOutcome::NoAnswer(error.to_string())
+        }
     }
 }
 
--- a/src/logstore/vms.rs
+++ b/src/logstore/vms.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
+use actix_http::Method;
 use serde::{Deserialize, Serialize};
 
+use crate::http_client::client::{ClientRequest, HttpClient};
 use crate::ids::VmName;
 
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+const MAX_RESPONSE_BYTES: usize = 2 << 20;
 
 /// Body of the platform's response.
 #[derive(Debug, Default, Serialize, Deserialize)]
@@ -16,11 +19,10 @@
 }
 
 /// Fetches the list; `None` without a successful response that can be decoded.
-pub async fn fetch_vms(http: &awc::Client, platform: &str) -> Option<VmList> {
+pub async fn fetch_vms(http: &HttpClient, platform: &str) -> Option<VmList> {
     let url = format!("{}/v1/vms", platform.trim_end_matches('/'));
-    let mut response = http.get(url).timeout(LIST_TIMEOUT).send().await.ok()?;
-    if !response.status().is_success() {
-        return None;
-    }
-    response.json::<VmList>().await.ok()
+    let request = ClientRequest::new(Method::GET, url);
+    let fetched = http.fetch(request, LIST_TIMEOUT, MAX_RESPONSE_BYTES).await;
+    let (_, body) = fetched.ok().filter(|(status, _)| status.is_success())?;
+    serde_json::from_slice(&body).ok()
 }
--- a/src/steward/actor.rs
+++ b/src/steward/actor.rs
@@ -20,6 +20,7 @@
 use super::writer::{LogWriter, WriteState};
 use crate::clock::TimeSource;
 use crate::config::StewardSettings;
+use crate::http_client::client::{ClientOptions, HttpClient};
 use crate::ids::{InstanceId, Offset, VmName};
 use crate::ledger::grant::TicketId;
 use crate::logstore::log::LogClient;
@@ -65,7 +66,7 @@
     pub(super) clock: TimeSource,
     pub(super) core: StewardCore,
     pub(super) log: LogClient,
-    pub(super) http: awc::Client,
+    pub(super) http: HttpClient,
     pub(super) writer: LogWriter,
     pub(super) failure_detector: FailureDetector,
     pub(super) peer_clients: BTreeMap<String, Arc<PeerClient>>,
@@ -92,7 +93,7 @@
         let core = StewardCore::new(settings.vm.clone(), settings.policy)?;
         Ok(Self {
             log: LogClient::new(&settings.platform, clock.clone()),
-            http: awc::Client::default(),
+            http: HttpClient::new(ClientOptions::default(), clock.clone()),
             core,
             settings,
             last_checkpoint_read_at: clock.now(),
--- a/src/target/control.rs
+++ b/src/target/control.rs
@@ -2,13 +2,16 @@
 
 use std::time::Duration;
 
+use actix_http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
+use crate::http_client::client::{ClientRequest, HttpClient};
 use crate::ids::{InstanceId, RequestId};
 use crate::ledger::target_ledger::StreamReport;
 use crate::steward::orders::VersionOrder;
 
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(1);
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
 /// A target's list of streams, and the version it runs.
 #[derive(Debug, Serialize, Deserialize)]
@@ -55,32 +58,37 @@
 }
 
 /// Lists a target's streams; `None` on a timeout, an error status or an unreadable body.
-pub async fn list_streams(http: &awc::Client, address: &str) -> Option<StreamListing> {
+pub async fn list_streams(http: &HttpClient, address: &str) -> Option<StreamListing> {
     let url = format!("http://{address}/v1/streams");
-    let mut response = http.get(url).timeout(CONTROL_TIMEOUT).send().await.ok()?;
-    if !response.status().is_success() {
-        return None;
-    }
-    response.json::<StreamListing>().limit(4 << 20).await.ok()
+    let request = ClientRequest::new(Method::GET, url);
+    let fetched = http.fetch(request, CONTROL_TIMEOUT, MAX_RESPONSE_BYTES);
+    let (_, body) = fetched
+        .await
+        .ok()
+        .filter(|(status, _)| status.is_success())?;
+    serde_json::from_slice(&body).ok()
 }
 
 /// Cancels a stream at a target. Returns whether the target confirmed; a 404 counts, as the
 /// stream is gone.
-pub async fn cancel_stream(http: &awc::Client, address: &str, request: RequestId) -> bool {
+pub async fn cancel_stream(http: &HttpClient, address: &str, request: RequestId) -> bool {
     let url = format!("http://{address}/v1/streams/{request}");
-    match http.delete(url).timeout(CONTROL_TIMEOUT).send().await {
-        Ok(response) => response.status().is_success() || response.status().as_u16() == 404,
-        Err(_) => false,
-    }
+    let request = ClientRequest::new(Method::DELETE, url);
+    let fetched = http.fetch(request, CONTROL_TIMEOUT, MAX_RESPONSE_BYTES);
+    fetched
+        .await
+        .is_ok_and(|(status, _)| status.is_success() || status == StatusCode::NOT_FOUND)
 }
 
 /// Orders a target to run a version. Returns the response's status, or `None` without a response.
-pub async fn send_order(http: &awc::Client, order: &VersionOrder) -> Option<u16> {
+pub async fn send_order(http: &HttpClient, order: &VersionOrder) -> Option<u16> {
     let url = format!("http://{}/v1/orders", order.address);
     let body = OrderBody {
         number: order.number.0,
         version: order.version.clone(),
     };
-    let sending = http.post(url).timeout(CONTROL_TIMEOUT).send_json(&body);
-    Some(sending.await.ok()?.status().as_u16())
+    let request = ClientRequest::new(Method::POST, url).json(&body);
+    let fetched = http.fetch(request, CONTROL_TIMEOUT, MAX_RESPONSE_BYTES);
+    let (status, _) = fetched.await.ok()?;
+    Some(status.as_u16())
 }
--- a/tests/broken_answers/main.rs
+++ b/tests/broken_answers/main.rs
@@ -12,10 +12,14 @@
 use plantainnotch::clock::TimeSource;
 use plantainnotch::cmd::ctl::fleet::FleetClient;
 use plantainnotch::fleet::feed::LogPosition;
+use plantainnotch::http_client::client::{ClientOptions, HttpClient};
 use plantainnotch::http_client::connection::{open_connection, target_request_head};
-use plantainnotch::ids::Offset;
+use plantainnotch::ids::{Offset, RequestId, TargetName};
 use plantainnotch::logstore::log::LogClient;
+use plantainnotch::logstore::vms::fetch_vms;
 use plantainnotch::platform::store::StoreClient;
+use plantainnotch::steward::orders::VersionOrder;
+use plantainnotch::target::control::{cancel_stream, list_streams, send_order};
 
 use crate::support::BackgroundRuntime;
 use crate::support::broken_heads::{BROKEN_NAMES, BROKEN_STATUS_LINES};
@@ -25,6 +29,8 @@
 const NEWEST_PAGE: &[u8] = br#"{"items":[],"has_more":false,"end":9}"#;
 const RECORDS: &[u8] = &[0; 16]; // the header of a read without records
 const LOG_PAGE: &[u8] = br#"{"head":1,"end":0,"records":[]}"#;
+const VM_LIST: &[u8] = br#"{"vms":["vm-0"]}"#;
+const STREAMS: &[u8] = br#"{"instance":"a","streams":[]}"#;
 const STATUS_PAGE: &[u8] = br#"{"offset":7,"fresh":true}"#;
 
 /// How an answer's body is framed, and where it ends.
@@ -128,6 +134,10 @@
     );
 }
 
+fn client() -> HttpClient {
+    HttpClient::new(ClientOptions::default(), TimeSource::system())
+}
+
 async fn reads_target(address: SocketAddr) -> bool {
     let now = Instant::now();
     let mut connection = open_connection(address, None, now)
@@ -177,6 +187,30 @@
     log.append(&[]).await.is_ok()
 }
 
+async fn reads_vms(address: SocketAddr) -> bool {
+    let list = fetch_vms(&client(), &format!("http://{address}")).await;
+    list.is_some_and(|list| !list.vms.is_empty())
+}
+
+async fn lists_streams(address: SocketAddr) -> bool {
+    let listing = list_streams(&client(), &address.to_string()).await;
+    listing.is_some()
+}
+
+async fn cancels_stream(address: SocketAddr) -> bool {
+    cancel_stream(&client(), &address.to_string(), RequestId::random()).await
+}
+
+async fn orders_version(address: SocketAddr) -> bool {
+    let order = VersionOrder {
+        target: TargetName::new("app-0"),
+        address: address.to_string(),
+        number: Offset(1),
+        version: "v".to_owned(),
+    };
+    send_order(&client(), &order).await.is_some()
+}
+
 async fn reads_status_page(address: SocketAddr) -> bool {
     let fleet = FleetClient::new(&format!("http://{address}"));
     let page = fleet.fetch_page(&address.to_string(), "/v1/status").await;
@@ -207,14 +241,28 @@
 }
 
 #[test]
-fn the_client_of_the_log_takes_no_broken_head() {
+fn the_clients_of_the_log_and_the_list_of_vms_take_no_broken_head() {
     check_heads("log", LOG_PAGE, reads_log);
     check_heads("append", b"{}", appends_to_log);
+    check_heads("vms", VM_LIST, reads_vms);
 }
 
 #[test]
-fn the_client_of_the_log_takes_no_answer_that_ends_early() {
+fn the_clients_of_the_log_and_the_list_of_vms_take_no_answer_that_ends_early() {
     check_bodies("log", LOG_PAGE, reads_log);
+    check_bodies("vms", VM_LIST, reads_vms);
+}
+
+#[test]
+fn the_stewards_calls_to_targets_take_no_broken_head() {
+    check_heads("list", STREAMS, lists_streams);
+    check_heads("cancel", b"", cancels_stream);
+    check_heads("order", b"", orders_version);
+}
+
+#[test]
+fn the_stewards_list_of_streams_takes_no_answer_that_ends_early() {
+    check_bodies("list", STREAMS, lists_streams);
 }
 
 #[test]
--- a/tests/processes/fleet.rs
+++ b/tests/processes/fleet.rs
@@ -252,16 +252,20 @@
         sheet.push_str("team,kigali,,,,,,,,,,1,10000000,kigali-key,\n");
         let approvals = "kind,name,target,state\napproval,kigali,app-*,approved\napproval,kigali,reg-*,approved\n";
         for (author, text) in [("operator", sheet.as_str()), ("owner", approvals)] {
-            let file =
-                std::env::temp_dir().join(format!("notch-{author}-{}.csv", std::process::id()));
-            std::fs::write(&file, text).expect("the temporary folder can be written");
-            let output = self.run_ctl(author, &format!("table import {}", file.display()));
-            std::fs::remove_file(&file).ok();
-            let error = String::from_utf8_lossy(&output.stderr).into_owned();
-            assert!(output.status.success(), "import failed: {error}");
+            self.import(author, text);
         }
     }
 
+    /// Imports rows of the table.
+    pub fn import(&self, author: &str, sheet: &str) {
+        let file = std::env::temp_dir().join(format!("notch-{author}-{}.csv", std::process::id()));
+        std::fs::write(&file, sheet).expect("the temporary folder can be written");
+        let output = self.run_ctl(author, &format!("table import {}", file.display()));
+        std::fs::remove_file(&file).ok();
+        let error = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(output.status.success(), "import failed: {error}");
+    }
+
     /// The largest number of members that any steward reports; 0 if none responds.
     pub fn member_count(&self) -> usize {
         let statuses = self
