Test that peers' replies are refused if broken or cut off

The client of stewards and nodes reads replies over HTTP/2 with h2, which already refuses a status that is none, names of fields with blanks or control bytes, bodies without their end and bodies that are reset, and the client refuses every status but 200.

--- a/tests/broken_answers/main.rs
+++ b/tests/broken_answers/main.rs
@@ -1,5 +1,6 @@
 //! Clients of HTTP servers, which must take no answer that is broken in its head, or that ends early.
 
+mod peers;
 #[path = "../support/mod.rs"]
 mod support;
 
