End a response to HEAD with its head, and refuse URLs that are not http

What callers would see: a HEAD request whose response has neither a length nor chunks waited for the end of the connection, until its time was over; with entries on http_client now that holds for them too, while awc ended it at once. A URL with the scheme https would be sent in clear text, which awc refused.

Cause: the connection takes each response without framing for one that ends with the connection; the client ignored the scheme.

Change: no body follows a response to HEAD; only the scheme http is sent.

Evidence: both tests failed before (a timeout after 2 s, a sent request), and pass now.

--- a/src/http_client/client.rs
+++ b/src/http_client/client.rs
@@ -270,14 +270,18 @@
     }
 }
 
-/// Returns the first address of a URL's host, and the host as a header's value.
+/// Returns the first address of a URL's host, and the value of the `Host` header for it.
 async fn resolve(uri: &Uri) -> std::result::Result<(SocketAddr, HeaderValue), String> {
+    if uri.scheme_str() != Some("http") {
+        return Err("its scheme is not http".to_owned());
+    }
     let authority = uri.authority().ok_or("it names no host")?;
-    let host = authority.host();
     let port = authority.port_u16().unwrap_or(HTTP_PORT);
-    let value = HeaderValue::from_str(authority.as_str()).map_err(|error| error.to_string())?;
-    let found = lookup_host(format!("{host}:{port}")).await;
-    let mut addresses = found.map_err(|error| error.to_string())?;
+    let host = format!("{}:{port}", authority.host());
+    let mut addresses = lookup_host(&host)
+        .await
+        .map_err(|error| error.to_string())?;
     let address = addresses.next().ok_or("its host has no address")?;
-    Ok((address, value))
+    let header = HeaderValue::from_str(&host).map_err(|error| error.to_string())?;
+    Ok((address, header))
 }
--- a/src/http_client/connection.rs
+++ b/src/http_client/connection.rs
@@ -121,7 +121,7 @@
     until_close: bool,
     request_fully_sent: bool,
     /// Whether writing the request failed. The system reports the reset of a connection once only: if
-    /// the write takes it, the reads end as if the target had closed the connection in order.
+    /// the write takes it, the reads end as if the peer had closed the connection in order.
     write_failed: bool,
     idle_limit: Option<Duration>,
     idle_since: Instant,
@@ -208,6 +208,7 @@
             self.sent_ids.insert(xxh3_64(id.as_bytes()));
         }
         let mut codec = ClientCodec::default();
+        let is_bodiless = head.method == actix_http::Method::HEAD;
         let is_copied = body.len() <= MAX_COPIED_BODY_BYTES;
         let mut out = BytesMut::with_capacity(1024 + if is_copied { body.len() } else { 0 });
         let size = match body.len() {
@@ -237,7 +238,7 @@
         self.idle_limit = None;
         let head = self.send_and_read_head(&out, rest, &mut codec).await?;
         self.idle_limit = idle_limit(&head, codec.keep_alive());
-        self.until_close = !is_framed(&head);
+        self.until_close = !is_bodiless && !is_framed(&head);
         self.content_bytes = 0;
         self.body_bytes = self.received.len();
         self.state = match codec.message_type() {
--- a/tests/broken_answers/main.rs
+++ b/tests/broken_answers/main.rs
@@ -13,7 +13,7 @@
 use plantainnotch::clock::TimeSource;
 use plantainnotch::cmd::ctl::fleet::FleetClient;
 use plantainnotch::fleet::feed::LogPosition;
-use plantainnotch::http_client::client::{ClientOptions, HttpClient};
+use plantainnotch::http_client::client::{ClientOptions, ClientRequest, HttpClient};
 use plantainnotch::http_client::connection::{open_connection, target_request_head};
 use plantainnotch::ids::{Offset, RequestId, TargetName};
 use plantainnotch::logstore::log::LogClient;
@@ -271,3 +271,43 @@
     check_heads("page", STATUS_PAGE, reads_status_page);
     check_bodies("page", STATUS_PAGE, reads_status_page);
 }
+
+// Guards against a wait for the end of the connection, as after the head of any other response without a
+// length.
+#[test]
+fn a_response_to_head_without_a_length_ends_with_its_head() {
+    let runtime = BackgroundRuntime::start();
+    let address = start_raw_server(&runtime, |_| RawAnswer {
+        bytes: format!("{OK}\r\n").into_bytes(),
+        end: AnswerEnd::Keep,
+    });
+    let request = ClientRequest::new(Method::HEAD, format!("http://{address}/"));
+
+    let fetched = actix::System::new().block_on(async {
+        let limit = Duration::from_secs(2);
+        client().fetch(request, limit, 100).await
+    });
+
+    let (status, body) = fetched.expect("a response");
+    assert_eq!((status.as_u16(), body.len()), (200, 0));
+}
+
+#[test]
+fn requests_to_urls_that_are_not_http_are_not_sent() {
+    let runtime = BackgroundRuntime::start();
+    let address = start_raw_server(&runtime, |_| answer(OK, b"", BodyEnd::Whole));
+    let urls = [
+        format!("https://{address}/"),
+        format!("{address}/"),
+        "/v1/vms".to_owned(),
+        "http://".to_owned(),
+    ];
+    for url in urls {
+        let request = ClientRequest::new(Method::GET, &url);
+
+        let sent = actix::System::new().block_on(async { client().send(request).await });
+
+        let is_not_sent = sent.is_err_and(|error| error.is_not_sent());
+        assert!(is_not_sent, "{url}");
+    }
+}
