--- a/tests/broken_answers/peers.rs
+++ b/tests/broken_answers/peers.rs
@@ -133,7 +133,7 @@
             "body shorter than its length",
             vec![
                 head(&[STATUS_200, &field("content-length", "9")].concat()),
-                data.clone(),
+                data,
             ],
         ),
     ];
