--- a/src/http_client/client.rs
+++ b/src/http_client/client.rs
@@ -84,7 +84,7 @@
         }
     }
 
-    /// Adds a header; the request fails if the value holds control bytes.
+    /// Adds a header; the request fails if the value is not visible ASCII.
     #[must_use]
     pub fn header(mut self, name: &'static str, value: &str) -> Self {
         match HeaderValue::from_str(value) {
@@ -150,6 +150,17 @@
     /// # Errors
     ///
     /// Fails when the request cannot be sent, the connection fails or the response is malformed.
+    ///
+    /// ```
+    /// use actix_http::Method;
+    /// use plantainnotch::clock::TimeSource;
+    /// use plantainnotch::http_client::client::{ClientOptions, ClientRequest, HttpClient};
+    /// let client = HttpClient::new(ClientOptions::default(), TimeSource::system());
+    /// let request = ClientRequest::new(Method::GET, "https://127.0.0.1/");
+    /// # actix::System::new().block_on(async {
+    /// assert!(client.send(request).await.is_err_and(|error| error.is_not_sent()));
+    /// # });
+    /// ```
     pub async fn send(&self, request: ClientRequest) -> Result<ClientResponse> {
         let unsendable = |reason: String| ClientError::Unsendable {
             url: request.url.clone(),
