Take no answer for empty whose framing the codec does not apply

What callers would see: a 200 with `transfer-encoding: identity` and no length as a complete empty answer, also if a reset cut it off: one more form of the answer without a length. The same for a 200 with `upgrade: websocket` beside its length.

Cause: the connection took each head with a transfer encoding for one that defines where its body ends, but the codec knows no length for `identity`; and it ignores the length beside that upgrade. Both give a body of no bytes.

Change: `identity` counts as none, so that the body is read to the end of its connection, where a reset is an error. A head with a length that the codec does not apply is malformed.

Evidence: the test reads eight such answers, HTTP/1.0 ones too.

--- a/src/http_client/connection.rs
+++ b/src/http_client/connection.rs
@@ -8,7 +8,7 @@
 
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::header::HeaderMap;
+use actix_http::header::{self, HeaderMap};
 use actix_http::{RequestHead, RequestHeadType, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
@@ -243,6 +243,10 @@
         self.body_bytes = self.received.len();
         self.state = match codec.message_type() {
             _ if self.until_close => ResponseState::UntilClose,
+            // The codec ignores the length beside `Upgrade: websocket`.
+            MessageType::None if !is_bodiless && has_length(&head) => {
+                return Err(ExchangeError::Malformed("length not applied".to_owned()));
+            }
             MessageType::None => ResponseState::Done,
             _ => ResponseState::Body(codec.into_payload_codec()),
         };
@@ -420,9 +424,20 @@
         head.status,
         StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
     );
-    bodiless
-        || head.headers.contains_key("content-length")
-        || head.headers.contains_key("transfer-encoding")
+    // Of transfer encodings, the codec takes `chunked` and `identity`, which defines no length.
+    let encoding = head.headers.get(header::TRANSFER_ENCODING);
+    let is_encoded = encoding.is_some_and(|encoding| {
+        let encoding = encoding.as_bytes().trim_ascii();
+        !encoding.eq_ignore_ascii_case(b"identity")
+    });
+    bodiless || is_encoded || head.headers.contains_key(header::CONTENT_LENGTH)
+}
+
+/// Whether the head announces a body by its length.
+fn has_length(head: &ResponseHead) -> bool {
+    let value = head.headers.get(header::CONTENT_LENGTH);
+    let length = value.and_then(|value| value.to_str().ok()?.trim().parse::<u64>().ok());
+    length.is_some_and(|length| length > 0)
 }
 
 /// Whether `received` begins with a complete head; fails if that is malformed. The codec itself strips
--- a/tests/broken_answers/main.rs
+++ b/tests/broken_answers/main.rs
@@ -139,26 +139,25 @@
     HttpClient::new(ClientOptions::default(), TimeSource::system())
 }
 
-async fn reads_target(address: SocketAddr) -> bool {
+/// Reads the body of a target's answer; `None` if that is refused.
+async fn read_target(address: SocketAddr) -> Option<Vec<u8>> {
     let now = Instant::now();
     let mut connection = open_connection(address, None, now)
         .await
         .expect("it listens");
     let headers = HeaderMap::new();
     let head = target_request_head(Method::GET, Uri::from_static("/"), headers);
-    if connection
-        .exchange(None, head, &Bytes::new())
-        .await
-        .is_err()
-    {
-        return false;
-    }
-    loop {
-        match connection.next_chunk().await {
-            Ok(Some(_)) => {}
-            end => return end.is_ok(),
-        }
+    let exchanged = connection.exchange(None, head, &Bytes::new()).await;
+    exchanged.ok()?;
+    let mut body = Vec::new();
+    while let Some(chunk) = connection.next_chunk().await.ok()? {
+        body.extend_from_slice(&chunk);
     }
+    Some(body)
+}
+
+async fn reads_target(address: SocketAddr) -> bool {
+    read_target(address).await.is_some()
 }
 
 async fn reads_newest(address: SocketAddr) -> bool {
@@ -228,6 +227,55 @@
     check_bodies("target", b"body", reads_target);
 }
 
+/// Heads of answers whose framing clients know little of, and what becomes of the connection after the four
+/// bytes of the body.
+const RARE_FRAMING: [(&str, AnswerEnd); 8] = [
+    (
+        "HTTP/1.1 200 X\r\ntransfer-encoding: identity",
+        AnswerEnd::Close,
+    ),
+    ("HTTP/1.1 200 X\r\nupgrade: websocket", AnswerEnd::Close),
+    (
+        "HTTP/1.1 200 X\r\nupgrade: websocket\r\ncontent-length: 4",
+        AnswerEnd::Keep,
+    ),
+    ("HTTP/1.0 200 X", AnswerEnd::Close),
+    (
+        "HTTP/1.1 200 X\r\ntransfer-encoding: identity",
+        AnswerEnd::Reset,
+    ),
+    ("HTTP/1.1 200 X\r\nupgrade: websocket", AnswerEnd::Reset),
+    (
+        "HTTP/1.1 200 X\r\nupgrade: websocket\r\ncontent-length: 5",
+        AnswerEnd::Close,
+    ),
+    ("HTTP/1.0 200 X", AnswerEnd::Reset),
+];
+const RARE_FRAMING_WHOLE: usize = 4; // the others are cut off
+
+// Guards against a body that is taken for empty because the codec does not apply its framing.
+#[test]
+fn connections_to_targets_take_no_other_body_than_the_answers() {
+    let read = |(head, end): (&str, AnswerEnd)| {
+        let runtime = BackgroundRuntime::start();
+        let bytes = format!("{head}\r\n\r\nbody").into_bytes();
+        let address = start_raw_server(&runtime, move |_| RawAnswer {
+            bytes: bytes.clone(),
+            end,
+        });
+        actix::System::new().block_on(read_target(address))
+    };
+
+    let bodies = RARE_FRAMING.map(read);
+
+    let (whole, cut) = bodies.split_at(RARE_FRAMING_WHOLE);
+    let is_own = |body: &Option<Vec<u8>>| body.as_deref().is_none_or(|body| body == b"body");
+    assert!(
+        whole.iter().all(is_own) && cut.iter().all(Option::is_none),
+        "whole: {whole:?}, cut off: {cut:?}"
+    );
+}
+
 #[test]
 fn the_store_client_takes_no_broken_head() {
     check_heads("newest", NEWEST_PAGE, reads_newest);
