Count no broken or cut answer as finished in notch-fake load

What was seen: `notch-fake load`, with which the tests of processes judge the entries, counted a service call as finished by the status alone: also if the answer ended before its length or its last chunk, was reset, or had a head with a blank before the colon of a field.

Cause: it read with awc, like the other clients before, and took a body that could not be read for an empty one.

Evidence: the new test plays an entry that sends broken heads (34 forms) and cut bodies (3 forms).

--- a/src/fake/load.rs
+++ b/src/fake/load.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_util::StreamExt;
+use actix_http::Method;
 use futures_util::future::join_all;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -13,13 +13,17 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use super::engine::{prompt_digest, response_token};
+use crate::clock::TimeSource;
 use crate::entry::chat::{ChatBody, ChatMessage};
 use crate::entry::error::{IDEMPOTENCY_HEADER, TIMEOUT_HEADER};
 use crate::entry::handlers::EntryList;
+use crate::http_client::client::{ClientOptions, ClientRequest, HttpClient};
 use crate::target::stream::ChunkReader;
 
 /// How long after its deadline a request may get its final response.
 const RESPONSE_GRACE: Duration = Duration::from_secs(1);
+const ENTRIES_TIMEOUT: Duration = Duration::from_secs(1);
+const AUDIT_TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_BODY_BYTES: usize = 64 << 20;
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 const DIRECT_CLASS: &str = "direct";
@@ -247,7 +251,7 @@
 struct LoadRunner {
     plan: LoadPlan,
     start: Instant,
-    http: awc::Client,
+    http: HttpClient,
     entries: RefCell<Vec<String>>,
     refresh_interval: RefCell<Duration>,
 }
@@ -273,18 +277,12 @@
 
 impl LoadRunner {
     fn new(plan: LoadPlan) -> Self {
-        let connector = awc::Connector::new()
-            .timeout(Duration::from_secs(1))
-            .limit(0);
         Self {
             entries: RefCell::new(vec![plan.entry.clone()]),
             refresh_interval: RefCell::new(Duration::from_secs(5)),
             plan,
             start: Instant::now(),
-            http: awc::Client::builder()
-                .connector(connector)
-                .disable_timeout()
-                .finish(),
+            http: HttpClient::new(ClientOptions::default(), TimeSource::system()),
         }
     }
 
@@ -292,14 +290,12 @@
         let known = self.entries.borrow().clone();
         for entry in known.iter().chain([&self.plan.entry]) {
             let url = format!("http://{entry}/v1/entries");
-            let sent = self
-                .http
-                .get(url)
-                .timeout(Duration::from_secs(1))
-                .send()
-                .await;
-            let Ok(mut response) = sent else { continue };
-            if let Ok(list) = response.json::<EntryList>().await {
+            let request = ClientRequest::new(Method::GET, url);
+            let fetched = self.http.fetch(request, ENTRIES_TIMEOUT, MAX_BODY_BYTES);
+            let Ok((_, body)) = fetched.await else {
+                continue;
+            };
+            if let Ok(list) = serde_json::from_slice::<EntryList>(&body) {
                 *self.refresh_interval.borrow_mut() = Duration::from_secs(list.keep_seconds);
                 *self.entries.borrow_mut() = list.entries;
                 return;
@@ -389,21 +385,19 @@
         );
         let key = &self.plan.teams[arrival.team].key;
         let time_left = class.timeout.saturating_sub(started.elapsed());
-        let sending = self
-            .http
-            .post(url)
-            .bearer_auth(key)
-            .insert_header((IDEMPOTENCY_HEADER, idempotency_key(arrival.seed)))
-            .insert_header((TIMEOUT_HEADER, time_left.as_millis().max(1).to_string()))
-            .send_body(format!("{{\"item\":{}}}", arrival.seed));
-        let mut response = match sending.await {
-            Ok(response) => response,
+        let request = ClientRequest::new(Method::POST, url)
+            .header("authorization", &format!("Bearer {key}"))
+            .header(IDEMPOTENCY_HEADER, &idempotency_key(arrival.seed))
+            .header(TIMEOUT_HEADER, &time_left.as_millis().max(1).to_string())
+            .body(format!("{{\"item\":{}}}", arrival.seed));
+        let time_limit = time_left + RESPONSE_GRACE;
+        let (status, body) = match self.http.fetch(request, time_limit, MAX_BODY_BYTES).await {
+            Ok(fetched) => fetched,
             Err(error) => {
                 return AttemptResult::error(ObservedOutcome::Unknown, error.to_string(), true);
             }
         };
-        let body = response.body().await.unwrap_or_default();
-        if response.status().is_success() {
+        if status.is_success() {
             return AttemptResult {
                 outcome: ObservedOutcome::Finished,
                 ttft: Some(started.elapsed()),
@@ -423,19 +417,16 @@
     ) -> AttemptResult {
         let body = chat_body(&self.plan.model, class, arrival.seed);
         let digest = prompt_digest(&body);
-        let json = serde_json::to_vec(&body).expect("a chat body holds only plain data");
         let url = format!("http://{address}/v1/chat/completions");
         let time_left = class.timeout.saturating_sub(started.elapsed());
-        let sending = self
-            .http
-            .post(url)
-            .bearer_auth(&self.plan.teams[arrival.team].key)
-            .insert_header((TIMEOUT_HEADER, time_left.as_millis().max(1).to_string()))
-            .content_type("application/json")
-            .send_body(json);
-        let mut response = match sending.await {
+        let key = &self.plan.teams[arrival.team].key;
+        let request = ClientRequest::new(Method::POST, url)
+            .header("authorization", &format!("Bearer {key}"))
+            .header(TIMEOUT_HEADER, &time_left.as_millis().max(1).to_string())
+            .json(&body);
+        let mut response = match self.http.send(request).await {
             Ok(response) => response,
-            Err(awc::error::SendRequestError::Connect(error)) => {
+            Err(error) if error.is_not_sent() => {
                 return AttemptResult::error(ObservedOutcome::NotRun, error.to_string(), true);
             }
             Err(error) => {
@@ -443,11 +434,7 @@
             }
         };
         if !response.status().is_success() {
-            let body = response
-                .body()
-                .limit(MAX_BODY_BYTES)
-                .await
-                .unwrap_or_default();
+            let body = response.read_body(MAX_BODY_BYTES).await.unwrap_or_default();
             return AttemptResult {
                 retry: false,
                 ..error_result(&body)
@@ -456,9 +443,17 @@
         let mut reader = ChunkReader::default();
         let mut text = String::new();
         let mut ttft = None;
-        while let Some(part) = response.next().await {
-            let Ok(bytes) = part else {
-                return AttemptResult::error(ObservedOutcome::Failed, "connection broke", false);
+        loop {
+            let bytes = match response.next_chunk().await {
+                Ok(Some(bytes)) => bytes,
+                Ok(None) => {
+                    let error = "stream ended early";
+                    return AttemptResult::error(ObservedOutcome::Failed, error, false);
+                }
+                Err(error) => {
+                    let error = error.to_string();
+                    return AttemptResult::error(ObservedOutcome::Failed, error, false);
+                }
             };
             let Ok(chunks) = reader.feed(&bytes) else {
                 return error_result(bytes.strip_prefix(b"data: ").unwrap_or(&bytes));
@@ -481,7 +476,6 @@
                 }
             }
         }
-        AttemptResult::error(ObservedOutcome::Failed, "stream ended early", false)
     }
 }
 
@@ -547,17 +541,15 @@
         ..LoadSummary::default()
     };
     summary.admitted = samples.len() as u64 - summary.not_run;
-    let http = awc::Client::default();
+    let http = HttpClient::new(ClientOptions::default(), TimeSource::system());
     for target in &plan.audited_targets {
         let url = format!("http://{target}/v1/fake/audit");
-        let Ok(mut response) = http.get(url).send().await else {
+        let request = ClientRequest::new(Method::GET, url);
+        let fetched = http.fetch(request, AUDIT_TIMEOUT, MAX_BODY_BYTES).await;
+        let Ok((_, body)) = fetched else {
             continue;
         };
-        let audit: serde_json::Value = response
-            .json()
-            .limit(MAX_BODY_BYTES)
-            .await
-            .unwrap_or_default();
+        let audit: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
         let number = |name: &str| audit[name].as_u64().unwrap_or(0);
         summary.executed_twice += number("executed_twice");
         let was_executed = |key: &str| audit["executed"][key].as_u64().unwrap_or(0) > 0;
--- a/tests/broken_answers/main.rs
+++ b/tests/broken_answers/main.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use plantainnotch::clock::TimeSource;
 use plantainnotch::cmd::ctl::fleet::FleetClient;
+use plantainnotch::fake::load::{self, LoadClass, LoadPlan, LoadTeam, ObservedOutcome};
 use plantainnotch::fleet::feed::LogPosition;
 use plantainnotch::http_client::client::{ClientOptions, ClientRequest, HttpClient};
 use plantainnotch::http_client::connection::{open_connection, target_request_head};
@@ -217,6 +218,36 @@
     page.is_some()
 }
 
+/// Whether `notch-fake load` counts a service call at `address` as finished.
+async fn finishes_call(address: SocketAddr) -> bool {
+    let class = LoadClass {
+        name: "certificates".to_owned(),
+        prompt_tokens: 0,
+        output_tokens: 0,
+        arrivals_per_s: 1_000.0,
+        timeout: Duration::from_millis(200), // too short to try again
+    };
+    let team = LoadTeam {
+        key: "key-a".to_owned(),
+        share: 1.0,
+    };
+    let samples = load::run(LoadPlan {
+        entry: address.to_string(),
+        direct_target: None,
+        audited_targets: Vec::new(),
+        model: String::new(),
+        service: "registry".to_owned(),
+        classes: vec![class],
+        teams: vec![team],
+        duration: Duration::from_millis(5),
+        seed: 1,
+    })
+    .await;
+    assert!(!samples.is_empty());
+    let is_finished = |outcome| outcome == ObservedOutcome::Finished;
+    samples.iter().any(|sample| is_finished(sample.outcome))
+}
+
 #[test]
 fn connections_to_targets_take_no_broken_head() {
     check_heads("target", b"body", reads_target);
@@ -320,6 +351,12 @@
     check_bodies("page", STATUS_PAGE, reads_status_page);
 }
 
+#[test]
+fn the_load_generator_counts_no_call_as_finished_whose_answer_is_broken_or_ends_early() {
+    check_heads("load", b"{}", finishes_call);
+    check_bodies("load", b"{}", finishes_call);
+}
+
 // Guards against a wait for the end of the connection, as after the head of any other response without a
 // length.
 #[test]
