Test that broken answers of a VM that carries requests reach no caller

A node without paths to targets reads the answers of the VM that carries its requests through the same connection as those of targets; so far that was only read in the code. Two new tests put a server in the place of that VM: it sends six broken heads, an answer shorter than its length, and one without a length that it resets during a long upload.

--- a/tests/platform/broken_answers.rs
+++ b/tests/platform/broken_answers.rs
@@ -11,10 +11,12 @@
 use serde_json::json;
 
 use super::answers::send_until_one_runs;
+use crate::lost_paths::cut;
 use crate::support::bed::{TestBed, config, wait_until};
-use crate::support::caller::send;
+use crate::support::caller::{CallerResponse, send};
 use crate::support::http::{ReceivedRequest, encode_response};
-use crate::support::raw_server::{AnswerEnd, RawAnswer, start_raw_server};
+use crate::support::proxy::ProxyFault;
+use crate::support::raw_server::{AnswerEnd, RawAnswer, start_raw_server, start_raw_server_at};
 use crate::support::target::{ResumeAnswer, TargetMode};
 
 const PATHS: [&str; 4] = ["/lookup/7", "/issue/7", "/single/a", "/resumable/a"];
@@ -27,6 +29,10 @@
     "HTTP/1.1 200 X\r\nx\u{1}note: a\r\n",
     "HTTP/1.1 103 X\r\nx-note : a\r\n\r\nHTTP/1.1 200 X\r\n",
 ];
+const SOUND_START: &str = "HTTP/1.1 200 X\r\n";
+const EVENT_BYTES: usize = "id: 1\ndata: x\n\n".len();
+const MAX_CARRIER_BEDS: usize = 8;
+const PATHS_LOST_LIMIT: Duration = Duration::from_secs(6);
 const LONG_BODY_BYTES: usize = 6 << 20; // more than the sockets' buffers hold
 const UPLOADS: usize = 8; // to each path; the write sees about half of the resets first
 const RESUMED_UPLOADS: usize = 4; // engines are passed over for a time after each
@@ -214,3 +220,105 @@
         check_resumed_head_start(start);
     }
 }
+
+/// An answer whose head begins with `start`, and whose body is an event.
+fn answer_with_start(request: &ReceivedRequest, start: &str) -> RawAnswer {
+    let (head, event) = event_answer(request, &format!("content-length: {EVENT_BYTES}\r\n"));
+    let (_, fields) = head.split_once("\r\n").expect("it has a status line");
+    RawAnswer {
+        bytes: format!("{start}{fields}{event}").into_bytes(),
+        end: AnswerEnd::Keep,
+    }
+}
+
+/// An answer that ends before its length.
+fn short_answer(request: &ReceivedRequest) -> RawAnswer {
+    let framing = format!("content-length: {}\r\n", EVENT_BYTES + 1);
+    let (head, event) = event_answer(request, &framing);
+    RawAnswer {
+        bytes: format!("{head}{event}").into_bytes(),
+        end: AnswerEnd::Close,
+    }
+}
+
+/// Sends long requests to a VM without paths to targets, while a server that answers with `answer` is in the
+/// place of the VM that carries them; returns the responses, and how many requests that server got.
+fn responses_through_carrier(
+    answer: impl Fn(&ReceivedRequest) -> RawAnswer + Send + Sync + 'static,
+) -> (Vec<Option<CallerResponse>>, usize) {
+    let mut bed = TestBed::start(2);
+    let mut table = config(2);
+    table["limits"]["max_body_bytes"] = json!(LONG_BODY_BYTES);
+    bed.put_config_everywhere(&table);
+    cut(&bed, &[0], ProxyFault::Reset);
+    wait_until(PATHS_LOST_LIMIT, "the paths are lost", || {
+        bed.lookup(0, "lose");
+        bed.nodes[0].log().contains("\"state\":\"lost\"")
+    });
+    let carried = Arc::new(AtomicUsize::new(0));
+    let counted = carried.clone();
+    let node = bed.nodes[0].id();
+    bed.nodes[1].kill();
+    start_raw_server_at(&bed.runtime, bed.node_configs[1].callers, move |request| {
+        counted.fetch_add(1, Ordering::Relaxed);
+        suspend(node);
+        answer(request)
+    });
+    let callers = bed.node_configs[0].callers;
+    let senders = PATHS.map(|path| {
+        let mut request = bed.stream(path, path);
+        request.body = path.repeat(LONG_BODY_BYTES / path.len()).into_bytes();
+        request.deadline = Duration::from_secs(3);
+        thread::spawn(move || send(callers, &request))
+    });
+    let responses = senders.map(|sender| sender.join().expect("the sender ends"));
+    (responses.to_vec(), carried.load(Ordering::Relaxed))
+}
+
+/// Repeats [`responses_through_carrier`] until a request was carried, which it is not once the VM counts as
+/// dead.
+fn carried_responses(
+    label: &str,
+    answer: impl Fn(&ReceivedRequest) -> RawAnswer + Copy + Send + Sync + 'static,
+) -> Vec<Option<CallerResponse>> {
+    let mut played = (0..MAX_CARRIER_BEDS).map(|_| responses_through_carrier(answer));
+    let carried = played.find(|(_, carried)| *carried > 0);
+    let (responses, _) = carried.unwrap_or_else(|| panic!("{label:?}: no request was carried"));
+    responses
+}
+
+/// Checks that no caller gets the answers of a VM that carries requests.
+fn check_carrier(
+    label: &str,
+    answer: impl Fn(&ReceivedRequest) -> RawAnswer + Copy + Send + Sync + 'static,
+) {
+    let responses = carried_responses(label, answer);
+
+    for response in responses {
+        let status = response.as_ref().map_or(0, |response| response.status);
+        let is_failure = [0, 502, 503, 504].contains(&status);
+        let is_cut = response.as_ref().is_some_and(|response| !response.complete);
+        assert!(is_failure || is_cut, "{label:?}: {response:?}");
+    }
+}
+
+#[test]
+fn broken_heads_of_a_vm_that_carries_requests_reach_no_caller() {
+    for start in STATUS_SAMPLE.into_iter().chain(NAME_SAMPLE) {
+        check_carrier(start, move |request| answer_with_start(request, start));
+    }
+
+    let sound = carried_responses("sound", |request| answer_with_start(request, SOUND_START));
+    let served = sound.into_iter().flatten();
+    let mut complete = served.filter(|response| response.status == 200 && response.complete);
+    assert!(
+        complete.next().is_some(),
+        "a sound answer does not reach its caller"
+    );
+}
+
+#[test]
+fn cut_answers_of_a_vm_that_carries_requests_reach_no_caller_as_complete() {
+    check_carrier("reset", cut_off_answer);
+    check_carrier("short", short_answer);
+}
--- a/tests/support/raw_server.rs
+++ b/tests/support/raw_server.rs
@@ -34,15 +34,23 @@
 pub fn start_raw_server(
     runtime: &BackgroundRuntime,
     answer: impl Fn(&ReceivedRequest) -> RawAnswer + Send + Sync + 'static,
+) -> SocketAddr {
+    start_raw_server_at(runtime, SocketAddr::from(([127, 0, 0, 1], 0)), answer)
+}
+
+/// Like [`start_raw_server`], at an address that a process may have used before.
+pub fn start_raw_server_at(
+    runtime: &BackgroundRuntime,
+    address: SocketAddr,
+    answer: impl Fn(&ReceivedRequest) -> RawAnswer + Send + Sync + 'static,
 ) -> SocketAddr {
     let _guard = runtime.enter();
     let socket = TcpSocket::new_v4().expect("a socket");
     socket
         .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
         .expect("the size is valid");
-    socket
-        .bind(SocketAddr::from(([127, 0, 0, 1], 0)))
-        .expect("a port is free");
+    socket.set_reuseaddr(true).expect("the option is known");
+    socket.bind(address).expect("the port is free");
     let listener = socket.listen(128).expect("the socket is bound");
     let address = listener
         .local_addr()
