Play each resumed upload that a reset cuts off on a new bed

Cause: the test, not the product. Its log shows that each engine was passed over for up to 4 s after a cut answer, at different times, so that the broken streams had no other engine to be resumed at (not resumed: no_target) and the case that the test waits for did not arise again.

Change: as for broken heads, each of the four resumed uploads is played on a bed of its own, where the first request meets the case. What the test demands is the same.

--- a/tests/platform/broken_answers.rs
+++ b/tests/platform/broken_answers.rs
@@ -35,7 +35,7 @@
 const PATHS_LOST_LIMIT: Duration = Duration::from_secs(6);
 const LONG_BODY_BYTES: usize = 6 << 20; // more than the sockets' buffers hold
 const UPLOADS: usize = 8; // to each path; the write sees about half of the resets first
-const RESUMED_UPLOADS: usize = 4; // engines are passed over for a time after each
+const RESUMED_UPLOADS: usize = 4;
 const UPLOADS_LIMIT: Duration = Duration::from_secs(60);
 const RECORDS_READ_TIME: Duration = Duration::from_millis(800); // records of targets are read in batches
 const SUSPENDED_TIME: Duration = Duration::from_millis(20); // an answer and a reset arrive in less
@@ -109,14 +109,13 @@
 }
 
 /// Sends long requests to `path`, whose answers are broken off first if `resumed`, until targets have cut
-/// off enough of them; returns how many responses callers take for complete successes.
-fn complete_answers_to_uploads(path: &str, resumed: bool) -> usize {
+/// off `uploads` of them; returns how many responses callers take for complete successes.
+fn complete_answers_to_uploads(path: &str, resumed: bool, uploads: usize) -> usize {
     let bed = TestBed::start(1);
     let mut table = config(2);
     table["limits"]["max_body_bytes"] = json!(LONG_BODY_BYTES);
     bed.put_config_everywhere(&table);
     let node = bed.nodes[0].id();
-    let uploads = if resumed { RESUMED_UPLOADS } else { UPLOADS };
     let cut_off = Arc::new(AtomicUsize::new(0));
     let counted = cut_off.clone();
     replace_targets(&bed, move |request| {
@@ -148,10 +147,15 @@
 // answer without a length.
 #[test]
 fn an_answer_that_a_reset_cuts_off_during_the_upload_is_not_complete() {
+    // A stream is resumed only while another engine takes it: not for long once all have failed on a bed.
+    let resumed = (0..RESUMED_UPLOADS)
+        .map(|_| complete_answers_to_uploads("/resumable/a", true, 1))
+        .sum();
+
     let complete: Vec<(&str, usize)> = PATHS
         .into_iter()
-        .map(|path| (path, complete_answers_to_uploads(path, false)))
-        .chain([("resumed", complete_answers_to_uploads("/resumable/a", true))])
+        .map(|path| (path, complete_answers_to_uploads(path, false, UPLOADS)))
+        .chain([("resumed", resumed)])
         .filter(|(_, count)| *count > 0)
         .collect();
 
