Name what the tests of rare framing and of carried answers guard against

Whole and cut answers are two lists instead of one that is split, the error for a length beside an upgrade names it, and the tests say which failure they guard against.

--- a/src/http_client/connection.rs
+++ b/src/http_client/connection.rs
@@ -245,7 +245,8 @@
             _ if self.until_close => ResponseState::UntilClose,
             // The codec ignores the length beside `Upgrade: websocket`.
             MessageType::None if !is_bodiless && has_length(&head) => {
-                return Err(ExchangeError::Malformed("length not applied".to_owned()));
+                let reason = "a length beside `upgrade: websocket`".to_owned();
+                return Err(ExchangeError::Malformed(reason));
             }
             MessageType::None => ResponseState::Done,
             _ => ResponseState::Body(codec.into_payload_codec()),
--- a/tests/broken_answers/main.rs
+++ b/tests/broken_answers/main.rs
@@ -258,9 +258,8 @@
     check_bodies("target", b"body", reads_target);
 }
 
-/// Heads of answers whose framing clients know little of, and what becomes of the connection after the four
-/// bytes of the body.
-const RARE_FRAMING: [(&str, AnswerEnd); 8] = [
+/// Heads that frame a body of four bytes in rare ways, and what becomes of the connection after it.
+const RARE_WHOLE: [(&str, AnswerEnd); 4] = [
     (
         "HTTP/1.1 200 X\r\ntransfer-encoding: identity",
         AnswerEnd::Close,
@@ -271,6 +270,9 @@
         AnswerEnd::Keep,
     ),
     ("HTTP/1.0 200 X", AnswerEnd::Close),
+];
+/// Like [`RARE_WHOLE`], but the body is cut off after four bytes.
+const RARE_CUT: [(&str, AnswerEnd); 4] = [
     (
         "HTTP/1.1 200 X\r\ntransfer-encoding: identity",
         AnswerEnd::Reset,
@@ -282,7 +284,6 @@
     ),
     ("HTTP/1.0 200 X", AnswerEnd::Reset),
 ];
-const RARE_FRAMING_WHOLE: usize = 4; // the others are cut off
 
 // Guards against a body that is taken for empty because the codec does not apply its framing.
 #[test]
@@ -297,9 +298,10 @@
         actix::System::new().block_on(read_target(address))
     };
 
-    let bodies = RARE_FRAMING.map(read);
+    let whole = RARE_WHOLE.map(read);
+    let cut = RARE_CUT.map(read);
 
-    let (whole, cut) = bodies.split_at(RARE_FRAMING_WHOLE);
+    // An answer that is not understood may also be refused.
     let is_own = |body: &Option<Vec<u8>>| body.as_deref().is_none_or(|body| body == b"body");
     assert!(
         whole.iter().all(is_own) && cut.iter().all(Option::is_none),
@@ -351,6 +353,7 @@
     check_bodies("page", STATUS_PAGE, reads_status_page);
 }
 
+// Guards against figures that hide broken answers of entries.
 #[test]
 fn the_load_generator_counts_no_call_as_finished_whose_answer_is_broken_or_ends_early() {
     check_heads("load", b"{}", finishes_call);
--- a/tests/platform/broken_answers.rs
+++ b/tests/platform/broken_answers.rs
@@ -1,5 +1,5 @@
-//! Answers of targets that are broken in their head or cut off by a reset: none reaches a caller as an
-//! answer, or as a complete one.
+//! Answers of targets, and of VMs that carry requests, that are broken in their head or cut off: none
+//! reaches a caller as an answer, or as a complete one.
 
 use std::cell::RefCell;
 use std::process::Command;
@@ -306,6 +306,7 @@
     }
 }
 
+// Guards against a VM that passes on what another VM answers in place of a target.
 #[test]
 fn broken_heads_of_a_vm_that_carries_requests_reach_no_caller() {
     for start in STATUS_SAMPLE.into_iter().chain(NAME_SAMPLE) {
